--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -125,7 +125,11 @@
             self._parts.clock,
         )
         self._runners[row.key] = runner
-        self._greenlets[row.key] = gevent.spawn(self._run, row.key, runner)
+        self._greenlets[row.key] = self._parts.greenlets.spawn(
+            self._run,
+            row.key,
+            runner,
+        )
 
     def _run(self, key: str, runner: SpanRunner) -> None:
         try:
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.pool import Group
 
 from cactusridge import events, logs, metrics
 from cactusridge.batch.driver import BatchDriver
@@ -47,7 +48,9 @@
     table = HttpTable(_link(cfg, clock))
     objects = HttpObjectStore(_link(cfg, clock))
     client = SidecarClient(cfg)
-    fleet = Fleet(cfg, HttpHostList(_link(cfg, clock)), client, tree, clock)
+    greenlets = Group()
+    host_list = HttpHostList(_link(cfg, clock))
+    fleet = Fleet(cfg, host_list, client, tree, clock, greenlets)
     name = f'{cfg.address}~{secrets.token_hex(NAME_BYTES)}'
     return Parts(
         cfg=cfg,
@@ -62,6 +65,7 @@
         fleet=fleet,
         dispatcher=Dispatcher(cfg.zone, fleet, client, clock),
         recorder=SloRecorder(name, objects, cfg.report_s, clock),
+        greenlets=greenlets,
     )
 
 
@@ -96,8 +100,8 @@
         """Learn hosts and settings, then start the greenlets."""
         self.parts.fleet.refresh()
         self.follower.start()
-        gevent.spawn(self.parts.fleet.run)
-        gevent.spawn(self.driver.run)
+        self.parts.greenlets.spawn(self.parts.fleet.run)
+        self.parts.greenlets.spawn(self.driver.run)
         self._every(self.cfg.settings_poll_s, self.follower.step)
         self._every(self.cfg.report_s, self.parts.recorder.flush)
 
@@ -151,7 +155,7 @@
         return App(routes, self.cfg.max_body_bytes, self.cfg.body_timeout_s)
 
     def _every(self, pause_s: float, step: Callable[[], None]) -> None:
-        gevent.spawn(self._repeat, pause_s, step)
+        self.parts.greenlets.spawn(self._repeat, pause_s, step)
 
     def _repeat(self, pause_s: float, step: Callable[[], None]) -> None:
         while True:
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/entry/fleet.py
@@ -4,6 +4,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pool import Group
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
@@ -34,6 +35,7 @@
         client: SidecarClient,
         tree: SettingsTree,
         clock: Clock,
+        greenlets: Group,
     ) -> None:
         """Know nobody but the seed peers before the first poll."""
         self.cfg = cfg
@@ -42,6 +44,7 @@
         self._client = client
         self._tree = tree
         self._clock = clock
+        self._greenlets = greenlets
         self._rng = random.Random()  # noqa: S311
         self._sidecars: dict[Address, SidecarHost] = {}
         self._entries: set[Address] = {
@@ -127,7 +130,7 @@
             return
         self._sidecars[host.address] = SidecarHost(host, now)
         logs.emit(events.REPLICA_FOUND, host=str(host.address))
-        gevent.spawn(self._probe_loop, host.address)
+        self._greenlets.spawn(self._probe_loop, host.address)
 
     def _drop_if_gone(self, address: Address, now: float) -> None:
         host = self._sidecars[address]
--- a/cactusridge/entry/parts.py
+++ b/cactusridge/entry/parts.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from gevent.pool import Group
+
 from cactusridge.clock import Clock
 from cactusridge.entry.dispatcher import Dispatcher
 from cactusridge.entry.fleet import Fleet
@@ -31,3 +33,4 @@
     fleet: Fleet
     dispatcher: Dispatcher
     recorder: SloRecorder
+    greenlets: Group
--- /dev/null
+++ b/standins/forwarder.py
@@ -0,0 +1,85 @@
+"""A TCP forwarder that can cut or silence what goes through it."""
+
+import contextlib
+import socket
+
+import gevent
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from cactusridge.http.client import Address
+
+BLOCK = 65536
+
+
+class Forwarder:
+    """Stands between two processes; new connections are not affected."""
+
+    def __init__(self, target: Address) -> None:
+        """Forward to ``target`` from a port that the system gives."""
+        self._target = target
+        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._pairs: list[tuple[socket.socket, socket.socket, Event]] = []
+        self.refusing = False
+        self.deaf = False
+
+    def start(self) -> Address:
+        """Listen; return where."""
+        self._server.start()
+        return Address('127.0.0.1', self._server.server_port)
+
+    def cut(self) -> None:
+        """End every open connection."""
+        for near, far, _ in self._pairs:
+            _close(near)
+            _close(far)
+        self._pairs = []
+
+    def silence(self) -> None:
+        """Pass nothing on any more on the connections open now."""
+        for _, _, flowing in self._pairs:
+            flowing.clear()
+        self._pairs = []
+
+    def stop(self) -> None:
+        """Stop listening and end what is open."""
+        self._server.stop(timeout=0)
+        self.cut()
+
+    def _serve(self, near: socket.socket, _: object) -> None:
+        if self.refusing:
+            return
+        flowing = Event()
+        flowing.set()
+        try:
+            far = socket.create_connection(self._target, timeout=2)
+        except OSError:
+            return
+        far.settimeout(None)
+        self._pairs.append((near, far, flowing))
+        back = gevent.spawn(self._pump, far, near, flowing, True)
+        self._pump(near, far, flowing, False)
+        back.join()
+
+    def _pump(
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        flowing: Event,
+        answers: bool,
+    ) -> None:
+        try:
+            while block := source.recv(BLOCK):
+                flowing.wait()
+                if self.deaf and answers:
+                    continue
+                sink.sendall(block)
+        except OSError:
+            _close(source)
+        if flowing.is_set():
+            _close(sink)
+
+
+def _close(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,274 @@
+"""A whole fleet in one process, on real loopback servers."""
+
+from typing import Any, NamedTuple
+
+import gevent
+import yaml
+
+from cactusridge import wire
+from cactusridge.clock import SystemClock
+from cactusridge.entry.app import Entry
+from cactusridge.http.client import Address, Clients
+from cactusridge.http.server import Server
+from cactusridge.settings.access import token_hash
+from cactusridge.sidecar.app import Sidecar
+from cactusridge.startup.models import EntrySettings, SidecarSettings
+from standins.engine import EngineStandIn
+from standins.forwarder import Forwarder
+from standins.local_fleet import DEFTER, DEMO, YAZMAN, free_port, wait_for
+from standins.model import EngineSpeed
+from standins.plain import PlainStandIn
+from standins.platform import PlatformStandIn
+
+SECRET = 'internal-secret-of-tests'
+TOKEN = {'Authorization': 'Bearer demo'}
+ADMIN = {'Authorization': 'Bearer admin'}
+IDLE_S = 60
+BATCH = {
+    'lease_s': 1.5,
+    'lease_margin_s': 0.3,
+    'scan_s': 0.05,
+    'chunk_items': 8,
+    'span_chunks': 4,
+    'shards': 4,
+}
+
+
+class Served(NamedTuple):
+    """A thing and the server in front of it."""
+
+    subject: Any
+    server: Server
+    address: Address
+
+
+class Answer(NamedTuple):
+    """Status and JSON (or bytes) of a call."""
+
+    status: int
+    body: Any
+
+
+def serve(subject: Any, app: Any, address: Address) -> Served:
+    """Serve ``app`` at ``address``."""
+    server = Server(address, app, IDLE_S)
+    server.start()
+    return Served(subject, server, address)
+
+
+def loopback() -> Address:
+    """Return a free address."""
+    return Address('127.0.0.1', free_port())
+
+
+class Rig:
+    """Platform, engines, sidecars and entries; links may be disturbed."""
+
+    def __init__(self, sidecars: int = 2, entries: int = 2) -> None:
+        """Start everything and wait until it is ready."""
+        self.http = Clients(2, 30)
+        self.platform = PlatformStandIn(100_000, 100_000)
+        self.platform.host_lag_s = 0
+        self.store = serve(self.platform, self.platform, loopback())
+        self.engines: list[Served] = []
+        self.sidecars: list[Served] = []
+        self.entries: list[Served] = []
+        self.forwarders: list[Forwarder] = []
+        plain = PlainStandIn()
+        self.plain = serve(plain, plain, loopback())
+        self.hosts: dict[str, dict[str, Any]] = {}
+        for _ in range(sidecars):
+            self.add_sidecar()
+        for _ in range(entries):
+            self.add_entry()
+        self.seed()
+        self.wait_ready()
+
+    def add_sidecar(self, **options: Any) -> Served:
+        """Start an engine and its sidecar; list the sidecar."""
+        checks = options.pop('checks_fencing', False)
+        engine = EngineStandIn('yazman', EngineSpeed(), checks)
+        self.engines.append(serve(engine, engine, loopback()))
+        return self.start_sidecar(self.engines[-1].address, **options)
+
+    def start_sidecar(self, engine: Address, **options: Any) -> Served:
+        """Start a sidecar in front of an engine."""
+        to_engine = self.forward(engine)
+        plain = self.forward(self.plain.address)
+        cfg = SidecarSettings(
+            listen=str(loopback()),
+            zone='a',
+            internal_secret=SECRET,
+            heartbeat_s=0.1,
+            upstreams=[
+                {
+                    'service': YAZMAN,
+                    'address': str(to_engine),
+                    'read_timeout_s': 2,
+                },
+                {'service': DEFTER, 'address': str(plain)},
+            ],
+            **options,
+        )
+        sidecar = Sidecar(cfg, SystemClock())
+        served = serve(sidecar, sidecar.app, cfg.address)
+        self.sidecars.append(served)
+        # Entries reach it through a link that tests can disturb.
+        self.list_host(self.forward(cfg.address), 'sidecar', 'live')
+        return served
+
+    def add_entry(self, **options: Any) -> Served:
+        """Start an entry; list it."""
+        cfg = EntrySettings(
+            listen=str(loopback()),
+            zone='a',
+            internal_secret=SECRET,
+            admin_token_sha256=token_hash('admin'),
+            store={
+                'address': str(self.store.address),
+                'timeout_s': 0.5,
+                'calls_per_s': 10_000,
+            },
+            silence_timeout_s=0.5,
+            settings_poll_s=0.1,
+            hosts_poll_s=0.1,
+            probe_s=0.1,
+            report_s=60,
+            batch=BATCH,
+            **options,
+        )
+        entry = Entry(cfg, SystemClock())
+        entry.start()
+        served = serve(entry, entry.app, cfg.address)
+        self.entries.append(served)
+        self.list_host(cfg.address, 'entry', 'live')
+        return served
+
+    def kill_entry(self, served: Served) -> None:
+        """Lose an entry: nothing of it goes on, nothing is said."""
+        self.entries.remove(served)
+        served.server.stop(timeout=0)
+        served.subject.parts.greenlets.kill()
+        self.hosts.pop(str(served.address))
+        self.publish()
+
+    def kill_sidecar(self, index: int) -> None:
+        """Lose a sidecar with everything in it."""
+        self.sidecars[index].server.stop(timeout=0)
+
+    def forward(self, target: Address) -> Address:
+        """Put a link that can be disturbed before ``target``."""
+        forwarder = Forwarder(target)
+        self.forwarders.append(forwarder)
+        return forwarder.start()
+
+    def links(self, address: Address) -> list[Forwarder]:
+        """Return the links that lead to ``address``."""
+        return [
+            each
+            for each in self.forwarders
+            if each._target == address  # noqa: SLF001, WPS437
+        ]
+
+    def list_host(self, address: Address, role: str, state: str) -> None:
+        """Put a host on the platform's list."""
+        self.hosts[str(address)] = {
+            'address': str(address),
+            'zone': 'a',
+            'role': role,
+            'state': state,
+            'services': [YAZMAN, DEFTER] if role == 'sidecar' else [],
+        }
+        self.publish()
+
+    def publish(self) -> None:
+        """Let the platform show the list now."""
+        self.platform.hosts = [dict(host) for host in self.hosts.values()]
+
+    def seed(self) -> None:
+        """Set the demo's teams and services."""
+        nodes = yaml.safe_load((DEMO / 'settings.yaml').read_text())
+        for path, raw in nodes.items():
+            answer = self.set(path, raw, 0)
+            assert answer.status == 200, answer
+
+    def set(self, path: str, raw: Any, if_version: int) -> Answer:
+        """Set a path through the first entry."""
+        message = {'raw': raw, 'if_version': if_version}
+        url = f'/admin/settings{path}'
+        return self.call(self.entries[0], url, message, ADMIN, 'PUT')
+
+    def update(self, path: str, **fields: Any) -> Answer:
+        """Change some fields of what is set at a path."""
+        url = f'/admin/settings{path}'
+        old = self.call(self.entries[0], url, None, ADMIN, 'GET').body
+        raw = {**old['raw'], **fields}
+        return self.set(path, raw, old['version'])
+
+    def wait_ready(self) -> None:
+        """Wait until every entry has the settings and all sidecars."""
+        for served in self.entries:
+            wait_for('ready', lambda: self.ready(served.subject))
+
+    def ready(self, entry: Entry) -> bool:
+        """Tell whether an entry knows what there is."""
+        known = len(entry.parts.fleet.replicas(YAZMAN))
+        listed = [each['role'] for each in self.hosts.values()]
+        version = self.platform.table.rows['settings/head'][0]['version']
+        in_force = entry.parts.tree.version == version
+        return in_force and known == listed.count('sidecar')
+
+    def call(
+        self,
+        served: Served,
+        path: str,
+        message: Any = None,
+        headers: Any = None,
+        method: str = 'POST',
+    ) -> Answer:
+        """Return status and body of one call."""
+        raw = message if isinstance(message, bytes) else wire.encode(message)
+        sent = {**TOKEN, **(headers or {})}
+        with self.http.send(served.address, path, raw, sent, method) as resp:
+            body = resp.read()
+            kind = resp.get('content-type') or ''
+            found = wire.decode(body) if kind == 'application/json' else body
+            return Answer(resp.status_code, found)
+
+    def chat(
+        self,
+        text: str,
+        entry: int = 0,
+        headers: Any = None,
+        **fields: Any,
+    ) -> Answer:
+        """Send one chat completion."""
+        message = {
+            'model': 'yazman',
+            'messages': [{'role': 'user', 'content': text}],
+            'max_tokens': 4,
+            **fields,
+        }
+        path = '/v1/chat/completions'
+        return self.call(self.entries[entry], path, message, headers)
+
+    def executions(self, text: str) -> list[dict[str, Any]]:
+        """Return what the engines began for prompts with ``text``."""
+        return [
+            each
+            for engine in self.engines
+            for each in engine.subject.executions
+            if text in each['prompt']
+        ]
+
+    def close(self) -> None:
+        """End everything."""
+        for served in self.entries:
+            served.subject.parts.greenlets.kill()
+        for served in (*self.entries, *self.sidecars, *self.engines):
+            served.server.stop(timeout=0)
+        self.plain.server.stop(timeout=0)
+        self.store.server.stop(timeout=0)
+        for forwarder in self.forwarders:
+            forwarder.stop()
+        gevent.sleep(0)
