Promises under failure: at most once, resend, cancel, silence, outage

The tests found four faults in the mechanisms, each red first: - a request whose attempts had run was refused as not run once every replica had been tried (NoReplica, not_run true; 3 tests and the shared check of refusals against the upstreams' records); - a request gave up when its replicas had each failed once, though a new connection to them worked (silent links, both levels); - a read of the store that met a silent connection was not repeated; - an entry learned a restarted sidecar's incarnation only from the next probe, and answered 409 until then. Ruled out: the engine stand-in's own crash, which came after the answer of short items (its delay is now 1 ms). Change: what is said of a request is combined over all its attempts; replicas tried are tried again when no other is left; store reads go out twice; every reply ends with the sidecar's report.

--- a/cactusridge/entry/attempt.py
+++ b/cactusridge/entry/attempt.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
@@ -17,13 +18,20 @@
 )
 from cactusridge.http import frames
 from cactusridge.http.frames import Frame, FrameKind
-from cactusridge.orders import RunOrder
+from cactusridge.orders import RunOrder, SidecarReport
 
 IO_ERRORS = (OSError, HTTPParseError)
 OK = 200
 UNREADABLE = 502
 
 
+class Callbacks(NamedTuple):
+    """Who is told of heartbeats and of the sidecar's reports."""
+
+    heartbeat: Callable[[], None]
+    report: Callable[[SidecarReport], None]
+
+
 class RemoteRefusal(CactusridgeError):
     """A sidecar's refusal, as it said it."""
 
@@ -48,16 +56,16 @@
         order: RunOrder,
         replica: Replica,
         resp: HTTPSocketPoolResponse,
-        on_heartbeat: Callable[[], None],
+        callbacks: Callbacks,
     ) -> None:
-        """Read frames from ``resp``; call back on each heartbeat."""
+        """Read frames from ``resp``; call back on heartbeats and reports."""
         self.order = order
         self.replica = replica
         self.status = OK
         self.headers: list[tuple[str, str]] = []
         self.started = False
         self._resp = resp
-        self._on_heartbeat = on_heartbeat
+        self._callbacks = callbacks
         self._replica_work = replica.own
         self._replica_work[order.work] += 1
         self._open = True
@@ -124,18 +132,25 @@
             frame = self._next()
             kind = frame.head['kind']
             if kind == FrameKind.heartbeat:
-                self._on_heartbeat()
+                self._callbacks.heartbeat()
             elif kind == FrameKind.refusal:
-                raise RemoteRefusal(
-                    frame.head.get('status', UNREADABLE),
-                    frame.head.get('error', {}),
-                )
+                raise self._refusal(frame)
             elif kind == FrameKind.started:
                 self.started = True
             else:
                 self._check(frame)
                 return frame
 
+    def _refusal(self, frame: Frame) -> RemoteRefusal:
+        """Return the refusal; the report that follows it is taken too."""
+        end = self._next()
+        if end.head['kind'] == FrameKind.end:
+            self._check(end)
+        return RemoteRefusal(
+            frame.head.get('status', UNREADABLE),
+            frame.head.get('error', {}),
+        )
+
     def _next(self) -> Frame:
         try:
             return frames.read_frame(self._resp)
@@ -157,6 +172,9 @@
             raise CrossedReply(f'asked {self.order.id}, got {given}')
         if frame.head['kind'] == FrameKind.end:
             self._ended = True
+        report = frame.head.get('report')
+        if report is not None:
+            self._callbacks.report(report)
 
 
 def is_broken(exc: CactusridgeError) -> bool:
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -1,14 +1,15 @@
 """Places requests on replicas: choice, retries, at-most-once."""
 
+import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
 import gevent
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
-from cactusridge.entry.attempt import Attempt, RemoteRefusal
+from cactusridge.entry.attempt import Attempt, Callbacks, RemoteRefusal
 from cactusridge.entry.dispatch import Dispatch
 from cactusridge.entry.fleet import Fleet
 from cactusridge.entry.replica import Replica
@@ -31,6 +32,17 @@
 MIN_RETRY_S = 0.5
 
 
+def none_ran(said: Sequence[bool | None]) -> bool | None:
+    """Return what may be said of a request after several attempts.
+
+    True only if each is known not to have run; False if one is known
+    to have run; None if that is not known of some.
+    """
+    if all(said):
+        return True
+    return False if False in said else None
+
+
 def ignore_heartbeat() -> None:
     """Do nothing on a heartbeat."""
 
@@ -67,16 +79,17 @@
         """
         budget = self._budget(dispatch)
         budget.request()
-        tried: set[str] = set()
-        attempts = 0
+        tried: list[str] = []
+        said: list[bool | None] = []
         while True:
-            replica = self.choose(dispatch, tried)
-            attempts += 1
-            tried.add(replica.key)
             try:
+                replica = self.choose(dispatch, tried)
+                tried.append(replica.key)
                 return self.attempt(dispatch, replica, on_heartbeat)
             except CactusridgeError as exc:
-                self._check_retry(dispatch, exc, budget, attempts)
+                said.append(exc.not_run)
+                exc.not_run = none_ran(said)
+                self._check_retry(dispatch, exc, budget, len(said))
 
     def attempt(
         self,
@@ -104,13 +117,13 @@
         self.outliers.succeeded(replica.key, self._clock.monotonic() - now)
         return attempt
 
-    def choose(self, dispatch: Dispatch, tried: set[str]) -> Replica:
+    def choose(self, dispatch: Dispatch, tried: Sequence[str]) -> Replica:
         """Return the replica for ``dispatch``, none of ``tried`` if it can."""
         replicas = {
             replica.key: replica
             for replica in self.fleet.replicas(dispatch.service.path)
         }
-        fresh = set(replicas) - tried
+        fresh = set(replicas) - set(tried) or set(replicas)
         if not fresh:
             raise NoReplica(
                 f'no replica of {dispatch.service.name} takes work now',
@@ -164,7 +177,11 @@
         on_heartbeat: Callable[[], None],
     ) -> Attempt:
         resp = self._client.run(replica.address, order, dispatch.body)
-        attempt = Attempt(order, replica, resp, on_heartbeat)
+        callbacks = Callbacks(
+            on_heartbeat,
+            functools.partial(self.fleet.note_report, replica.address),
+        )
+        attempt = Attempt(order, replica, resp, callbacks)
         limit = gevent.Timeout(
             max(0, dispatch.deadline_at - self._clock.monotonic()),
             DeadlineExceeded(retry_after_s=MIN_RETRY_S),
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -5,6 +5,7 @@
 
 import gevent
 from gevent import pywsgi
+from gevent.pool import Pool
 
 from cactusridge.http.exchange import SOCKET_KEY
 
@@ -60,6 +61,7 @@
         super().__init__(
             address,
             application,
+            spawn=Pool(),
             log=SILENT_LOG,
             error_log=SILENT_LOG,
         )
--- a/cactusridge/platform/host_list.py
+++ b/cactusridge/platform/host_list.py
@@ -5,10 +5,9 @@
 from typing import NamedTuple
 
 from cactusridge import wire
-from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, parse_address
 from cactusridge.platform.link import PlatformLink
-from cactusridge.platform.table import Priority, WriteUnknown
+from cactusridge.platform.table import Priority
 
 
 class HostState(enum.StrEnum):
@@ -45,10 +44,7 @@
 
     def hosts(self) -> list[Host]:
         """Return the hosts as the platform last saw them."""
-        try:
-            answer = self.link.call('GET', '/hosts', b'', Priority.lease)
-        except WriteUnknown as exc:
-            raise StoreUnavailable(str(exc), retry_after_s=1) from exc
+        answer = self.link.ask('GET', '/hosts', b'', Priority.lease)
         return [
             Host(
                 parse_address(entry['address']),
--- a/cactusridge/platform/http_table.py
+++ b/cactusridge/platform/http_table.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from cactusridge import wire
-from cactusridge.errors import StoreUnavailable
 from cactusridge.platform.link import PlatformLink
 from cactusridge.platform.table import (
     PAGE,
@@ -14,7 +13,6 @@
     Row,
     Table,
     Write,
-    WriteUnknown,
 )
 
 CONFLICT = 409
@@ -68,9 +66,5 @@
 
     def _ask(self, path: str, message: Any, priority: Priority) -> Any:
         raw = wire.encode(message)
-        try:
-            answer = self.link.call('POST', path, raw, priority)
-        except WriteUnknown as exc:
-            # A read changes nothing, so an unknown outcome is none.
-            raise StoreUnavailable(str(exc), retry_after_s=1) from exc
+        answer = self.link.ask('POST', path, raw, priority)
         return wire.decode(answer.body)
--- a/cactusridge/platform/link.py
+++ b/cactusridge/platform/link.py
@@ -18,6 +18,7 @@
 NOT_FOUND = 404
 TOO_MANY = 429
 CONNECT_TIMEOUT_S = 1
+READ_TRIES = 2
 
 
 class PlatformAnswer(NamedTuple):
@@ -69,6 +70,26 @@
         metrics.STORE_CALLS.inc({'outcome': 'answered'})
         return answer
 
+    def ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        priority: Priority,
+        headers: dict[str, str] | None = None,
+    ) -> PlatformAnswer:
+        """Send a call that changes nothing; again if its answer is lost.
+
+        The second goes out on a new connection, since the open ones may
+        be what went silent. Raises StoreUnavailable.
+        """
+        for _ in range(READ_TRIES):
+            try:
+                return self.call(method, path, body, priority, headers)
+            except WriteUnknown as exc:
+                lost = exc
+        raise StoreUnavailable(str(lost), retry_after_s=1) from lost
+
     def _admit(self, priority: Priority) -> None:
         wait_s = self.breaker.wait_s()
         if wait_s:
--- a/cactusridge/platform/object_store.py
+++ b/cactusridge/platform/object_store.py
@@ -64,10 +64,7 @@
         return raw.decode().split()
 
     def _ask(self, path: str, headers: dict[str, str]) -> bytes | None:
-        try:
-            answer = self.link.call('GET', path, b'', Priority.commit, headers)
-        except WriteUnknown as exc:
-            raise StoreUnavailable(str(exc), retry_after_s=1) from exc
+        answer = self.link.ask('GET', path, b'', Priority.commit, headers)
         if answer.status == NOT_FOUND:
             return None
         return answer.body
--- a/cactusridge/sidecar/app.py
+++ b/cactusridge/sidecar/app.py
@@ -17,7 +17,6 @@
 from cactusridge.http import frames
 from cactusridge.http.app import App, Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
-from cactusridge.http.frames import FrameHead, FrameKind
 from cactusridge.orders import (
     SECRET_HEADER,
     Probe,
@@ -35,7 +34,7 @@
 from cactusridge.sidecar.fences import FenceRegister
 from cactusridge.sidecar.lane import Lane
 from cactusridge.sidecar.ledger import RunLedger
-from cactusridge.sidecar.run import Run
+from cactusridge.sidecar.run import Run, end_frame, refusal_frame
 from cactusridge.startup.models import SidecarSettings
 
 FRAMES_TYPE = 'application/x-cactusridge-frames'
@@ -86,8 +85,8 @@
         try:
             lane = self._admit(order)
         except CactusridgeError as exc:
-            return _frames_reply(_refusal(exc, order.id))
-        run = Run(order, body, lane, self.ledger)
+            return _frames_reply(self._refusal(exc, order.id))
+        run = Run(order, body, lane, self.ledger, self.report)
         return _frames_reply(run.frames(self.cfg.heartbeat_s))
 
     def probe(self, req: Req) -> Reply:
@@ -137,6 +136,10 @@
         self.ledger.queue(order.id)
         return lane
 
+    def _refusal(self, exc: CactusridgeError, order_id: str) -> Iterator[bytes]:
+        yield frames.encode(refusal_frame(exc))
+        yield frames.encode(end_frame(order_id, self.report()))
+
     def _apply(self, push: SettingsPush) -> None:
         for path, raw in push.services.items():
             lane = self.lanes.get(path)
@@ -172,13 +175,3 @@
 
 def _frames_reply(body: Iterator[bytes]) -> Reply:
     return Reply(HTTPStatus.OK, [('Content-Type', FRAMES_TYPE)], body)
-
-
-def _refusal(exc: CactusridgeError, order_id: str) -> Iterator[bytes]:
-    head = FrameHead(
-        kind=FrameKind.refusal,
-        status=exc.status,
-        error=dict(exc.body()),
-    )
-    yield frames.encode(head)
-    yield frames.encode(FrameHead(kind=FrameKind.end, id=order_id))
--- a/cactusridge/sidecar/controllers.py
+++ b/cactusridge/sidecar/controllers.py
@@ -76,7 +76,7 @@
         """Start with all slots open to batch."""
         self._slots = slots
         self._objective = objective
-        self._share = share
+        self.share = share
         self._clock = clock
         self._level = float(slots)
         self._use: deque[float] = deque(maxlen=SAMPLES)
@@ -105,7 +105,7 @@
         if now - self._changed_at < PERIOD_S:
             return
         self._changed_at = now
-        if self._use and self._worst() > self._share:
+        if self._use and self._worst() > self.share:
             self._level = max(1, self._level * CUT)
         else:
             step = max(1, self._slots / GROWTH_PERIODS)
--- a/cactusridge/sidecar/run.py
+++ b/cactusridge/sidecar/run.py
@@ -1,6 +1,6 @@
 """One order on its way through gate, ledger and upstream."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import gevent
 from gevent.event import Event
@@ -15,7 +15,7 @@
 )
 from cactusridge.http import frames
 from cactusridge.http.frames import FrameHead, FrameKind
-from cactusridge.orders import RunOrder, WorkClass
+from cactusridge.orders import RunOrder, SidecarReport, WorkClass
 from cactusridge.sidecar.gate import Ticket
 from cactusridge.sidecar.lane import Lane
 from cactusridge.sidecar.ledger import RunLedger
@@ -34,12 +34,17 @@
         body: bytes,
         lane: Lane,
         ledger: RunLedger,
+        report: Callable[[], SidecarReport],
     ) -> None:
-        """Run ``order`` with ``body`` on ``lane``, noted in ``ledger``."""
+        """Run ``order`` with ``body`` on ``lane``, noted in ``ledger``.
+
+        Every reply ends with the sidecar's ``report``.
+        """
         self.order = order
         self.body = body
         self._lane = lane
         self._ledger = ledger
+        self._report = report
         self._out: Queue = Queue(QUEUE_DEPTH)
         self._started = False
         self._done = Event()
@@ -72,7 +77,7 @@
         except Exception as exc:
             logs.emit(events.INTERNAL_ERROR, error=repr(exc))
             self._refuse(CactusridgeError(repr(exc)))
-        self._say(FrameHead(kind=FrameKind.end, id=self.order.id))
+        self._say(end_frame(self.order.id, self._report()))
         self._done.set()
 
     def _run(self) -> None:
@@ -195,15 +200,9 @@
         self._out.put(frames.encode(head))
 
     def _refuse(self, exc: CactusridgeError) -> None:
-        body = exc.body()
-        if self._started and body['not_run'] and not is_failure(exc):
-            body['not_run'] = None
-        head = FrameHead(
-            kind=FrameKind.refusal,
-            status=exc.status,
-            error=dict(body),
-        )
-        self._say(head)
+        if self._started and exc.not_run and not is_failure(exc):
+            exc.not_run = None
+        self._say(refusal_frame(exc))
 
     def _note_failure(self, exc: CactusridgeError) -> None:
         logs.emit(
@@ -214,6 +213,20 @@
         )
 
 
+def end_frame(order_id: str, report: SidecarReport) -> FrameHead:
+    """Return the last frame of a reply: whose it was, and the load now."""
+    return FrameHead(kind=FrameKind.end, id=order_id, report=dict(report))
+
+
+def refusal_frame(exc: CactusridgeError) -> FrameHead:
+    """Return the frame that refuses an order."""
+    return FrameHead(
+        kind=FrameKind.refusal,
+        status=exc.status,
+        error=dict(exc.body()),
+    )
+
+
 def _body(block: bytes) -> bytes:
     return frames.encode(FrameHead(kind=FrameKind.body), block)
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,6 +22,7 @@
 DEFAULT_TOKENS = 16
 DIGEST_CHARS = 12
 WATCH_S = 0.05
+CRASH_S = 0.001
 POISON = 'POISON'
 ENDLESS = 'ENDLESS'
 ENDLESS_TOKENS = 1 << 40
@@ -83,7 +84,7 @@
         self.streams[stream.id] = stream
         self.batch.add(stream, bool(req.header('X-Resume')))
         if POISON in stream.prompt:
-            gevent.spawn_later(WATCH_S, self.batch.crash)
+            gevent.spawn_later(CRASH_S, self.batch.crash)
         headers = [('X-Request-Id', self._echo(stream, fault))]
         if message.get('stream'):
             headers.append(('Content-Type', 'text/event-stream'))
@@ -120,8 +121,12 @@
 
     def text(self, stream: Stream, number: int) -> str:
         """Return token ``number`` of the answer to the stream's prompt."""
-        digest = hashlib.sha256(stream.prompt.encode()).hexdigest()
-        return f'{digest[:DIGEST_CHARS]}-{number} '
+        return f'{self.digest(stream.prompt)}-{number} '
+
+    def digest(self, prompt: str) -> str:
+        """Return what every token of the answer to ``prompt`` begins with."""
+        whole = hashlib.sha256(prompt.encode()).hexdigest()
+        return whole[:DIGEST_CHARS]
 
     def _stream(self, req: Req, message: Any) -> Stream:
         prompt = self._prompt(message)
--- a/standins/forwarder.py
+++ b/standins/forwarder.py
@@ -17,16 +17,18 @@
 
     def __init__(self, target: Address) -> None:
         """Forward to ``target`` from a port that the system gives."""
-        self._target = target
+        self.target = target
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._pairs: list[tuple[socket.socket, socket.socket, Event]] = []
+        self.address = target
         self.refusing = False
         self.deaf = False
 
     def start(self) -> Address:
         """Listen; return where."""
         self._server.start()
-        return Address('127.0.0.1', self._server.server_port)
+        self.address = Address('127.0.0.1', self._server.server_port)
+        return self.address
 
     def cut(self) -> None:
         """End every open connection."""
@@ -52,7 +54,7 @@
         flowing = Event()
         flowing.set()
         try:
-            far = socket.create_connection(self._target, timeout=2)
+            far = socket.create_connection(self.target, timeout=2)
         except OSError:
             return
         far.settimeout(None)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -56,6 +56,12 @@
     return Served(subject, server, address)
 
 
+def prompt_of(raw: bytes) -> str:
+    """Return the prompt in a chat completion's body."""
+    parts = wire.decode(raw).get('messages') or []
+    return ''.join(str(part.get('content')) for part in parts)
+
+
 def loopback() -> Address:
     """Return a free address."""
     return Address('127.0.0.1', free_port())
@@ -74,6 +80,7 @@
         self.sidecars: list[Served] = []
         self.entries: list[Served] = []
         self.forwarders: list[Forwarder] = []
+        self.refused: list[tuple[str, bytes]] = []
         plain = PlainStandIn()
         self.plain = serve(plain, plain, loopback())
         self.hosts: dict[str, dict[str, Any]] = {}
@@ -156,6 +163,32 @@
         """Lose a sidecar with everything in it."""
         self.sidecars[index].server.stop(timeout=0)
 
+    def restart_sidecar(self, index: int) -> None:
+        """Lose a sidecar and start another at its address."""
+        old = self.sidecars[index]
+        old.server.stop(timeout=0)
+        sidecar = Sidecar(old.subject.cfg, SystemClock())
+        self.sidecars[index] = serve(sidecar, sidecar.app, old.address)
+
+    def leave_only(self, index: int) -> None:
+        """Take every sidecar but one off the list; stop the others."""
+        for number, served in enumerate(self.sidecars):
+            if number != index:
+                served.server.stop(timeout=0)
+                for link in self.links(served.address):
+                    self.hosts.pop(str(link.address))
+                    link.stop()
+        self.publish()
+        for served in self.entries:
+            wait_for(
+                'one sidecar',
+                lambda: len(served.subject.parts.fleet.sidecars()) == 1,
+            )
+
+    def later(self, seconds: float, action: Any) -> None:
+        """Do something while a call is under way."""
+        gevent.spawn_later(seconds, action)
+
     def forward(self, target: Address) -> Address:
         """Put a link that can be disturbed before ``target``."""
         forwarder = Forwarder(target)
@@ -164,11 +197,7 @@
 
     def links(self, address: Address) -> list[Forwarder]:
         """Return the links that lead to ``address``."""
-        return [
-            each
-            for each in self.forwarders
-            if each._target == address  # noqa: SLF001, WPS437
-        ]
+        return [each for each in self.forwarders if each.target == address]
 
     def list_host(self, address: Address, role: str, state: str) -> None:
         """Put a host on the platform's list."""
@@ -208,7 +237,11 @@
     def wait_ready(self) -> None:
         """Wait until every entry has the settings and all sidecars."""
         for served in self.entries:
-            wait_for('ready', lambda: self.ready(served.subject))
+            self.wait_entry(served.subject)
+
+    def wait_entry(self, entry: Entry) -> None:
+        """Wait until one entry has the settings and all sidecars."""
+        wait_for('ready', lambda: self.ready(entry))
 
     def ready(self, entry: Entry) -> bool:
         """Tell whether an entry knows what there is."""
@@ -233,7 +266,32 @@
             body = resp.read()
             kind = resp.get('content-type') or ''
             found = wire.decode(body) if kind == 'application/json' else body
-            return Answer(resp.status_code, found)
+            answer = Answer(resp.status_code, found)
+        self.note_refusal(path, raw, answer)
+        return answer
+
+    def note_refusal(self, path: str, raw: bytes, answer: Answer) -> None:
+        """Remember a request that was said not to have run."""
+        error = (
+            answer.body.get('error') if hasattr(answer.body, 'get') else None
+        )
+        if isinstance(error, dict) and error['not_run']:
+            self.refused.append((path, raw))
+
+    def ran_though_refused(self) -> list[bytes]:
+        """Return requests said not to have run that the upstreams have."""
+        plain = {call['body'] for call in self.plain.subject.calls}
+        prompts = {
+            each['prompt']
+            for engine in self.engines
+            for each in engine.subject.executions
+        }
+        return [
+            raw
+            for path, raw in self.refused
+            if (path.startswith('/services') and raw.decode() in plain)
+            or (path.startswith('/v1/chat') and prompt_of(raw) in prompts)
+        ]
 
     def chat(
         self,
--- a/tests/rig_case.py
+++ b/tests/rig_case.py
@@ -57,6 +57,11 @@
         """Start the rig."""
         self.rig = Rig(self.sidecars, self.entries)
         self.addCleanup(self.rig.close)
+        self.addCleanup(self.check_refusals)
+
+    def check_refusals(self) -> None:
+        """Check that what was said not to have run has not run."""
+        self.assertEqual([], self.rig.ran_though_refused())
 
     def upload(self, text: str, entry: int = 0) -> Answer:
         """Upload a batch input file."""
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,58 @@
+"""A leaving upstream gets no new work; what it has is finished."""
+
+import gevent
+from nose2.tools import params
+
+from standins.local_fleet import YAZMAN, wait_for
+from tests.rig_case import RigCase
+
+WORDS = ('list', 'own', 'both')
+
+
+class TestLeaving(RigCase):
+    """The host list, the sidecar, or both say that a host leaves."""
+
+    def say_leaving(self, word: str) -> None:
+        """Let the first sidecar leave by someone's word."""
+        served = self.rig.sidecars[0]
+        if word in {'list', 'both'}:
+            link = self.rig.links(served.address)[0]
+            self.rig.list_host(link.address, 'sidecar', 'leaving')
+        if word in {'own', 'both'}:
+            served.subject.begin_drain()
+
+    @params(*WORDS)
+    def test_no_new_work(self, word):
+        """Either word alone is enough; streams in work are finished."""
+        running = gevent.spawn(self.hold_streams)
+        engine = self.rig.engines[0].subject
+        wait_for('work on the first', lambda: engine.batch.running)
+        self.say_leaving(word)
+        for served in self.rig.entries:
+            self.wait_one(served.subject.parts.fleet)
+        begun = len(engine.executions)
+        answers = [self.rig.chat(f'later {n}', n % 2) for n in range(20)]
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual(begun, len(engine.executions))
+        running.join()
+        self.assertEqual({200}, {answer.status for answer in running.value})
+
+    def test_listed_host_that_never_answers(self):
+        """A host on the list that is not there gets no work."""
+        link = self.rig.links(self.rig.sidecars[0].address)[0]
+        link.stop()
+        answers = [self.rig.chat(f'a {n}') for n in range(10)]
+        self.assertEqual({200}, {answer.status for answer in answers})
+
+    def hold_streams(self) -> list[object]:
+        """Send requests that take a while, to both replicas."""
+        sent = [
+            gevent.spawn(self.rig.chat, f'long {n}', 0, max_tokens=150)
+            for n in range(8)
+        ]
+        gevent.joinall(sent)
+        return [each.value for each in sent]
+
+    def wait_one(self, fleet: object) -> None:
+        """Wait until a fleet offers one replica only."""
+        wait_for('one left', lambda: len(fleet.replicas(YAZMAN)) == 1)
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,58 @@
+"""Items that can never be done end as failed; the others are done."""
+
+from nose2.tools import params
+
+from standins.local_fleet import YAZMAN
+from tests.rig_case import RigCase
+
+ITEMS = 24
+BAD = 5
+KINDS = (
+    ('POISON', 'item_attempts_exhausted'),
+    ('ENDLESS', 'item_attempts_exhausted'),
+    ('REFUSE', None),
+)
+
+
+class TestPoison(RigCase):
+    """One item of a job is bad."""
+
+    @params(*KINDS)
+    def test_one_bad_item(self, kind, code):
+        """The bad item fails after bounded attempts; the rest is done."""
+        self.rig.update(YAZMAN, item_timeout_s=1.5, max_item_attempts=2)
+        texts = [f'i{n}' for n in range(ITEMS)]
+        texts[BAD] = kind
+        self.rig.wait_ready()
+        job = self.submit(texts)
+        shown = self.wait_state(job, 'completed')
+        counts = shown['request_counts']
+        self.assertEqual(
+            (ITEMS - 1, 1), (counts['completed'], counts['failed'])
+        )
+        self.check_exactly_once(job, ITEMS)
+        failed = self.lines(job, 'err')[0]
+        self.assertEqual(f'id-{BAD}', failed['custom_id'])
+        if code is None:
+            self.assertEqual(400, failed['response']['status_code'])
+        else:
+            self.assertEqual(code, failed['error']['code'])
+        begun = self.rig.executions(kind)
+        self.assertLessEqual(len(begun), 2)
+
+    def test_attempts_survive_lost_holders(self):
+        """Chunks begun by several holders run item by item, counted."""
+        job = self.submit([f's{n}' for n in range(8)], tokens=150)
+        for _ in range(4):
+            holder = self.entry_holding(job)
+            self.rig.add_entry()
+            self.rig.kill_entry(holder)
+        self.wait_state(job, 'completed')
+        self.check_exactly_once(job, 8)
+        begun = [
+            stored['started'].get('0', 0)
+            for commit in self.rig.platform.table.history
+            for key, stored in commit['writes']
+            if stored and key.startswith('spans/')
+        ]
+        self.assertGreater(max(begun), 3)
--- /dev/null
+++ b/tests/test_settings_in_force.py
@@ -0,0 +1,144 @@
+"""Accepted settings are in force everywhere and never go back."""
+
+import gevent
+from nose2.tools import params
+
+from standins.faults import Fault, FaultKind
+from standins.local_fleet import YAZMAN, wait_for
+from tests.rig import ADMIN, Answer
+from tests.rig_case import RigCase
+
+JOBS = '/teams/demo/deployments/main/jobs'
+
+
+class TestSettingsInForce(RigCase):
+    """Settings change while processes and the store misbehave."""
+
+    def versions(self) -> list[int]:
+        """Return the version in force at every process."""
+        entries = [
+            served.subject.parts.tree.version for served in self.rig.entries
+        ]
+        sidecars = [
+            served.subject.settings_version for served in self.rig.sidecars
+        ]
+        return entries + sidecars
+
+    def wait_version(self, version: int) -> None:
+        """Wait until every process has ``version`` or a newer one."""
+        wait_for(f'{version}', lambda: min(self.versions()) >= version)
+
+    def put(self, path: str, raw: object, version: int, entry: int) -> Answer:
+        """Set a path at one entry."""
+        message = {'raw': raw, 'if_version': version}
+        url = f'/admin/settings{path}'
+        served = self.rig.entries[entry]
+        return self.rig.call(served, url, message, ADMIN, 'PUT')
+
+    def test_reaches_entries_and_sidecars(self):
+        """A change is in force at every process, in effect too."""
+        changed = self.rig.update(YAZMAN, batch_share=0.5)
+        self.wait_version(changed.body['version'])
+        for served in self.rig.sidecars:
+            gate = served.subject.lanes[YAZMAN].gate
+            self.assertEqual(0.5, gate.controller.share)
+
+    def test_two_operators_race(self):
+        """One wins; the other is told, with both values."""
+        sent = [
+            gevent.spawn(self.put, f'{JOBS}/j', {'due_in_s': n + 1}, 0, n)
+            for n in (0, 1)
+        ]
+        gevent.joinall(sent, raise_error=True)
+        statuses = sorted(each.value.status for each in sent)
+        self.assertEqual([200, 409], statuses)
+        lost = next(each.value for each in sent if each.value.status == 409)
+        self.assertEqual('settings_conflict', lost.body['error']['code'])
+        self.assertIn("'due_in_s': 1", lost.body['error']['message'])
+        self.assertIn("'due_in_s': 2", lost.body['error']['message'])
+
+    def test_many_paths_at_once(self):
+        """Changes of different paths never refuse each other."""
+        sent = [
+            gevent.spawn(self.put, f'{JOBS}/j{n}', {'due_in_s': 1}, 0, n % 2)
+            for n in range(10)
+        ]
+        gevent.joinall(sent, raise_error=True)
+        self.assertEqual({200}, {each.value.status for each in sent})
+        found = {each.value.body['version'] for each in sent}
+        self.assertEqual(10, len(found))
+
+    @params(1, 3)
+    def test_lost_answer(self, count):
+        """The write took effect; it is neither refused nor doubled."""
+        before = self.rig.platform.table.rows['settings/head'][0]['version']
+        lost = Fault(FaultKind.lose_answer, 'settings/head', count)
+        self.rig.platform.faults.add(lost)
+        answer = self.rig.update(YAZMAN, batch_share=0.6)
+        self.assertEqual(200, answer.status, answer)
+        self.assertEqual(before + 1, answer.body['version'])
+        self.wait_version(before + 1)
+        self.assertEqual(before + 1, max(self.versions()))
+
+    def test_lost_answer_then_changed_by_another(self):
+        """An operator is told the truth though another came after."""
+        lost = Fault(FaultKind.lose_answer, 'settings/head', 1)
+        self.rig.platform.faults.add(lost)
+        first = gevent.spawn(self.put, f'{JOBS}/j', {'due_in_s': 1}, 0, 0)
+        wait_for('lost', lambda: self.rig.platform.faults.hits)
+        head = self.rig.platform.table.rows['settings/head'][0]['version']
+        second = self.put(f'{JOBS}/j', {'due_in_s': 2}, head, 1)
+        first.join()
+        self.assertEqual([200, 200], [first.value.status, second.status])
+
+    def test_started_without_the_store(self):
+        """A process that starts during an outage learns from its peers."""
+        self.rig.update(YAZMAN, batch_share=0.4)
+        self.wait_version(7)
+        down = Fault(FaultKind.down, '', 1_000_000)
+        self.rig.platform.faults.add(down)
+        peer = str(self.rig.entries[0].address)
+        served = self.rig.add_entry(seed_peers=(peer,))
+        self.assertEqual(7, served.subject.parts.tree.version)
+
+    def test_sidecar_started_without_the_store(self):
+        """A sidecar that restarts in an outage gets its settings."""
+        self.rig.platform.faults.add(Fault(FaultKind.down, '', 1_000_000))
+        self.rig.restart_sidecar(0)
+        self.wait_version(6)
+        self.assertEqual(200, self.rig.chat('served on').status)
+
+    def test_entry_cut_off_from_the_store_follows_its_peer(self):
+        """What an entry cannot read it gets from another."""
+        cut_off = self.rig.entries[1].subject
+        cut_off.parts.table.link.breaker = AlwaysOpen()
+        changed = self.rig.update(YAZMAN, batch_share=0.3)
+        self.wait_version(changed.body['version'])
+
+    def test_stale_read_does_not_take_back(self):
+        """An old head, or an old snapshot, changes nothing."""
+        changed = self.rig.update(YAZMAN, batch_share=0.2)
+        self.wait_version(changed.body['version'])
+        tree = self.rig.entries[0].subject.parts.tree
+        old = tree.snapshot()._replace(version=2, nodes=[])
+        self.assertFalse(tree.load(old))
+        rows = self.rig.platform.table.rows
+        rows['settings/head'] = ({'version': 2}, rows['settings/head'][1])
+        self.rig.entries[0].subject.follower.step()
+        self.assertEqual(changed.body['version'], tree.version)
+
+
+class AlwaysOpen:
+    """A breaker that lets nothing through."""
+
+    open = True
+
+    def wait_s(self) -> float:
+        """Return a long pause."""
+        return 60
+
+    def succeeded(self) -> None:
+        """Stay open."""
+
+    def failed(self) -> None:
+        """Stay open."""
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,67 @@
+"""Open connections go silent for good while new ones work."""
+
+from standins.local_fleet import DEFTER, YAZMAN, wait_for
+from tests.rig_case import RigCase
+
+
+class TestSilence(RigCase):
+    """Each link goes silent in turn."""
+
+    def silence(self, address: object) -> None:
+        """Silence every open connection to an address."""
+        for link in self.rig.links(address):
+            link.silence()
+
+    def test_entry_to_sidecar(self):
+        """Online requests go on elsewhere or on a new connection."""
+        for number in range(10):
+            self.rig.chat(f'warm {number}')
+        for served in self.rig.sidecars:
+            self.silence(served.address)
+        answers = [self.rig.chat(f'on {n}') for n in range(10)]
+        self.assertEqual({200}, {answer.status for answer in answers})
+
+    def test_entry_to_sidecar_in_the_middle_of_a_request(self):
+        """A request in work on a silent link is sent again."""
+        served = self.rig.sidecars
+        self.rig.later(0.2, lambda: self.silence(served[0].address))
+        self.rig.later(0.2, lambda: self.silence(served[1].address))
+        answer = self.rig.chat('middle', max_tokens=120)
+        self.assertEqual(200, answer.status)
+
+    def test_sidecar_to_engine(self):
+        """A silent engine connection is given up; another answers."""
+        for number in range(4):
+            self.rig.chat(f'warm {number}')
+        for engine in self.rig.engines:
+            self.silence(engine.address)
+        answer = self.rig.chat('again')
+        self.assertEqual(200, answer.status)
+
+    def test_to_the_store(self):
+        """Settings are read on a new connection."""
+        for served in self.rig.entries:
+            link = served.subject.parts.table.link
+            link.address = self.rig.forward(self.rig.store.address)
+        changed = self.rig.update(YAZMAN, batch_share=0.5)
+        self.silence(self.rig.store.address)
+        changed = self.rig.update(YAZMAN, batch_share=0.4)
+        self.assertEqual(200, changed.status, changed)
+        trees = [served.subject.parts.tree for served in self.rig.entries]
+        version = changed.body['version']
+        wait_for(
+            'in force',
+            lambda: min(tree.version for tree in trees) >= version,
+        )
+
+    def test_not_repeatable_says_so_truthfully(self):
+        """A call that may not repeat is run once or not, and says which."""
+        path = '/services/defter/registers/1'
+        self.rig.call(self.rig.entries[0], path, 'warm')
+        for served in self.rig.sidecars:
+            self.silence(served.address)
+        answer = self.rig.call(self.rig.entries[0], path, 'silent')
+        calls = self.rig.plain.subject.calls
+        ran = sum(call['body'] == '"silent"' for call in calls)
+        self.assertEqual(int(answer.status == 200), ran)
+        self.assertIn(DEFTER, self.rig.sidecars[0].subject.lanes)
--- /dev/null
+++ b/tests/test_store_outage.py
@@ -0,0 +1,65 @@
+"""The platform's store is down or slow for long."""
+
+import gevent
+from nose2.tools import params
+
+from standins.faults import Fault, FaultKind
+from standins.local_fleet import wait_for
+from tests.rig_case import RigCase, job_line
+
+FOREVER = 1_000_000
+ITEMS = 60
+
+
+class TestStoreOutage(RigCase):
+    """Online goes on, batch waits, acceptance refuses truthfully."""
+
+    def fail(self, kind: FaultKind = FaultKind.down) -> None:
+        """Let the store fail from now on."""
+        self.rig.platform.faults.add(Fault(kind, '', FOREVER, 0))
+
+    @params(FaultKind.down, FaultKind.stall)
+    def test_online_goes_on(self, kind):
+        """Online requests are served while the store is away."""
+        self.fail(kind)
+        sent = [
+            gevent.spawn(self.rig.chat, f'out {n}', n % 2) for n in range(40)
+        ]
+        gevent.joinall(sent, raise_error=True)
+        self.assertEqual({200}, {each.value.status for each in sent})
+
+    def test_running_batch_commits_afterwards(self):
+        """Chunks that ran during the outage are committed after it."""
+        job = self.submit([f'o{n}' for n in range(ITEMS)], tokens=40)
+        self.entry_holding(job)
+        self.fail()
+        gevent.sleep(2.5)
+        self.rig.platform.faults.clear()
+        self.wait_state(job, 'completed')
+        self.check_exactly_once(job, ITEMS)
+
+    def test_acceptance_refuses(self):
+        """A job is refused as not run, with when to come back."""
+        file = self.upload(job_line(0, 'x')).body['id']
+        self.fail()
+        for answer in (self.create(file), self.upload(job_line(1, 'y'))):
+            self.assertEqual(503, answer.status, answer)
+            self.assertTrue(answer.body['error']['not_run'])
+            self.assertGreater(answer.body['error']['retry_after_s'], 0)
+        self.rig.platform.faults.clear()
+        jobs = [key for key in self.rig.platform.table.keys if 'jobs/' in key]
+        self.assertEqual([], jobs)
+
+    def test_no_herd_at_the_return(self):
+        """While it is down, and at the return, calls stay few."""
+        self.fail()
+        links = [served.subject.parts.table.link for served in self.rig.entries]
+        wait_for('broken', lambda: all(link.breaker.open for link in links))
+        before = sum(self.rig.platform.counts.values())
+        gevent.sleep(2)
+        during = sum(self.rig.platform.counts.values()) - before
+        # Two entries, three links each, at pauses from 0.25 s up: some
+        # dozens; without the breaker each would try 30 times a second.
+        self.assertLess(during, 80)
+        self.rig.platform.faults.clear()
+        wait_for('back', lambda: not any(link.breaker.open for link in links))
--- /dev/null
+++ b/tests/test_whole_answer.py
@@ -0,0 +1,80 @@
+"""Each caller gets the whole answer to its own request, or an error."""
+
+import gevent
+from geventhttpclient.response import HTTPParseError
+from nose2.tools import params
+
+from cactusridge import wire
+from standins.faults import Fault, FaultKind
+from tests.rig import TOKEN
+from tests.rig_case import RigCase
+
+BREAKS = (FaultKind.lose_answer, FaultKind.cut, FaultKind.cross)
+
+
+class TestWholeAnswer(RigCase):
+    """Engines answer late, short, or with another's answer."""
+
+    def stream(self, text: str, tokens: int = 6) -> tuple[list[str], bool]:
+        """Return the texts of a stream, and whether it came whole."""
+        message = {
+            'model': 'yazman',
+            'messages': [{'role': 'user', 'content': text}],
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        found = []
+        resp = self.rig.http.send(
+            self.rig.entries[0].address,
+            '/v1/chat/completions',
+            wire.encode(message),
+            TOKEN,
+        )
+        try:
+            while line := resp.readline(b'\n\n'):
+                found.append(line.removeprefix(b'data: ').strip())
+        except (HTTPParseError, OSError):
+            return [each.decode() for each in found], False
+        return [each.decode() for each in found], found[-1:] == [b'[DONE]']
+
+    def test_many_at_once(self):
+        """A hundred answers at once each belong to their request."""
+        sent = [
+            gevent.spawn(self.rig.chat, f'own {n}', n % 2) for n in range(100)
+        ]
+        gevent.joinall(sent, raise_error=True)
+        engine = self.rig.engines[0].subject
+        for number, each in enumerate(sent):
+            wanted = engine.digest(f'own {number}')
+            text = each.value.body['choices'][0]['message']['content']
+            self.assertEqual(
+                [f'{wanted}-{n}' for n in range(1, 5)],
+                text.split(),
+            )
+
+    @params(*BREAKS)
+    def test_whole_answer_breaks(self, kind):
+        """A short or foreign answer is replaced by a whole one."""
+        self.rig.engines[0].subject.faults.add(Fault(kind, 'short', 1))
+        self.rig.engines[1].subject.faults.add(Fault(kind, 'short', 1))
+        answers = [self.rig.chat(f'short {n}') for n in range(6)]
+        for answer in answers:
+            self.assertEqual(200, answer.status, answer)
+            text = answer.body['choices'][0]['message']['content']
+            self.assertEqual(4, len(text.split()))
+
+    def test_stream_cut_after_the_first_token(self):
+        """A stream that breaks ends with an error, not as if whole."""
+        for engine in self.rig.engines:
+            cut = Fault(FaultKind.lose_answer, 'broken', 1)
+            engine.subject.faults.add(cut)
+        found, whole = self.stream('broken stream')
+        self.assertFalse(whole)
+        self.assertIn('"error"', found[-1])
+        self.assertEqual(2, len(found))
+
+    def test_undisturbed_stream(self):
+        """A stream comes whole and ends as published."""
+        found, whole = self.stream('fine')
+        self.assertTrue(whole)
+        self.assertEqual(7, len(found))
