--- a/cactusridge/core.py
+++ b/cactusridge/core.py
@@ -122,6 +122,8 @@
     """Stop without cutting a request."""
     logs.emit(events.DRAIN_BEGUN, active=server.active)
     role.begin_drain()
+    # From now on each reply says that the connection closes.
+    server.draining = True
     finishing = gevent.spawn(role.finish, cfg.drain_timeout_s)
     # The balancer and the entries need a moment to see it; until then
     # requests are still taken.
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -7,10 +7,12 @@
 from gevent import pywsgi
 from gevent.pool import Pool
 
+from cactusridge import events, logs
 from cactusridge.http.exchange import SOCKET_KEY
 
 SILENT_LOG = None
 POLL_S = 0.05
+SERVER_FAULT = 500
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -38,10 +40,23 @@
         finally:
             self.server.active -= 1
 
+    def log_error(self, msg: str, *args: Any) -> None:
+        """Write what the library reports as a numbered event."""
+        logs.emit(events.CONNECTION_BROKEN, error=msg % args)
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """End the connection; no traceback for what is said already."""
+        logs.emit(events.CONNECTION_BROKEN, error=repr(error))
+        if self.response_length:
+            self.close_connection = True
+        else:
+            self._send_error_response_if_possible(SERVER_FAULT)
+
     def finalize_headers(self) -> None:
         """Close the connection after this reply once draining."""
         if self.server.draining:
-            self.response_headers.append(('Connection', 'close'))
+            # Encoded already at this point, as all others are.
+            self.response_headers.append((b'Connection', b'close'))
             self.close_connection = True
         super().finalize_headers()
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -167,6 +167,8 @@
 
     def _echo(self, stream: Stream, fault: Fault | None) -> str:
         if fault is not None and fault.kind == FaultKind.cross:
+            # Another request's answer, whole and under its own id.
+            stream.prompt = 'of another'
             return 'another'
         return stream.id
 
@@ -209,6 +211,8 @@
         for number in self._tokens(req, stream):
             yield event(chunk(message, self.text(stream, number)))
             _break_off(req, fault)
+            if fault is not None and fault.kind == FaultKind.short:
+                return
         if (message.get('stream_options') or {}).get('include_usage'):
             yield event(last_chunk(message, stream))
         yield b'data: [DONE]\n\n'
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,6 +17,7 @@
     lose_answer = 'lose_answer'
     cut = 'cut'
     cross = 'cross'
+    short = 'short'
 
 
 class Fault(NamedTuple):
--- /dev/null
+++ b/standins/memory_table.py
@@ -0,0 +1,68 @@
+"""The table in memory, behind the same interface, with faults to order."""
+
+import itertools
+from collections import deque
+from collections.abc import Sequence
+
+from cactusridge.errors import StoreUnavailable
+from cactusridge.platform.table import (
+    PAGE,
+    Condition,
+    ConditionFailed,
+    Priority,
+    Row,
+    Table,
+    Write,
+    WriteUnknown,
+)
+from standins.faults import FaultKind
+from standins.table_store import TableStore
+
+
+class MemoryTable(Table):
+    """A table for focused tests; ``faults`` meet the next writes in turn."""
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        self.store = TableStore()
+        self.faults: deque[FaultKind] = deque()
+        self.reads = 0
+        self.writes = 0
+
+    def transact(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        priority: Priority,
+    ) -> int:
+        """Apply the writes, or fail as the next fault says."""
+        self.writes += 1
+        fault = self.faults.popleft() if self.faults else None
+        if fault == FaultKind.down:
+            raise StoreUnavailable(retry_after_s=0)
+        if fault == FaultKind.cut:
+            raise WriteUnknown('not applied, but who knows')
+        differing = self.store.differing([list(each) for each in conditions])
+        if differing:
+            raise ConditionFailed([Row(*row) for row in differing])
+        version = self.store.apply([list(each) for each in writes])
+        if fault == FaultKind.lose_answer:
+            raise WriteUnknown('applied, but who knows')
+        return version
+
+    def read(self, keys: Sequence[str], priority: Priority) -> list[Row]:
+        """Return the rows at ``keys``."""
+        self.reads += 1
+        return [Row(*self.store.row(key)) for key in keys]
+
+    def scan(
+        self,
+        prefix: str,
+        priority: Priority,
+        after: str = '',
+        limit: int = PAGE,
+    ) -> list[Row]:
+        """Return a page of rows below ``prefix``."""
+        self.reads += 1
+        found = self.store.scan(prefix, after, limit)
+        return [Row(*row) for row in itertools.islice(found, limit)]
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -2,7 +2,10 @@
 
 from nose2.tools import params
 
+from cactusridge.http import frames
+from cactusridge.orders import RunOrder, WorkClass
 from standins.faults import Fault, FaultKind
+from standins.local_fleet import DEFTER
 from tests.rig_case import RigCase
 
 REGISTERS = '/services/defter/registers/7'
@@ -99,8 +102,28 @@
         self.assertIn(answer.body['error']['not_run'], (None, False))
         self.assertLessEqual(self.runs('g'), 1)
 
-    def test_late_order_for_an_old_incarnation(self):
-        """An order written for the sidecar before is refused unrun."""
+    def test_late_order_is_refused(self):
+        """An order written for the sidecar before never runs."""
+        served = self.rig.sidecars[0]
+        order = RunOrder(
+            id='late',
+            incarnation='the one before',
+            service=DEFTER,
+            team='demo',
+            work=WorkClass.online,
+            path='/registers/7',
+            deadline_s=5,
+            repeatable=False,
+        )
+        parts = self.rig.entries[0].subject.parts
+        resp = parts.client.run(served.address, order, b'"late"')
+        frame = frames.read_frame(resp)
+        self.assertEqual('stale_order', frame.head['error']['code'])
+        self.assertTrue(frame.head['error']['not_run'])
+        self.assertEqual(0, self.runs('late'))
+
+    def test_restart_is_noticed_at_once(self):
+        """A refusal for the incarnation tells the new one."""
         for served in self.rig.sidecars:
             served.subject.incarnation = 'new'
         answer = self.rig.call(self.rig.entries[0], REGISTERS, 'h')
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -30,3 +30,17 @@
         """A reply of two writes waits for no delayed acknowledgement."""
         found = self.clients.get_json(self.served.address, '/')
         self.assertEqual((200, {'no_delay': True}), found)
+
+    def test_draining_server_answers_and_closes(self):
+        """A request that comes while draining is served whole."""
+        self.served.server.draining = True
+        with self.clients.send(
+            self.served.address,
+            '/',
+            b'',
+            method='GET',
+        ) as resp:
+            self.assertEqual(
+                (200, 'close'), (resp.status_code, resp['connection'])
+            )
+            self.assertEqual(b'{"no_delay":true}', resp.read())
--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -58,15 +58,18 @@
         self.rig.engines[0].subject.faults.add(Fault(kind, 'short', 1))
         self.rig.engines[1].subject.faults.add(Fault(kind, 'short', 1))
         answers = [self.rig.chat(f'short {n}') for n in range(6)]
-        for answer in answers:
+        for number, answer in enumerate(answers):
             self.assertEqual(200, answer.status, answer)
             text = answer.body['choices'][0]['message']['content']
-            self.assertEqual(4, len(text.split()))
+            digest = self.rig.engines[0].subject.digest(f'short {number}')
+            wanted = [f'{digest}-{token}' for token in range(1, 5)]
+            self.assertEqual(wanted, text.split())
 
-    def test_stream_cut_after_the_first_token(self):
+    @params(FaultKind.lose_answer, FaultKind.short)
+    def test_stream_cut_after_the_first_token(self, kind):
         """A stream that breaks ends with an error, not as if whole."""
         for engine in self.rig.engines:
-            cut = Fault(FaultKind.lose_answer, 'broken', 1)
+            cut = Fault(kind, 'broken', 1)
             engine.subject.faults.add(cut)
         found, whole = self.stream('broken stream')
         self.assertFalse(whole)
