--- a/cactusridge/slo/burn.py
+++ b/cactusridge/slo/burn.py
@@ -1,5 +1,6 @@
 """The report on error budget burn, from the stored periods."""
 
+import itertools
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -57,7 +58,7 @@
     gaps = []
     for entry, own in sorted(by_entry.items()):
         own.sort(key=lambda each: each.serial)
-        for before, after in zip(own, own[1:], strict=False):
+        for before, after in itertools.pairwise(own):
             if after.serial != before.serial + 1:
                 gaps.append(Gap(entry, before.end, before.serial + 1))
         newest = own[-1]
@@ -140,11 +141,8 @@
 ) -> dict[str, Any]:
     """Return burn by window, what is left, and what is missing."""
     counts = {
-        name: objective_counts(
-            _merge(periods, service, now - length_s),
-            objective,
-        )
-        for name, length_s in WINDOWS
+        name: objective_counts(window, objective)
+        for name, window in _windows(periods, service, now).items()
     }
     rates = {name: _rates(found) for name, found in counts.items()}
     period_s = max((each.end - each.start for each in periods), default=0)
@@ -168,16 +166,29 @@
     }
 
 
-def _merge(
+def _windows(
     periods: list[Period],
     service: str,
-    since: float,
-) -> ServiceWindow:
-    window = ServiceWindow()
+    now: float,
+) -> dict[str, ServiceWindow]:
+    """Return the counts by window; each period is decoded only once.
+
+    A period goes to the shortest window it lies in, and each window is
+    then added to the next longer one.
+    """
+    windows = {name: ServiceWindow() for name, _ in WINDOWS}
     for period in periods:
-        if period.end >= since and service in period.services:
-            window.merge(ServiceWindow.decode(period.services[service]))
-    return window
+        stored = period.services.get(service)
+        if stored is None:
+            continue
+        fitting = [
+            name for name, length_s in WINDOWS if period.end >= now - length_s
+        ]
+        if fitting:
+            windows[fitting[0]].merge(ServiceWindow.decode(stored))
+    for (shorter, _), (longer, _) in itertools.pairwise(WINDOWS):
+        windows[longer].merge(windows[shorter])
+    return windows
 
 
 def _budget(
