--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,215 @@
+"""Replays one trace through real processes under one policy."""
+
+import tempfile
+import time
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+import gevent
+
+from bench.caller import Caller
+from bench.outcomes import Answer, Outcome
+from bench.trace import Event, Trace
+from standins.local_fleet import ADMIN, YAZMAN, FleetPlan, LocalFleet
+from tests.jobs_client import submit_to
+
+TOKEN = MappingProxyType({'Authorization': 'Bearer demo'})
+SAMPLE_S = 0.5
+SLOW = MappingProxyType({'step_s': 0.03})
+GRACE_S = 3
+
+
+class Policy(NamedTuple):
+    """A name, and what differs in the start settings."""
+
+    name: str
+    entry: dict[str, Any]
+    sidecar: dict[str, Any]
+    batch: bool = True
+    online: bool = True
+
+
+NAIVE_ENTRY = MappingProxyType(
+    {
+        'picker': 'round_robin',
+        'retries': 'thrice',
+        'outliers': 'trust',
+        'spans': 'first_come',
+    },
+)
+OURS = Policy('ours', {}, {})
+NAIVE = Policy('naive', dict(NAIVE_ENTRY), {'batch': 'fill', 'limit': 'fixed'})
+NO_BATCH = Policy('ours, no batch', {}, {}, batch=False)
+NO_ONLINE = Policy('ours, no online', {}, {}, online=False)
+
+
+class Replay:
+    """One run: starts a fleet, plays the events, reads the outcome."""
+
+    def __init__(self, trace: Trace, policy: Policy) -> None:
+        """Play ``trace`` under ``policy``."""
+        self.trace = trace
+        self.policy = policy
+        self._answers: list[Answer] = []
+        self._jobs: list[tuple[Event, str, float]] = []
+        self._curve: list[tuple[float, int]] = []
+
+    def run(self) -> Outcome:
+        """Return what came of it."""
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = LocalFleet(Path(folder), self._plan())
+            try:
+                fleet.start()
+                return self._play(fleet)
+            finally:
+                fleet.kill_all()
+
+    def _plan(self) -> FleetPlan:
+        slow = {1: dict(SLOW)} if self.trace.slow_replica else {}
+        return FleetPlan(
+            sidecars=self.trace.replicas,
+            entry_extra={
+                'policy': self.policy.entry,
+                'batch': {'chunk_items': 16, 'scan_s': 0.25, 'lease_s': 5},
+            },
+            sidecar_extra={'policy': self.policy.sidecar},
+            engine_speeds=slow,
+        )
+
+    def _play(self, fleet: LocalFleet) -> Outcome:
+        names = fleet.named('entry')
+        caller = Caller([fleet.addresses[name] for name in names])
+        before = self._counters(fleet)
+        began = time.monotonic()
+        sampler = gevent.spawn(self._sample, fleet, began)
+        played = [
+            gevent.spawn_later(event.at, self._event, fleet, caller, event)
+            for event in self.trace.events
+            if self._wanted(event)
+        ]
+        self._began = began
+        gevent.sleep(self.trace.seconds)
+        seconds = time.monotonic() - began
+        after = self._counters(fleet)
+        tokens = self._batch_tokens(fleet)
+        sampler.kill()
+        gevent.joinall(played, timeout=GRACE_S + 10)
+        met, missed = self._due(fleet)
+        return Outcome(
+            trace=self.trace.name,
+            policy=self.policy.name,
+            answers=tuple(self._answers),
+            batch_tokens=tokens,
+            generated=after['generated'] - before['generated'],
+            attempts=self._attempts(fleet),
+            due_met=met,
+            due_missed=missed,
+            seconds=seconds,
+            batch_curve=tuple(self._curve),
+        )
+
+    def _wanted(self, event: Event) -> bool:
+        if event.kind == 'job':
+            return self.policy.batch
+        return event.kind != 'online' or self.policy.online
+
+    def _event(self, fleet: LocalFleet, caller: Caller, event: Event) -> None:
+        if event.kind == 'online':
+            self._answers.append(caller.send(event, self._began))
+            return
+        happen = {
+            'job': self._submit,
+            'lose': _lose,
+            'return': _return,
+            'cut': _cut,
+        }
+        happen[event.kind](fleet, event)
+
+    def _submit(self, fleet: LocalFleet, event: Event) -> None:
+        texts = [f'{event.at} {number}' for number in range(event.items)]
+        window = f'{event.due_s}s' if event.due_s else '24h'
+        job = submit_to(
+            f'{fleet.url("entry-0")}/v1',
+            texts,
+            event.tokens,
+            window,
+        )
+        self._jobs.append((event, job, time.time()))
+
+    def _sample(self, fleet: LocalFleet, began: float) -> None:
+        while True:
+            gevent.sleep(SAMPLE_S)
+            found = self._counters(fleet)['generated']
+            self._curve.append((time.monotonic() - began, found))
+
+    def _counters(self, fleet: LocalFleet) -> dict[str, int]:
+        total = 0
+        for name in fleet.named('engine'):
+            try:
+                found = fleet.call(name, '/load', method='GET')[1]
+            except OSError:
+                continue
+            total += found['generated']
+        return {'generated': total}
+
+    def _batch_tokens(self, fleet: LocalFleet) -> int:
+        total = 0
+        for event, job, _ in self._jobs:
+            counts = self._shown(fleet, job)['request_counts']
+            total += event.tokens * counts['completed']
+        return total
+
+    def _shown(self, fleet: LocalFleet, job: str) -> Any:
+        path = f'/v1/batches/{job}'
+        return fleet.call('entry-0', path, None, TOKEN, 'GET')[1]
+
+    def _due(self, fleet: LocalFleet) -> tuple[int, int]:
+        met = 0
+        missed = 0
+        for event, job, accepted in self._jobs:
+            if not event.due_s:
+                continue
+            shown = self._shown(fleet, job)
+            finished = shown['completed_at']
+            in_time = finished and finished <= accepted + event.due_s
+            met += int(bool(in_time))
+            missed += int(not in_time)
+        return met, missed
+
+    def _attempts(self, fleet: LocalFleet) -> float:
+        """Return dispatches a request that was no batch item."""
+        attempts = float(0)
+        retries = float(0)
+        for name in fleet.named('entry'):
+            raw = fleet.http.send(
+                fleet.addresses[name],
+                '/metrics',
+                b'',
+                dict(ADMIN),
+                'GET',
+            ).read()
+            attempts += _counter(raw, b'cr_requests_total')
+            retries += _counter(raw, b'cr_retries_total')
+        return 1 + retries / max(1, attempts)
+
+
+def _lose(fleet: LocalFleet, event: Event) -> None:
+    for name in (f'sidecar-{event.target}', f'engine-{event.target}'):
+        fleet.processes[name].kill()
+
+
+def _return(fleet: LocalFleet, event: Event) -> None:
+    fleet.start_engine(event.target)
+    fleet.start_sidecar(event.target)
+
+
+def _cut(fleet: LocalFleet, event: Event) -> None:
+    fault = {'kind': 'cut', 'match': '', 'count': event.items}
+    fleet.call(f'engine-{event.target}', '/control/faults', fault)
+
+
+def _counter(raw: bytes, name: bytes) -> float:
+    lines = [line for line in raw.splitlines() if line.startswith(name)]
+    wanted = [line for line in lines if YAZMAN.encode() in line]
+    return sum(float(line.rpartition(b' ')[-1]) for line in wanted)
--- /dev/null
+++ b/bench/trace.py
@@ -0,0 +1,51 @@
+"""The trace format and its files: JSON lines, one event each."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from cactusridge import wire
+
+
+class Event(NamedTuple):
+    """One thing that happens ``at`` seconds after the start.
+
+    ``kind`` is ``online`` (a streamed request), ``job`` (a batch of
+    ``items``) or the name of a fault, for which ``target`` says where.
+    """
+
+    at: float
+    kind: str = 'online'
+    group: int = 0
+    prompt_tokens: int = 100
+    tokens: int = 32
+    deadline_s: float = 10
+    repeatable: bool = True
+    items: int = 0
+    due_s: int = 0
+    target: int = 0
+
+
+class Trace(NamedTuple):
+    """A named trace: its length, its events, what the fleet is like."""
+
+    name: str
+    seconds: float
+    events: tuple[Event, ...]
+    replicas: int = 4
+    slow_replica: bool = False
+    objective: str = ''
+
+
+def save_trace(trace: Trace, folder: Path) -> Path:
+    """Write a trace's events as JSON lines."""
+    path = folder / f'{trace.name}.jsonl'
+    lines = [wire.encode(event._asdict()) for event in trace.events]
+    path.write_bytes(b'\n'.join(lines))
+    return path
+
+
+def load_trace(path: Path, trace: Trace) -> Trace:
+    """Return ``trace`` with the events in ``path``."""
+    lines = path.read_bytes().splitlines()
+    events = tuple(Event(**wire.decode(line)) for line in lines)
+    return trace._replace(events=events)
--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -8,19 +8,17 @@
 from cactusridge import events, logs, metrics
 from cactusridge.batch.held_span import HeldSpan
 from cactusridge.batch.item_runner import ItemRunner
-from cactusridge.batch.ordering import LeastSlack, SpanOrder
 from cactusridge.batch.placer import BatchPlacer
 from cactusridge.batch.shards import own_shards
 from cactusridge.batch.span import Span, shard_prefix, span_of
 from cactusridge.batch.span_runner import SpanRunner
 from cactusridge.batch.watchlist import LeaseWatch
 from cactusridge.entry.parts import Parts
+from cactusridge.entry.policies import make_order
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
 from cactusridge.platform.table import Priority, Row, scan_all
 
-ITEM_S = 0.05
-URGENT_S = 600
 SPREAD = (0.8, 1.2)
 
 
@@ -33,12 +31,12 @@
     shard is looked at with each scan, so that none is ever forgotten.
     """
 
-    def __init__(self, parts: Parts, order: SpanOrder | None = None) -> None:
+    def __init__(self, parts: Parts) -> None:
         """Run spans with ``parts``."""
         self._parts = parts
         self._cfg = parts.cfg.batch
         self._holder = new_id(f'{parts.cfg.address}~', parts.clock)
-        self._order = order or LeastSlack(ITEM_S, URGENT_S)
+        self._order = make_order(parts.cfg.policy)
         self._watch = LeaseWatch(self._cfg.lease_s, parts.clock)
         self._rng = random.Random()  # noqa: S311
         self._runners: dict[str, SpanRunner] = {}
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -63,7 +63,7 @@
         objects=objects,
         client=client,
         fleet=fleet,
-        dispatcher=Dispatcher(cfg.zone, fleet, client, clock),
+        dispatcher=Dispatcher(cfg, fleet, client, clock),
         recorder=SloRecorder(name, objects, cfg.report_s, clock),
         greenlets=greenlets,
     )
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -12,6 +12,11 @@
 from cactusridge.entry.attempt import Attempt, Callbacks, RemoteRefusal
 from cactusridge.entry.dispatch import Dispatch
 from cactusridge.entry.fleet import Fleet
+from cactusridge.entry.policies import (
+    make_outliers,
+    make_picker,
+    make_retries,
+)
 from cactusridge.entry.replica import Replica
 from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import (
@@ -24,9 +29,8 @@
 from cactusridge.identity import new_id
 from cactusridge.orders import RunOrder, TombstoneOrder, Verdict
 from cactusridge.routing.candidates import PickRequest
-from cactusridge.routing.outliers import OutlierEjector
-from cactusridge.routing.pickers import PrefixPicker, ReplicaPicker
-from cactusridge.routing.retry_budget import RetryBudget, RetryPolicy
+from cactusridge.routing.retry_budget import RetryPolicy
+from cactusridge.startup.models import EntrySettings
 
 FINAL_CODES = frozenset(('bad_request', 'not_found', 'too_large'))
 MIN_RETRY_S = 0.5
@@ -52,20 +56,20 @@
 
     def __init__(
         self,
-        zone: str,
+        cfg: EntrySettings,
         fleet: Fleet,
         client: SidecarClient,
         clock: Clock,
-        picker: ReplicaPicker | None = None,
     ) -> None:
-        """Choose among ``fleet`` as seen from ``zone``."""
+        """Choose among ``fleet`` as seen from the zone in ``cfg``."""
         self.fleet = fleet
-        self.outliers = OutlierEjector(clock)
-        self._zone = zone
+        self.outliers = make_outliers(cfg.policy, clock)
+        self._zone = cfg.zone
+        self._policy = cfg.policy
         self._client = client
         self._clock = clock
         self._rng = random.Random()  # noqa: S311
-        self._picker = picker or PrefixPicker(self._rng)
+        self._picker = make_picker(cfg.policy, self._rng)
         self._budgets: dict[str, RetryPolicy] = {}
 
     def open(
@@ -229,5 +233,5 @@
         path = dispatch.service.path
         if path not in self._budgets:
             share = dispatch.service.settings.retry_share
-            self._budgets[path] = RetryBudget(share)
+            self._budgets[path] = make_retries(self._policy, share)
         return self._budgets[path]
--- /dev/null
+++ b/cactusridge/entry/policies.py
@@ -0,0 +1,62 @@
+"""Makes the decisions that the start settings name."""
+
+import random
+from collections.abc import Callable
+from types import MappingProxyType
+
+from cactusridge.batch.ordering import FirstCome, LeastSlack, SpanOrder
+from cactusridge.clock import Clock
+from cactusridge.routing.outliers import (
+    OutlierDetector,
+    OutlierEjector,
+    TrustAll,
+)
+from cactusridge.routing.pickers import (
+    LeastOfTwoPicker,
+    PrefixPicker,
+    ReplicaPicker,
+    RoundRobinPicker,
+)
+from cactusridge.routing.retry_budget import (
+    RetryBudget,
+    RetryPolicy,
+    RetryThrice,
+)
+from cactusridge.startup.models import EntryPolicy
+
+ITEM_S = 0.05
+URGENT_S = 600
+PICKERS = MappingProxyType(
+    {
+        'prefix': PrefixPicker,
+        'least_of_two': LeastOfTwoPicker,
+        'round_robin': lambda _: RoundRobinPicker(),
+    },
+)
+
+
+def make_picker(policy: EntryPolicy, rng: random.Random) -> ReplicaPicker:
+    """Return the choice of a replica."""
+    make: Callable[[random.Random], ReplicaPicker] = PICKERS[policy.picker]
+    return make(rng)
+
+
+def make_outliers(policy: EntryPolicy, clock: Clock) -> OutlierDetector:
+    """Return the ejection of replicas."""
+    if policy.outliers == 'trust':
+        return TrustAll()
+    return OutlierEjector(clock)
+
+
+def make_retries(policy: EntryPolicy, share: float) -> RetryPolicy:
+    """Return the retries of one service."""
+    if policy.retries == 'thrice':
+        return RetryThrice()
+    return RetryBudget(share)
+
+
+def make_order(policy: EntryPolicy) -> SpanOrder:
+    """Return the order in which spans are taken."""
+    if policy.spans == 'first_come':
+        return FirstCome()
+    return LeastSlack(ITEM_S, URGENT_S)
--- a/cactusridge/sidecar/lane.py
+++ b/cactusridge/sidecar/lane.py
@@ -3,9 +3,17 @@
 from cactusridge.clock import Clock
 from cactusridge.orders import ServiceReport
 from cactusridge.settings.schema import ServiceSettings
-from cactusridge.sidecar.controllers import ObjectiveController
+from cactusridge.sidecar.controllers import (
+    BatchController,
+    FillController,
+    ObjectiveController,
+)
 from cactusridge.sidecar.gate import Gate
-from cactusridge.sidecar.limits import GradientLimit
+from cactusridge.sidecar.limits import (
+    ConcurrencyLimit,
+    FixedLimit,
+    GradientLimit,
+)
 from cactusridge.sidecar.upstream import Stopwatch, Upstream
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
@@ -24,9 +32,10 @@
         self.draining = False
         self.upstream = Upstream(cfg, host_cfg)
         self._clock = clock
+        self._policy = host_cfg.policy
         self.gate = Gate(
             cfg,
-            GradientLimit(cfg.slots),
+            self._limit(),
             self._controller(ServiceSettings()),
             clock,
         )
@@ -49,7 +58,14 @@
         """Return the load now."""
         return self.gate.report()
 
-    def _controller(self, settings: ServiceSettings) -> ObjectiveController:
+    def _limit(self) -> ConcurrencyLimit:
+        if self._policy.limit == 'fixed':
+            return FixedLimit(self.cfg.slots)
+        return GradientLimit(self.cfg.slots)
+
+    def _controller(self, settings: ServiceSettings) -> BatchController:
+        if self._policy.batch == 'fill':
+            return FillController(self.cfg.slots)
         return ObjectiveController(
             self.cfg.slots,
             settings.objective,
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -71,6 +71,22 @@
     held_results_bytes: int = Field(default=64 * MEBIBYTE, ge=1024)
 
 
+class EntryPolicy(Model):
+    """Which decision of each kind an entry uses; the second is naive."""
+
+    picker: Literal['prefix', 'least_of_two', 'round_robin'] = 'prefix'
+    retries: Literal['budget', 'thrice'] = 'budget'
+    outliers: Literal['eject', 'trust'] = 'eject'
+    spans: Literal['least_slack', 'first_come'] = 'least_slack'
+
+
+class SidecarPolicy(Model):
+    """Which decision of each kind a sidecar uses; the second is naive."""
+
+    batch: Literal['objective', 'fill'] = 'objective'
+    limit: Literal['gradient', 'fixed'] = 'gradient'
+
+
 class EntrySettings(CommonSettings):
     """Start settings of an entry."""
 
@@ -84,6 +100,7 @@
     subset_size: Count = 64
     report_s: PositiveSeconds = 30
     batch: BatchSettings = BatchSettings()
+    policy: EntryPolicy = EntryPolicy()
 
 
 class UpstreamSettings(Model):
@@ -104,3 +121,4 @@
     upstreams: tuple[UpstreamSettings, ...] = Field(min_length=1)
     ledger_retention_s: PositiveSeconds = 600
     ledger_entries: Count = 200_000
+    policy: SidecarPolicy = SidecarPolicy()
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -4,6 +4,7 @@
 
 monkey.patch_all()
 
+import json
 import signal
 import sys
 from types import MappingProxyType
@@ -22,20 +23,28 @@
 READS_PER_S = 2000
 IDLE_S = 3600
 DRAIN_S = 5
+
+
+def make_engine(told: str) -> EngineStandIn:
+    """Return an engine whose speed is told as JSON."""
+    speed = EngineSpeed(**json.loads(told or '{}'))
+    return EngineStandIn('yazman', speed)
+
+
 KINDS = MappingProxyType(
     {
-        'engine': lambda model: EngineStandIn(model, EngineSpeed()),
+        'engine': make_engine,
         'plain': lambda _: PlainStandIn(),
         'platform': lambda _: PlatformStandIn(WRITES_PER_S, READS_PER_S),
-    }
+    },
 )
 
 
 def main(args: list[str]) -> int:
     """Serve until a signal; return the exit status."""
     kind, address = args[:2]
-    model = args[2] if len(args) > 2 else ''
-    server = Server(parse_address(address), KINDS[kind](model), IDLE_S)
+    told = args[2] if len(args) > 2 else ''
+    server = Server(parse_address(address), KINDS[kind](told), IDLE_S)
     stop = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -106,7 +106,7 @@
 
     def load(self, req: Req) -> Reply:
         """Return the numbers of streams."""
-        return json_reply(self.batch.load())
+        return json_reply({**self.batch.load(), 'hits': self.batch.hits})
 
     def add_fault(self, req: Req) -> Reply:
         """Show a fault from now on."""
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -1,5 +1,6 @@
 """A small fleet of real processes on loopback, for demo and tests."""
 
+import json
 import socket
 import time
 from collections.abc import Mapping
@@ -32,6 +33,9 @@
     entry_ports: tuple[int, ...] = ()
     entry_extra: dict[str, Any] = {}
     sidecar_extra: dict[str, Any] = {}
+    slots: int = 8
+    engine_speed: dict[str, float] = {}
+    engine_speeds: dict[int, dict[str, float]] = {}
 
 
 class NotReady(Exception):
@@ -90,13 +94,15 @@
     def start_engine(self, number: int) -> None:
         """Start or restart an engine at its address."""
         name = f'engine-{number}'
-        self._start(name, ['standins', 'engine'], ['yazman'])
+        speed = self.plan.engine_speeds.get(number, self.plan.engine_speed)
+        self._start(name, ['standins', 'engine'], [json.dumps(speed)])
 
     def start_sidecar(self, number: int) -> None:
         """Start or restart a sidecar at its address."""
         name = f'sidecar-{number}'
         raw = yaml.safe_load((DEMO / 'sidecar.yaml').read_text())
         upstream = raw['upstreams'][0]
+        upstream['slots'] = self.plan.slots
         upstream['address'] = str(self.addresses[f'engine-{number}'])
         services = [YAZMAN]
         if number == self.plan.sidecars - 1:
--- a/standins/model.py
+++ b/standins/model.py
@@ -82,7 +82,11 @@
 
     def load(self) -> dict[str, Any]:
         """Return the numbers of streams now."""
-        return {'running': len(self.running), 'waiting': len(self.waiting)}
+        return {
+            'running': len(self.running),
+            'waiting': len(self.waiting),
+            'generated': self.generated,
+        }
 
     def _admit(self) -> float:
         prefill_s = float(0)
--- a/tests/jobs_client.py
+++ b/tests/jobs_client.py
@@ -9,7 +9,17 @@
 from standins.local_fleet import wait_for
 
 
-def submit(api: OpenAI, texts: list[str], tokens: int) -> str:
+def submit_to(url: str, texts: list[str], tokens: int, window: str) -> str:
+    """Submit a job to the entry at ``url``; return its id."""
+    return submit(OpenAI(api_key='demo', base_url=url), texts, tokens, window)
+
+
+def submit(
+    api: OpenAI,
+    texts: list[str],
+    tokens: int,
+    window: str = '24h',
+) -> str:
     """Upload and create a job; return its id."""
     lines = [
         json.dumps(
@@ -33,7 +43,7 @@
     job = api.batches.create(
         input_file_id=sent.id,
         endpoint='/v1/chat/completions',
-        completion_window='24h',
+        completion_window=window,
     )
     return job.id
 
