--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -25,6 +25,7 @@
     batch_tokens: int
     generated: int
     attempts: float
+    redone: float
     due_met: int
     due_missed: int
     seconds: float
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -103,6 +103,7 @@
             batch_tokens=tokens,
             generated=after['generated'] - before['generated'],
             attempts=self._attempts(fleet),
+            redone=self._redone(fleet),
             due_met=met,
             due_missed=missed,
             seconds=seconds,
@@ -153,6 +154,18 @@
             total += found['generated']
         return {'generated': total}
 
+    def _redone(self, fleet: LocalFleet) -> float:
+        """Return the share of executions that began a prompt anew."""
+        begun = 0
+        prompts = set()
+        for name in fleet.named('engine'):
+            path = '/control/executions'
+            found = fleet.call(name, path, method='GET')[1]['executions']
+            fresh = [each for each in found if not each['resumed']]
+            begun += len(fresh)
+            prompts.update(each['prompt'] for each in fresh)
+        return 1 - len(prompts) / max(1, begun)
+
     def _batch_tokens(self, fleet: LocalFleet) -> int:
         total = 0
         for event, job, _ in self._jobs:
--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -19,6 +19,7 @@
 from cactusridge.identity import new_id
 from cactusridge.platform.table import Priority, Row, scan_all
 
+URGENT_S = 600
 SPREAD = (0.8, 1.2)
 
 
@@ -43,16 +44,16 @@
         self._greenlets: dict[str, gevent.Greenlet] = {}
         self._foreign = itertools.count(self._rng.randrange(self._cfg.shards))
         self._stopping = False
-        placer = BatchPlacer(
+        self._placer = BatchPlacer(
             parts.fleet,
             parts.dispatcher.outliers,
             self._cfg.item_concurrency,
-            parts.clock,
         )
-        self._items = ItemRunner(parts.dispatcher, placer, parts.clock)
+        self._items = ItemRunner(parts.dispatcher, self._placer, parts.clock)
 
     def run(self) -> None:
         """Scan for ever."""
+        self._parts.greenlets.spawn(self._placer.run)
         while not self._stopping:
             try:
                 self.step()
@@ -74,6 +75,9 @@
             self._parts.clock.wall(),
         )
         for span in ranked[: max(0, room)]:
+            if self._placer.waiting and not self._urgent(span):
+                # More spans held would only be finished later each.
+                break
             self._take(span, spans[span.name])
         metrics.SPANS_HELD.set({}, len(self._runners))
 
@@ -102,6 +106,10 @@
             rows.extend(scan_all(self._parts.table, prefix, Priority.lease))
         return [row for row in rows if row.key not in self._runners]
 
+    def _urgent(self, span: Span) -> bool:
+        left_s = span.due - self._parts.clock.wall()
+        return left_s < URGENT_S
+
     def _take(self, span: Span, row: Row) -> None:
         service = self._parts.catalog.by_path(span.service)
         if service is None:
--- a/cactusridge/batch/item_runner.py
+++ b/cactusridge/batch/item_runner.py
@@ -92,7 +92,7 @@
             pause_s = min(MAX_PAUSE_S, pause_s * GROWTH)
 
     def _try(self, task: ItemTask, permit: DispatchPermit) -> ItemOutcome:
-        with self._placer.place(task.service) as replica:
+        with self._placer.place(task.service, task.slack_s) as replica:
             permit.check()
             dispatch = self._dispatch(task)
             attempt = self._dispatcher.attempt(dispatch, replica)
--- a/cactusridge/batch/placer.py
+++ b/cactusridge/batch/placer.py
@@ -1,11 +1,12 @@
-"""Finds replicas with room for batch items and waits when there is none."""
+"""Finds replicas with room for batch items, least slack first."""
 
 import contextlib
+import heapq
+import itertools
 from collections.abc import Iterator
 
-from gevent.lock import BoundedSemaphore
+from gevent.event import Event
 
-from cactusridge.clock import Clock
 from cactusridge.entry.fleet import Fleet
 from cactusridge.entry.replica import Replica
 from cactusridge.routing.outliers import OutlierDetector
@@ -14,6 +15,15 @@
 WAIT_S = 0.25
 
 
+class Waiter:
+    """An item that waits for a place, and the place once it has one."""
+
+    def __init__(self) -> None:
+        """Wait."""
+        self.granted = Event()
+        self.replica: Replica | None = None
+
+
 class BatchPlacer:
     """Hands out places for items; bounded over the whole process."""
 
@@ -22,38 +32,70 @@
         fleet: Fleet,
         outliers: OutlierDetector,
         bound: int,
-        clock: Clock,
     ) -> None:
         """Allow at most ``bound`` items in flight from this process."""
         self._fleet = fleet
         self._outliers = outliers
-        self._bound = BoundedSemaphore(bound)
-        self._clock = clock
+        self._bound = bound
+        self._serial = itertools.count()
+        self._waiting: dict[str, list[tuple[float, int, Waiter]]] = {}
         self._placed: dict[str, int] = {}
 
+    def run(self) -> None:
+        """Look again whenever a report came, for ever."""
+        while True:
+            self._fleet.changed.wait(WAIT_S)
+            self._fleet.changed.clear()
+            for service in tuple(self._waiting):
+                self._grant(service)
+
+    @property
+    def waiting(self) -> int:
+        """Return the items that wait for a place."""
+        return sum(map(len, self._waiting.values()))
+
     @contextlib.contextmanager
-    def place(self, service: Service) -> Iterator[Replica]:
+    def place(self, service: Service, slack_s: float) -> Iterator[Replica]:
         """Wait for a place, hold it and give it back."""
-        with self._bound:
-            replica = self._wait(service)
-            self._add(replica, 1)
-            try:
-                yield replica
-            finally:
-                self._add(replica, -1)
-
-    def _wait(self, service: Service) -> Replica:
-        while True:
+        waiter = Waiter()
+        entry = (slack_s, next(self._serial), waiter)
+        heapq.heappush(self._waiting.setdefault(service.path, []), entry)
+        self._grant(service.path)
+        try:
+            waiter.granted.wait()
+            yield waiter.replica
+        finally:
+            self._leave(service.path, entry)
+
+    def _leave(
+        self,
+        service: str,
+        entry: tuple[float, int, Waiter],
+    ) -> None:
+        replica = entry[2].replica
+        if replica is None:
+            # Ended while it waited.
+            heap = self._waiting[service]
+            heap.remove(entry)
+            heapq.heapify(heap)
+            return
+        self._count(replica, -1)
+        self._grant(service)
+
+    def _grant(self, service: str) -> None:
+        heap = self._waiting.get(service, [])
+        while heap and sum(self._placed.values()) < self._bound:
             replica = self._roomiest(service)
-            if replica is not None:
-                return replica
-            self._fleet.changed.clear()
-            self._fleet.changed.wait(WAIT_S)
+            if replica is None:
+                return
+            waiter = heapq.heappop(heap)[2]
+            waiter.replica = replica
+            self._count(replica, 1)
+            waiter.granted.set()
 
-    def _roomiest(self, service: Service) -> Replica | None:
+    def _roomiest(self, service: str) -> Replica | None:
         replicas = {
-            replica.key: replica
-            for replica in self._fleet.replicas(service.path)
+            replica.key: replica for replica in self._fleet.replicas(service)
         }
         allowed = self._outliers.allowed(replicas)
         entries = len(self._fleet.entry_names())
@@ -67,8 +109,8 @@
         fair = replica.batch_share(entries)
         return fair - self._placed.get(replica.key, 0)
 
-    def _add(self, replica: Replica, count: int) -> None:
-        total = self._placed.get(replica.key, 0) + count
+    def _count(self, replica: Replica, change: int) -> None:
+        total = self._placed.get(replica.key, 0) + change
         self._placed[replica.key] = total
         if not total:
             self._placed.pop(replica.key)
--- a/cactusridge/entry/attempt.py
+++ b/cactusridge/entry/attempt.py
@@ -68,6 +68,7 @@
         self._callbacks = callbacks
         self._replica_work = replica.own
         self._replica_work[order.work] += 1
+        self._counted = True
         self._open = True
         self._ended = False
         self._prefetched: list[bytes] = []
@@ -107,13 +108,18 @@
         if not self._open:
             return
         self._open = False
-        self._replica_work[self.order.work] -= 1
+        self._uncount()
         if not self._resp.message_complete:
             # Read the closing chunk if it is there already; otherwise
             # releasing closes the connection and the sidecar cancels.
             self._finish_if_ended()
         self._resp.release()
 
+    def _uncount(self) -> None:
+        if self._counted:
+            self._counted = False
+            self._replica_work[self.order.work] -= 1
+
     def _finish_if_ended(self) -> None:
         if not self._ended:
             return
@@ -172,6 +178,8 @@
             raise CrossedReply(f'asked {self.order.id}, got {given}')
         if frame.head['kind'] == FrameKind.end:
             self._ended = True
+            # The report was made after this request had left.
+            self._uncount()
         report = frame.head.get('report')
         if report is not None:
             self._callbacks.report(report)
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -118,7 +118,7 @@
             self._note_failure(replica, exc)
             self.settle(order, dispatch, replica, exc, now)
             raise
-        self.outliers.succeeded(replica.key, self._clock.monotonic() - now)
+        self.outliers.succeeded(replica.key, replica.report['token_s'])
         return attempt
 
     def choose(self, dispatch: Dispatch, tried: Sequence[str]) -> Replica:
@@ -135,8 +135,10 @@
             )
         allowed = self.outliers.allowed(replicas) & fresh
         now = self._clock.monotonic()
+        sharers = len(self.fleet.entry_names())
         candidates = [
-            replicas[key].candidate(now) for key in sorted(allowed or fresh)
+            replicas[key].candidate(now, sharers)
+            for key in sorted(allowed or fresh)
         ]
         request = PickRequest(self._zone, dispatch.prefix)
         return replicas[self._picker.pick(candidates, request).key]
--- a/cactusridge/entry/replica.py
+++ b/cactusridge/entry/replica.py
@@ -12,6 +12,7 @@
     online_limit=1,
     batch_limit=0,
     wait_s=0,
+    token_s=0,
 )
 
 
@@ -35,7 +36,7 @@
         self.reported_at = now
         self._own_then = self.own[WorkClass.online]
 
-    def candidate(self, now: float) -> Candidate:
+    def candidate(self, now: float, sharers: int) -> Candidate:
         """Return the replica as the choice for online work sees it."""
         report = self.report
         return Candidate(
@@ -47,6 +48,7 @@
             age_s=now - self.reported_at,
             limit=report['online_limit'],
             wait_s=report['wait_s'],
+            sharers=sharers,
         )
 
     def batch_share(self, entries: int) -> int:
--- a/cactusridge/orders.py
+++ b/cactusridge/orders.py
@@ -82,7 +82,7 @@
 
 
 class ServiceReport(TypedDict):
-    """Load of one upstream, counted in requests."""
+    """Load of one upstream in requests; its pace in seconds a token."""
 
     online_running: int
     online_waiting: int
@@ -91,6 +91,7 @@
     online_limit: int
     batch_limit: int
     wait_s: float
+    token_s: float
 
 
 class SidecarReport(TypedDict):
--- a/cactusridge/routing/candidates.py
+++ b/cactusridge/routing/candidates.py
@@ -8,7 +8,8 @@
 
     ``own`` counts this entry's requests in flight there, ``reported``
     all requests at its last report, ``own_then`` this entry's at that
-    time, ``age_s`` the seconds since. ``limit`` is its concurrency.
+    time, ``age_s`` the seconds since. ``limit`` is its concurrency,
+    ``sharers`` the number of entries that send to it.
     """
 
     key: str
@@ -19,6 +20,7 @@
     age_s: float = 0
     limit: int = 1
     wait_s: float = 0
+    sharers: int = 1
 
 
 class PickRequest(NamedTuple):
@@ -28,15 +30,19 @@
     prefix: bytes = b''
 
 
-REPORT_HALF_LIFE_S = 2
+REPORT_HALF_LIFE_S = 0.3
 
 
 def load_of(candidate: Candidate) -> float:
     """Return the load as a share of the replica's limit.
 
-    What others had in flight at the last report counts less as the
-    report ages; this entry's own requests are always known.
+    This entry's own requests are always known. The others' are as the
+    last report has them while it is fresh; as it ages they are taken to
+    be like this entry's own. Else every entry would go on choosing the
+    replica whose report happened to be low.
     """
-    others = max(0, candidate.reported - candidate.own_then)
+    then = max(0, candidate.reported - candidate.own_then)
+    like_own = candidate.own * (candidate.sharers - 1)
     trust = 0.5 ** (candidate.age_s / REPORT_HALF_LIFE_S)
-    return (candidate.own + others * trust) / max(1, candidate.limit)
+    others = then * trust + like_own * (1 - trust)
+    return (candidate.own + others) / max(1, candidate.limit)
--- a/cactusridge/routing/outliers.py
+++ b/cactusridge/routing/outliers.py
@@ -1,16 +1,16 @@
-"""Ejects replicas that fail or lag, and lets them back by trials."""
+"""Ejects replicas that fail or are slow, and lets them back by trials."""
 
 import abc
 import statistics
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cactusridge import events, logs
 from cactusridge.clock import Clock
 
 FAILURES = 3
-SLOW_FACTOR = 4
+SLOW_FACTOR = 3
 MIN_SAMPLES = 8
-SMOOTHING = 0.2
 FIRST_PAUSE_S = 2
 MAX_PAUSE_S = 30
 MAX_SHARE = 0.5
@@ -21,7 +21,7 @@
     """What is known of one replica from its answers."""
 
     failures: int = 0
-    mean_s: float = 0
+    pace_s: float = 0
     samples: int = 0
     pause_s: float = FIRST_PAUSE_S
     ejected_until: float = 0
@@ -32,8 +32,13 @@
     """Says which replicas may be chosen."""
 
     @abc.abstractmethod
-    def succeeded(self, key: str, first_s: float) -> None:
-        """Note an answer whose first byte took ``first_s``."""
+    def succeeded(self, key: str, pace_s: float) -> None:
+        """Note an answer of a replica whose pace is ``pace_s`` a token.
+
+        The pace is the engine's, not the caller's wait: a queue says
+        that there is much to do, not that the replica is bad. 0 means
+        that there is none, as with plain services.
+        """
 
     @abc.abstractmethod
     def failed(self, key: str) -> None:
@@ -47,7 +52,7 @@
 class TrustAll(OutlierDetector):
     """Naive: every replica is as good as the next."""
 
-    def succeeded(self, key: str, first_s: float) -> None:
+    def succeeded(self, key: str, pace_s: float) -> None:
         """Pass over the answer."""
 
     def failed(self, key: str) -> None:
@@ -59,7 +64,7 @@
 
 
 class OutlierEjector(OutlierDetector):
-    """Ejects after failures in a row or at a multiple of the median time.
+    """Ejects after failures in a row or at a multiple of the median pace.
 
     At most half of the replicas are out at once. After a pause a
     replica gets a few trial requests; only their success brings it back.
@@ -70,15 +75,17 @@
         self._clock = clock
         self._health: dict[str, Health] = {}
 
-    def succeeded(self, key: str, first_s: float) -> None:
-        """Note an answer whose first byte took ``first_s``."""
+    def succeeded(self, key: str, pace_s: float) -> None:
+        """Note an answer of a replica whose pace is ``pace_s`` a token.
+
+        The pace is the engine's, not the caller's wait: a queue says
+        that there is much to do, not that the replica is bad. 0 means
+        that there is none, as with plain services.
+        """
         old = self._health.get(key, Health())
-        mean_s = old.mean_s + (first_s - old.mean_s) * SMOOTHING
-        if not old.samples:
-            mean_s = first_s
         health = old._replace(
             failures=0,
-            mean_s=mean_s,
+            pace_s=pace_s,
             samples=old.samples + 1,
             trials=max(0, old.trials - 1),
         )
@@ -120,20 +127,27 @@
 
     def _is_slow(self, key: str) -> bool:
         others = [
-            health.mean_s
+            health.pace_s
             for other, health in self._health.items()
             if other != key and health.samples >= MIN_SAMPLES
         ]
         if not others:
             return False
         median = statistics.median(others)
-        return self._health[key].mean_s > SLOW_FACTOR * median
+        return self._health[key].pace_s > SLOW_FACTOR * median
 
     def _eject(self, key: str) -> None:
         old = self._health[key]
+        logs.emit(
+            events.REPLICA_EJECTED,
+            replica=key,
+            pace_s=old.pace_s,
+            failures=old.failures,
+            pause_s=old.pause_s,
+        )
         self._health[key] = old._replace(
             failures=0,
-            mean_s=0,
+            pace_s=0,
             samples=0,
             trials=TRIALS,
             ejected_until=self._clock.monotonic() + old.pause_s,
--- a/cactusridge/routing/pickers.py
+++ b/cactusridge/routing/pickers.py
@@ -10,9 +10,8 @@
 from cactusridge.hashing import hash64
 from cactusridge.routing.candidates import Candidate, PickRequest, load_of
 
-ZONE_SLACK = 0.25
-AFFINITY_BOUND = 1.25
-AFFINITY_SLACK = 0.25
+AFFINITY_REQUESTS = 1
+DRAWN = 4
 
 
 class ReplicaPicker(abc.ABC):
@@ -69,10 +68,10 @@
             return candidates
         least_near = min(map(load_of, near))
         least_far = min(map(load_of, far))
-        return near if least_near <= least_far + ZONE_SLACK else far
+        return near if least_near <= least_far else candidates
 
     def _less_loaded(self, candidates: Sequence[Candidate]) -> Candidate:
-        drawn = self._rng.sample(candidates, min(2, len(candidates)))
+        drawn = self._rng.sample(candidates, min(DRAWN, len(candidates)))
         return min(drawn, key=load_of)
 
 
@@ -94,8 +93,8 @@
         if not request.prefix:
             return super().pick(candidates, request)
         loads = {each.key: load_of(each) for each in candidates}
-        mean = sum(loads.values()) / len(loads)
-        bound = mean * AFFINITY_BOUND + AFFINITY_SLACK
+        least = min(candidates, key=load_of)
+        bound = loads[least.key] + AFFINITY_REQUESTS / max(1, least.limit)
         ranked = sorted(
             candidates,
             key=lambda each: _weight(request.prefix, each.key),
--- a/cactusridge/sidecar/controllers.py
+++ b/cactusridge/sidecar/controllers.py
@@ -1,7 +1,6 @@
 """How much batch work may run beside online requests."""
 
 import abc
-import math
 from collections import deque
 from typing import NamedTuple
 
@@ -13,7 +12,7 @@
 PERCENTILE = 0.95
 CUT = 0.5
 GROWTH_PERIODS = 8
-PEAK_HALF_LIFE_S = 2
+PEAK_S = 0.75
 
 
 class OnlineLoad(NamedTuple):
@@ -63,7 +62,8 @@
     Halves the level when the 95th percentile of a quarter second's
     observations uses up more than ``share`` of the objective, adds an
     eighth of the slots otherwise. Slots that online used in the last
-    seconds are kept free, since the next burst looks like the last.
+    moments are kept free, so that a full engine is not filled and
+    emptied again between two online requests.
     """
 
     def __init__(
@@ -81,8 +81,7 @@
         self._level = float(slots)
         self._use: deque[float] = deque(maxlen=SAMPLES)
         self._changed_at = clock.monotonic()
-        self._peak = float(0)
-        self._peak_at = clock.monotonic()
+        self._peaks: deque[tuple[float, int]] = deque()
 
     def first_token(self, seconds: float) -> None:
         """Take one observed time to the first token of online work."""
@@ -97,7 +96,7 @@
         self._adjust()
         if load.waiting:
             return 0
-        kept_free = max(load.running, math.ceil(self._decayed_peak(load)))
+        kept_free = self._recent_peak(load)
         return max(0, min(int(self._level), self._slots - kept_free))
 
     def _adjust(self) -> None:
@@ -116,11 +115,13 @@
         ranked = sorted(self._use)
         return ranked[min(len(ranked) - 1, int(len(ranked) * PERCENTILE))]
 
-    def _decayed_peak(self, load: OnlineLoad) -> float:
+    def _recent_peak(self, load: OnlineLoad) -> int:
+        """Return the most online requests at once in the last moments."""
         now = self._clock.monotonic()
-        halvings = (now - self._peak_at) / PEAK_HALF_LIFE_S
-        decayed = self._peak * CUT**halvings
-        self._peak = max(load.running, decayed)
-        self._peak_at = now
-        # Under half a request is no reason to keep a slot free.
-        return self._peak if self._peak > CUT else 0
+        while self._peaks and now - self._peaks[0][0] > PEAK_S:
+            self._peaks.popleft()
+        # Smaller peaks before this one do not matter any more.
+        while self._peaks and self._peaks[-1][1] <= load.running:
+            self._peaks.pop()
+        self._peaks.append((now, load.running))
+        return self._peaks[0][1]
--- a/cactusridge/sidecar/gate.py
+++ b/cactusridge/sidecar/gate.py
@@ -46,6 +46,7 @@
         self.cfg = cfg
         self.online_limit = limit
         self.controller = controller
+        self.token_s = float(0)
         self._drain_rate = DrainRate(clock)
         self._running: list[Ticket] = []
         self._online: FairQueue = FairQueue()
@@ -95,6 +96,7 @@
             online_limit=self.online_limit.current(),
             batch_limit=self.controller.limit(self._load()),
             wait_s=self._drain_rate.wait_s(len(self._online)),
+            token_s=self.token_s,
         )
 
     def _wait(self, ticket: Ticket) -> None:
--- a/cactusridge/sidecar/lane.py
+++ b/cactusridge/sidecar/lane.py
@@ -12,11 +12,13 @@
 from cactusridge.sidecar.limits import (
     ConcurrencyLimit,
     FixedLimit,
-    GradientLimit,
+    ObjectiveLimit,
 )
 from cactusridge.sidecar.upstream import Stopwatch, Upstream
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
+SMOOTHING = 0.05
+
 
 class Lane:
     """One upstream with its admission."""
@@ -35,7 +37,7 @@
         self._policy = host_cfg.policy
         self.gate = Gate(
             cfg,
-            self._limit(),
+            self._limit(ServiceSettings()),
             self._controller(ServiceSettings()),
             clock,
         )
@@ -43,6 +45,7 @@
     def configure(self, settings: ServiceSettings) -> None:
         """Follow the objective in ``settings`` from now on."""
         self.gate.controller = self._controller(settings)
+        self.gate.online_limit = self._limit(settings)
 
     def observe(self, watch: Stopwatch, gap_s: float) -> None:
         """Take the time to a token of online work."""
@@ -53,15 +56,21 @@
             self.gate.controller.first_token(first_s)
             return
         self.gate.controller.between_tokens(gap_s)
+        smoothed = self.gate.token_s or gap_s
+        self.gate.token_s = smoothed + (gap_s - smoothed) * SMOOTHING
 
     def report(self) -> ServiceReport:
         """Return the load now."""
         return self.gate.report()
 
-    def _limit(self) -> ConcurrencyLimit:
+    def _limit(self, settings: ServiceSettings) -> ConcurrencyLimit:
         if self._policy.limit == 'fixed':
             return FixedLimit(self.cfg.slots)
-        return GradientLimit(self.cfg.slots)
+        return ObjectiveLimit(
+            self.cfg.slots,
+            settings.objective,
+            self._clock,
+        )
 
     def _controller(self, settings: ServiceSettings) -> BatchController:
         if self._policy.batch == 'fill':
--- a/cactusridge/sidecar/limits.py
+++ b/cactusridge/sidecar/limits.py
@@ -1,13 +1,13 @@
 """How many online requests may be at the upstream at once."""
 
 import abc
-import math
 
-TOLERANCE = 2
-SMOOTHING = 0.1
-BASE_DRIFT = 0.01
-MIN_GRADIENT = 0.5
-SHORTEST_S = 1e-6
+from cactusridge.clock import Clock
+from cactusridge.settings.schema import ObjectiveSettings
+
+DANGER_SHARE = 0.5
+CUT = 0.8
+FLOOR_PART = 4
 
 
 class ConcurrencyLimit(abc.ABC):
@@ -37,31 +37,39 @@
         return self._slots
 
 
-class GradientLimit(ConcurrencyLimit):
-    """Follows the ratio of the best to the present first-token time."""
+class ObjectiveLimit(ConcurrencyLimit):
+    """Shrinks while first tokens use up too much of the objective.
+
+    An engine that batches continuously yields more tokens the fuller it
+    is, so fewer requests help only when the objective is in danger: a
+    limit that followed the best first-token time seen (a gradient) cut
+    the engine to half its slots under a flood and doubled the wait.
+    """
 
-    def __init__(self, slots: int, floor: int = 1) -> None:
-        """Move between ``floor`` and ``slots``; start at ``slots``."""
+    def __init__(
+        self,
+        slots: int,
+        objective: ObjectiveSettings,
+        clock: Clock,
+    ) -> None:
+        """Move between a quarter of ``slots`` and all; start at all."""
         self._slots = slots
-        self._floor = floor
+        self._floor = max(1, slots // FLOOR_PART)
+        self._objective = objective
+        self._clock = clock
         self._limit = float(slots)
-        self._base_s = float(0)
+        self._cut_at = clock.monotonic()
 
     def observe(self, first_token_s: float, running: int) -> None:
         """Take the first-token time of a request and the load it met."""
-        if not self._base_s or first_token_s < self._base_s:
-            self._base_s = first_token_s
-        # The base drifts up slowly, so that one lucky time does not
-        # hold the limit down for good.
-        self._base_s += (first_token_s - self._base_s) * BASE_DRIFT
-        gradient = TOLERANCE * self._base_s / max(first_token_s, SHORTEST_S)
-        bounded = max(MIN_GRADIENT, min(1, gradient))
-        target = self._limit * bounded + math.sqrt(self._limit)
-        if bounded == 1 and running < self._limit / 2:
-            # Too little load to learn anything from a good time.
-            return
-        moved = self._limit + (target - self._limit) * SMOOTHING
-        self._limit = max(self._floor, min(self._slots, moved))
+        now = self._clock.monotonic()
+        if first_token_s <= self._objective.first_token_s * DANGER_SHARE:
+            grown = self._limit + 1 / self._limit
+            self._limit = min(self._slots, grown)
+        elif now - self._cut_at > first_token_s:
+            # One cut for the requests that were on their way together.
+            self._cut_at = now
+            self._limit = max(self._floor, self._limit * CUT)
 
     def current(self) -> int:
         """Return the limit now."""
