--- a/cactusridge/platform/host_list.py
+++ b/cactusridge/platform/host_list.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+from http import HTTPStatus
 from typing import NamedTuple
 
 from cactusridge import wire
@@ -41,10 +42,20 @@
     def __init__(self, link: PlatformLink) -> None:
         """Send every call through ``link``."""
         self.link = link
+        self._tag = ''
+        self._known: list[Host] = []
 
     def hosts(self) -> list[Host]:
-        """Return the hosts as the platform last saw them."""
-        answer = self.link.ask('GET', '/hosts', b'', Priority.lease)
+        """Return the hosts; the list is sent again only when changed."""
+        headers = {'If-None-Match': self._tag} if self._tag else None
+        answer = self.link.ask('GET', '/hosts', b'', Priority.lease, headers)
+        if answer.status == HTTPStatus.NOT_MODIFIED:
+            return self._known
+        self._known = self._parsed(answer.body)
+        self._tag = answer.tag
+        return self._known
+
+    def _parsed(self, body: bytes) -> list[Host]:
         return [
             Host(
                 parse_address(entry['address']),
@@ -53,5 +64,5 @@
                 HostState(entry['state']),
                 tuple(entry['services']),
             )
-            for entry in wire.decode(answer.body)['hosts']
+            for entry in wire.decode(body)['hosts']
         ]
--- a/cactusridge/platform/link.py
+++ b/cactusridge/platform/link.py
@@ -26,6 +26,7 @@
 
     status: int
     body: bytes
+    tag: str = ''
 
 
 class PlatformLink:
@@ -114,7 +115,8 @@
                     method,
                 ) as resp,
             ):
-                return PlatformAnswer(resp.status_code, resp.read())
+                tag = resp.get('etag') or ''
+                return PlatformAnswer(resp.status_code, resp.read(), tag)
         except ConnectionRefusedError as exc:
             self._failed()
             raise StoreUnavailable(retry_after_s=1) from exc
--- a/cactusridge/settings/tree.py
+++ b/cactusridge/settings/tree.py
@@ -1,6 +1,7 @@
 """The settings in force in this process; the version only grows."""
 
 import itertools
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
@@ -8,6 +9,8 @@
 
 from cactusridge.settings import paths, schema
 
+MAX_MODELS = 512
+
 
 class Change(NamedTuple):
     """One accepted change; ``raw`` None removes the node."""
@@ -37,15 +40,15 @@
 class SettingsTree:
     """Nodes by path; a lower version than the one applied has no effect.
 
-    Nodes are held as JSON and checked models are made when first asked
-    for, so that many teams cost little memory.
+    Nodes are held as JSON; checked models are made when asked for and
+    only those last used are kept, so that many teams cost little memory.
     """
 
     def __init__(self) -> None:
         """Start empty at version 0."""
         self.version = 0
         self._nodes: dict[str, Node] = {}
-        self._models: dict[str, Any] = {}
+        self._models: OrderedDict[str, Any] = OrderedDict()
         self._followers: list[Callable[[str], None]] = []
 
     def follow(self, on_change: Callable[[str], None]) -> None:
@@ -61,8 +64,7 @@
         if change.raw is None:
             self._nodes.pop(change.path, None)
         else:
-            encoded = orjson.dumps(change.raw)
-            self._nodes[change.path] = Node(encoded, change.version)
+            self._nodes[change.path] = _node(change.raw, change.version)
         self.version = change.version
         self._tell((change.path,))
         return True
@@ -73,10 +75,9 @@
             return False
         before = set(self._nodes)
         self._nodes = {
-            path: Node(orjson.dumps(raw), version)
-            for path, raw, version in snapshot.nodes
+            path: _node(raw, version) for path, raw, version in snapshot.nodes
         }
-        self._models = {}
+        self._models.clear()
         self.version = snapshot.version
         self._tell(before | set(self._nodes))
         return True
@@ -101,13 +102,17 @@
 
     def model(self, path: str) -> Any:
         """Return the checked settings at ``path``, or None."""
-        if path not in self._models:
+        model = self._models.get(path)
+        if model is None:
             raw = self.raw(path)
             if raw is None:
                 return None
-            kind = paths.parse(path).kind
-            self._models[path] = schema.validate(kind, raw)
-        return self._models[path]
+            model = schema.validate(paths.parse(path).kind, raw)
+            self._models[path] = model
+        self._models.move_to_end(path)
+        if len(self._models) > MAX_MODELS:
+            self._models.popitem(last=False)
+        return model
 
     def paths(self, kind: paths.NodeKind | None = None) -> Iterator[str]:
         """Yield the paths of all nodes, or of one kind."""
@@ -122,3 +127,9 @@
     def _tell(self, changed: Iterable[str]) -> None:
         for path, on_change in itertools.product(changed, self._followers):
             on_change(path)
+
+
+def _node(raw: Any, version: int) -> Node:
+    # The encoder's buffer is some KB however short the text; a copy is
+    # just as long as it needs to be.
+    return Node(bytes(memoryview(orjson.dumps(raw))), version)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 
 from cactusridge import wire
 from cactusridge.errors import CactusridgeError, NotFound
+from cactusridge.hashing import hash64
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from standins.faults import Fault, FaultKind, Faults, wait_out
@@ -140,7 +141,13 @@
     def get_hosts(self, req: Req) -> Reply:
         """Return the hosts as last published."""
         self._enter(req, 'hosts', '', self.reads)
-        return json_reply({'hosts': self.hosts})
+        raw = wire.encode({'hosts': self.hosts})
+        tag = f'"{hash64(raw.decode()):x}"'
+        if req.header('If-None-Match') == tag:
+            return Reply(304, [('ETag', tag)], [])
+        self.counts['hosts sent'] = self.counts.get('hosts sent', 0) + 1
+        headers = [('ETag', tag), ('Content-Length', str(len(raw)))]
+        return Reply(200, headers, [raw])
 
     def put_hosts(self, req: Req) -> Reply:
         """Take a new host list; it shows after the lag."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -56,3 +56,13 @@
     def wait_one(self, fleet: object) -> None:
         """Wait until a fleet offers one replica only."""
         wait_for('one left', lambda: len(fleet.replicas(YAZMAN)) == 1)
+
+    def test_list_is_sent_only_when_changed(self):
+        """An unchanged host list costs a few bytes a poll."""
+        counts = self.rig.platform.counts
+        sent = counts['hosts sent']
+        polled = counts['hosts']
+        wait_for('polls', lambda: counts['hosts'] > polled + 10)
+        self.assertEqual(sent, counts['hosts sent'])
+        self.rig.list_host(self.rig.entries[0].address, 'entry', 'leaving')
+        wait_for('sent again', lambda: counts['hosts sent'] >= sent + 2)
