--- a/cactusridge/entry/dispatch.py
+++ b/cactusridge/entry/dispatch.py
@@ -45,6 +45,7 @@
         order_id: str,
         incarnation: str,
         now: float,
+        wants_report: bool,
     ) -> RunOrder:
         """Return the order for one attempt at a sidecar."""
         return RunOrder(
@@ -62,5 +63,6 @@
             repeatable=self.repeatable,
             streamed=self.streamed,
             solo=self.solo,
+            wants_report=wants_report,
             fence=self.fence,
         )
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -110,6 +110,7 @@
             new_id('r', self._clock),
             host.incarnation,
             now,
+            self.fleet.report_due(host, now),
         )
         metrics.ATTEMPTS.inc({'service': dispatch.service.path})
         try:
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/entry/fleet.py
@@ -1,7 +1,5 @@
 """The hosts this entry knows; one greenlet probes each sidecar."""
 
-import random
-
 import gevent
 from gevent.event import Event
 from gevent.pool import Group
@@ -9,9 +7,10 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.entry.peer_host import SidecarHost
+from cactusridge.entry.prober import SidecarProber
 from cactusridge.entry.replica import Replica
 from cactusridge.entry.sidecar_client import SidecarClient
-from cactusridge.errors import CactusridgeError, StoreUnavailable
+from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, parse_address
 from cactusridge.orders import SidecarReport
 from cactusridge.platform.host_list import Host, HostList
@@ -22,7 +21,6 @@
 
 SIDECAR = 'sidecar'
 ENTRY = 'entry'
-SPREAD = (0.8, 1.2)
 
 
 class Fleet:
@@ -42,11 +40,11 @@
         self.changed = Event()
         self._host_list = host_list
         self._client = client
-        self._tree = tree
         self._clock = clock
         self._greenlets = greenlets
-        self._rng = random.Random()  # noqa: S311
+        self._prober = SidecarProber(cfg, client, tree, clock)
         self._sidecars: dict[Address, SidecarHost] = {}
+        tree.follow(self._on_change)
         self._entries: set[Address] = {
             parse_address(text) for text in cfg.seed_peers
         }
@@ -91,6 +89,11 @@
             if service in host.replicas and host.belief(now) == Belief.serving
         ]
 
+    def report_due(self, host: SidecarHost, now: float) -> bool:
+        """Tell whether a sidecar's next reply should bring its report."""
+        heard_at = host.heard_at
+        return heard_at is None or now - heard_at > self.cfg.report_age_s
+
     def note_report(self, address: Address, report: SidecarReport) -> None:
         """Take a sidecar's own word, from a probe or a reply."""
         host = self._sidecars.get(address)
@@ -99,6 +102,8 @@
         if report['draining'] and not host.draining:
             logs.emit(events.REPLICA_LEAVING, host=str(address))
         host.note_report(report, self._clock.monotonic())
+        if self._prober.behind(host, report):
+            host.wake.set()
         self.changed.set()
 
     def _take_entries(self, hosts: list[Host]) -> None:
@@ -128,9 +133,10 @@
         if known is not None:
             known.note_listed(host.state, now)
             return
-        self._sidecars[host.address] = SidecarHost(host, now)
+        found = SidecarHost(host, now, self.cfg.probe_s)
+        self._sidecars[host.address] = found
         logs.emit(events.REPLICA_FOUND, host=str(host.address))
-        self._greenlets.spawn(self._probe_loop, host.address)
+        self._greenlets.spawn(self._probe_loop, found)
 
     def _drop_if_gone(self, address: Address, now: float) -> None:
         host = self._sidecars[address]
@@ -140,38 +146,15 @@
             self._client.drop(address)
             logs.emit(events.REPLICA_GONE, host=str(address))
 
-    def _probe_loop(self, address: Address) -> None:
+    def _probe_loop(self, host: SidecarHost) -> None:
         """Probe one sidecar until it is dropped."""
-        while address in self._sidecars:
-            self._probe(address)
-            pause_s = self.cfg.probe_s * self._rng.uniform(*SPREAD)
-            gevent.sleep(pause_s)
-
-    def _probe(self, address: Address) -> None:
-        try:
-            report = self._client.probe(address, self._tree.version)
-            self.note_report(address, report)
-            if report['settings_version'] < self._tree.version:
-                self._push_settings(address)
-        except CactusridgeError as exc:
-            self._note_silence(address, exc)
-
-    def _push_settings(self, address: Address) -> None:
-        host = self._sidecars.get(address)
-        if host is None:
-            return
-        raws = {path: self._tree.raw(path) for path in host.replicas}
-        services = {path: raw for path, raw in raws.items() if raw}
-        report = self._client.push(address, self._tree.version, services)
-        self.note_report(address, report)
-
-    def _note_silence(self, address: Address, exc: CactusridgeError) -> None:
-        host = self._sidecars.get(address)
-        if host is None or host.heard_at is None:
-            return
-        if host.belief(self._clock.monotonic()) == Belief.silent:
-            logs.emit(
-                events.REPLICA_SILENT,
-                host=str(address),
-                error=str(exc),
-            )
+        while self._sidecars.get(host.address) is host:
+            report = self._prober.ask(host)
+            if report is not None:
+                self.note_report(host.address, report)
+            self._prober.wait_until_due(host)
+
+    def _on_change(self, path: str) -> None:
+        for host in self._sidecars.values():
+            if path in host.replicas:
+                host.wake.set()
--- a/cactusridge/entry/peer_host.py
+++ b/cactusridge/entry/peer_host.py
@@ -1,5 +1,7 @@
 """A sidecar as this entry knows it: list's word, own word, replicas."""
 
+from gevent.event import Event
+
 from cactusridge.entry.replica import Replica
 from cactusridge.http.client import Address
 from cactusridge.orders import SidecarReport
@@ -10,8 +12,10 @@
 class SidecarHost:
     """One sidecar: what was heard of it and from it."""
 
-    def __init__(self, host: Host, now: float) -> None:
+    def __init__(self, host: Host, now: float, probe_s: float) -> None:
         """Know ``host`` from the list at the monotonic time ``now``."""
+        self.wake = Event()
+        self._probe_s = probe_s
         self.address: Address = host.address
         self.zone = host.zone
         self.listed: HostState | None = host.state
@@ -55,5 +59,6 @@
                 unlisted_s=now - self.listed_at,
                 heard_s=heard_s,
                 draining=self.draining,
+                probe_s=self._probe_s,
             ),
         )
--- a/cactusridge/orders.py
+++ b/cactusridge/orders.py
@@ -49,6 +49,7 @@
     repeatable: bool = True
     streamed: bool = False
     solo: bool = False
+    wants_report: bool = True
     fence: Fence | None = None
 
 
--- a/cactusridge/sidecar/run.py
+++ b/cactusridge/sidecar/run.py
@@ -38,7 +38,8 @@
     ) -> None:
         """Run ``order`` with ``body`` on ``lane``, noted in ``ledger``.
 
-        Every reply ends with the sidecar's ``report``.
+        The reply ends with the sidecar's ``report`` if the entry wants
+        one; a refusal always does.
         """
         self.order = order
         self.body = body
@@ -77,7 +78,8 @@
         except Exception as exc:
             logs.emit(events.INTERNAL_ERROR, error=repr(exc))
             self._refuse(CactusridgeError(repr(exc)))
-        self._say(end_frame(self.order.id, self._report()))
+        report = self._report() if self.order.wants_report else None
+        self._say(end_frame(self.order.id, report))
         self._done.set()
 
     def _run(self) -> None:
@@ -213,9 +215,12 @@
         )
 
 
-def end_frame(order_id: str, report: SidecarReport) -> FrameHead:
+def end_frame(order_id: str, report: SidecarReport | None) -> FrameHead:
     """Return the last frame of a reply: whose it was, and the load now."""
-    return FrameHead(kind=FrameKind.end, id=order_id, report=dict(report))
+    head = FrameHead(kind=FrameKind.end, id=order_id)
+    if report is not None:
+        head['report'] = dict(report)
+    return head
 
 
 def refusal_frame(exc: CactusridgeError) -> FrameHead:
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -96,6 +96,7 @@
     seed_peers: tuple[AddressText, ...] = ()
     settings_poll_s: PositiveSeconds = 1
     probe_s: PositiveSeconds = 0.5
+    report_age_s: float = Field(default=0.05, ge=0, le=60)
     hosts_poll_s: PositiveSeconds = 1
     subset_size: Count = 64
     report_s: PositiveSeconds = 30
