--- a/cactusridge/entry/admin.py
+++ b/cactusridge/entry/admin.py
@@ -6,6 +6,7 @@
 
 from gevent.pool import Pool
 
+from cactusridge import events, logs
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.peers import PeerClient
 from cactusridge.errors import BadRequest, Forbidden, Unauthorized
@@ -141,6 +142,8 @@
             settings.objective,
             self._parts.clock.wall(),
         )
+        for alert in report['alerts']:
+            logs.emit(events.BURN_ALERT, service=service, **alert)
         return json_reply(report)
 
     def _own(self) -> dict[str, Any]:
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -14,7 +14,6 @@
 LISTENING: Final = Event(101, 'listening')
 DRAIN_BEGUN: Final = Event(102, 'drain_begun')
 DRAIN_ENDED: Final = Event(103, 'drain_ended')
-BAD_START_SETTINGS: Final = Event(104, 'bad_start_settings', 'error')
 INTERNAL_ERROR: Final = Event(105, 'internal_error', 'error')
 CONNECTION_BROKEN: Final = Event(107, 'connection_broken')
 TASK_FAILED: Final = Event(106, 'task_failed', 'error')
--- a/cactusridge/routing/outliers.py
+++ b/cactusridge/routing/outliers.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cactusridge import events, logs
+from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 
 FAILURES = 3
@@ -138,6 +138,7 @@
 
     def _eject(self, key: str) -> None:
         old = self._health[key]
+        metrics.EJECTIONS.inc({})
         logs.emit(
             events.REPLICA_EJECTED,
             replica=key,
--- a/cactusridge/settings/store.py
+++ b/cactusridge/settings/store.py
@@ -214,6 +214,12 @@
         if_version: int,
     ) -> SettingsConflict:
         stored = state.node.value or {}
+        logs.emit(
+            events.SETTINGS_REFUSED,
+            path=change.path,
+            who=change.who,
+            version=state.node_version,
+        )
         return SettingsConflict(
             f'{change.path} is at version {state.node_version}, not'
             f' {if_version}; theirs: {stored.get("raw")!r}'
--- a/cactusridge/sidecar/gate.py
+++ b/cactusridge/sidecar/gate.py
@@ -205,7 +205,12 @@
             WorkClass.online: len(self._online),
             WorkClass.batch: len(self._batch),
         }
+        limits = {
+            WorkClass.online: self.online_limit.current(),
+            WorkClass.batch: self.controller.limit(self._load()),
+        }
         for work, count in waiting.items():
             labels = {'service': self.cfg.service, 'class': work.value}
             metrics.WAITING.set(labels, count)
             metrics.RUNNING.set(labels, self._counts[work])
+            metrics.LIMIT.set(labels, limits[work])
