Waiting is no attempt; job reader apart; what nothing used is gone

Cause: reading the code as a newcomer. A batch item that waited in a sidecar's queue past its time limit counted as an attempt, so an innocent one could end as failed behind long online load: red first, 3 of 4 items done in tests.test_poison. Health of replicas and watched leases were never forgotten. An item that ended with its lease left a traceback on stderr. Ruled out: asking also for online requests past their deadline; their callers get the answer at once.

--- /dev/null
+++ b/cactusridge/batch/job_reader.py
@@ -0,0 +1,132 @@
+"""What has become of a job: status, results, output."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from cactusridge.batch.jobs import (
+    Job,
+    JobState,
+    JobStatus,
+    Progress,
+    cancel_key,
+    progress_key,
+)
+from cactusridge.batch.span import (
+    ChunkResult,
+    Span,
+    done_key,
+    span_key,
+    span_of,
+)
+from cactusridge.clock import Clock
+from cactusridge.platform.object_store import ObjectStore
+from cactusridge.platform.table import Priority, Table, by_key
+
+KEYS_A_READ = 200
+
+
+class JobReader:
+    """Reads jobs through the table's pointers, at any entry."""
+
+    def __init__(
+        self,
+        shards: int,
+        table: Table,
+        objects: ObjectStore,
+        clock: Clock,
+    ) -> None:
+        """Find open spans in ``shards``."""
+        self._shards = shards
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+
+    def status(self, job: Job) -> JobStatus:
+        """Return what has become of ``job`` so far."""
+        keys = [progress_key(job.id), cancel_key(job.id)]
+        rows = by_key(self._table.read(keys, Priority.report))
+        progress = Progress(**(rows[keys[0]].value or {}))
+        cancelled = rows[keys[1]].value
+        ok, failed = progress.ok, progress.failed
+        closed = progress.spans >= job.spans
+        if not closed:
+            for span in self.spans(job, only_open=True):
+                ok += sum(each.ok for each in span.results())
+                failed += sum(each.failed for each in span.results())
+        return JobStatus(
+            job=job,
+            state=_state(closed, cancelled, ok + failed == job.items),
+            ok=ok,
+            failed=failed,
+            cancelled_at=cancelled['when'] if cancelled else 0,
+            finished_at=progress.finished,
+            at_risk=not closed and self._at_risk(job, ok + failed),
+        )
+
+    def spans(self, job: Job, only_open: bool = False) -> Iterator[Span]:
+        """Yield the job's spans in order, a few hundred rows a read."""
+        for first in range(0, job.spans, KEYS_A_READ):
+            numbers = range(first, min(job.spans, first + KEYS_A_READ))
+            yield from self._spans(job, numbers, only_open)
+
+    def results(self, job: Job) -> Iterator[ChunkResult]:
+        """Yield the committed results, in the order of the input."""
+        for span in self.spans(job):
+            yield from span.results()
+
+    def output(self, job: Job) -> Iterator[bytes]:
+        """Yield the output lines committed so far."""
+        for found in self.results(job):
+            yield self._objects.get(found.name, 0, found.ok_bytes)
+
+    def errors(self, job: Job) -> Iterator[bytes]:
+        """Yield the error lines committed so far."""
+        for found in self.results(job):
+            yield self._objects.get(found.name, found.ok_bytes, found.size)
+
+    def _spans(
+        self,
+        job: Job,
+        numbers: range,
+        only_open: bool,
+    ) -> list[Span]:
+        open_keys = {
+            number: span_key(job.id, number, self._shards) for number in numbers
+        }
+        done_keys = {number: done_key(job.id, number) for number in numbers}
+        wanted = list(open_keys.values())
+        if not only_open:
+            wanted.extend(done_keys.values())
+        # One read, so that a span that closes meanwhile is seen once.
+        rows = by_key(self._table.read(wanted, Priority.report))
+        found = []
+        for number in numbers:
+            row = rows[open_keys[number]]
+            if row.value is None and not only_open:
+                row = rows[done_keys[number]]
+            if row.value is not None:
+                found.append(span_of(row))
+        return found
+
+    def _at_risk(self, job: Job, done: int) -> bool:
+        """Tell whether at the rate so far the job would miss its time."""
+        now = self._clock.wall()
+        if now >= job.due:
+            return True
+        elapsed_s = now - job.created
+        if not done or elapsed_s <= 0:
+            return False
+        left_s = (job.items - done) * elapsed_s / done
+        return now + left_s > job.due
+
+
+def _state(
+    closed: bool,
+    cancelled: dict[str, Any] | None,
+    whole: bool,
+) -> JobState:
+    if closed and (whole or not cancelled):
+        return JobState.completed
+    if cancelled:
+        return JobState.cancelled if closed else JobState.cancelling
+    return JobState.in_progress
--- a/cactusridge/batch/span_runner.py
+++ b/cactusridge/batch/span_runner.py
@@ -140,9 +140,17 @@
             return [self._run_alone(chunk, task) for task in tasks]
         pool = Pool(len(tasks))
         try:
-            return pool.map(self._run_item, tasks)
+            ended = pool.map(self._ended, tasks)
         finally:
             pool.kill()
+        return [_outcome_of(each) for each in ended]
+
+    def _ended(self, task: ItemTask) -> ItemOutcome | CactusridgeError:
+        """Return how an item ended, or why it was dropped."""
+        try:
+            return self._run_item(task)
+        except CactusridgeError as exc:
+            return exc
 
     def _run_item(self, task: ItemTask) -> ItemOutcome:
         return self._items.run(task, self._permit)
@@ -200,6 +208,12 @@
             logs.emit(events.SPAN_LOST, span=self.held.span.name)
 
 
+def _outcome_of(ended: ItemOutcome | CactusridgeError) -> ItemOutcome:
+    if isinstance(ended, CactusridgeError):
+        raise ended
+    return ended
+
+
 def _may_have_run(task: ItemTask) -> ItemOutcome:
     exc = ItemMayHaveRun('its holder was lost while it may have run')
     return item_outcome.failed(task.id, task.item.custom_id, exc, 1)
--- a/cactusridge/batch/watchlist.py
+++ b/cactusridge/batch/watchlist.py
@@ -1,10 +1,13 @@
 """Tells expired leases from held ones by this host's clock alone."""
 
+from collections import OrderedDict
 from typing import NamedTuple
 
 from cactusridge.clock import Clock
 from cactusridge.platform.table import Row
 
+MAX_WATCHED = 10_000
+
 
 class Seen(NamedTuple):
     """A row's version and when it was first seen, monotonic seconds."""
@@ -20,7 +23,7 @@
         """Call a lease expired after ``lease_s`` without a change."""
         self._lease_s = lease_s
         self._clock = clock
-        self._seen: dict[str, Seen] = {}
+        self._seen: OrderedDict[str, Seen] = OrderedDict()
 
     def free(self, row: Row) -> bool:
         """Tell whether the span in ``row`` may be taken now."""
@@ -31,12 +34,12 @@
         now = self._clock.monotonic()
         seen = self._seen.get(row.key)
         if seen is None or seen.version != row.version:
-            self._seen[row.key] = Seen(row.version, now)
+            self._note(row, now)
             return False
         return now - seen.at > self._lease_s
 
-    def keep(self, keys: set[str]) -> None:
-        """Forget every row that is not among ``keys``."""
-        self._seen = {
-            key: seen for key, seen in self._seen.items() if key in keys
-        }
+    def _note(self, row: Row, now: float) -> None:
+        self._seen[row.key] = Seen(row.version, now)
+        self._seen.move_to_end(row.key)
+        if len(self._seen) > MAX_WATCHED:
+            self._seen.popitem(last=False)
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -10,6 +10,7 @@
 from cactusridge import events, logs, metrics
 from cactusridge.batch.driver import BatchDriver
 from cactusridge.batch.file_store import FileStore
+from cactusridge.batch.job_reader import JobReader
 from cactusridge.batch.job_store import JobStore
 from cactusridge.clock import Clock
 from cactusridge.entry.admin import AdminApi
@@ -134,18 +135,20 @@
             self.parts.catalog,
             self.parts.clock,
         )
-        jobs = JobStore(
+        kept = (
             self.cfg.batch.shards,
             self.parts.table,
             self.parts.objects,
             self.parts.clock,
         )
+        jobs = JobStore(*kept)
+        reader = JobReader(*kept)
         admin = AdminApi(self.parts, self.follower, self.peers)
         routes = [
             *OnlineApi(self.parts).routes(),
             *PlainApi(self.parts).routes(),
-            *FilesApi(self.parts, files, jobs).routes(),
-            *BatchesApi(self.parts, files, jobs).routes(),
+            *FilesApi(self.parts, files, jobs, reader).routes(),
+            *BatchesApi(self.parts, files, jobs, reader).routes(),
             *admin.routes(),
             *admin.internal_routes(),
             route('GET', '/livez', self.livez),
--- a/cactusridge/entry/attempt.py
+++ b/cactusridge/entry/attempt.py
@@ -14,7 +14,6 @@
     CrossedReply,
     OutcomeUnknown,
     TruncatedReply,
-    UpstreamFailed,
 )
 from cactusridge.http import frames
 from cactusridge.http.frames import Frame, FrameKind
@@ -183,8 +182,3 @@
         report = frame.head.get('report')
         if report is not None:
             self._callbacks.report(report)
-
-
-def is_broken(exc: CactusridgeError) -> bool:
-    """Tell whether the way to the sidecar failed, not the work."""
-    return isinstance(exc, (OutcomeUnknown, UpstreamFailed))
--- a/cactusridge/entry/batches.py
+++ b/cactusridge/entry/batches.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cactusridge.batch.file_store import FileStore
+from cactusridge.batch.job_reader import JobReader
 from cactusridge.batch.job_store import JobStore, Submission, body_digest
 from cactusridge.batch.jobs import Job, JobState, JobStatus
 from cactusridge.entry.files import ERROR_PREFIX, OUTPUT_PREFIX
@@ -25,11 +26,18 @@
 class BatchesApi:
     """Serves jobs."""
 
-    def __init__(self, parts: Parts, files: FileStore, jobs: JobStore) -> None:
+    def __init__(
+        self,
+        parts: Parts,
+        files: FileStore,
+        jobs: JobStore,
+        reader: JobReader,
+    ) -> None:
         """Serve ``jobs`` over ``files``."""
         self._parts = parts
         self._files = files
         self._jobs = jobs
+        self._reader = reader
 
     def routes(self) -> list[Route]:
         """Return the routes of this interface."""
@@ -91,7 +99,7 @@
         return json_reply(self._entry(job))
 
     def _entry(self, job: Job) -> dict[str, Any]:
-        return batch_entry(self._jobs.status(job))
+        return batch_entry(self._reader.status(job))
 
     def _job_class(
         self,
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -27,7 +27,12 @@
     OutcomeUnknown,
 )
 from cactusridge.identity import new_id
-from cactusridge.orders import RunOrder, TombstoneOrder, Verdict
+from cactusridge.orders import (
+    RunOrder,
+    TombstoneOrder,
+    Verdict,
+    WorkClass,
+)
 from cactusridge.routing.candidates import PickRequest
 from cactusridge.routing.retry_budget import RetryPolicy
 from cactusridge.startup.models import EntrySettings
@@ -157,7 +162,7 @@
         Leaves the answer in ``exc.not_run``. The question also keeps an
         order that is still on its way from ever running.
         """
-        if exc.not_run or not isinstance(exc, OutcomeUnknown):
+        if exc.not_run or not self._worth_asking(dispatch, exc):
             return
         question = TombstoneOrder(
             id=order.id,
@@ -176,6 +181,20 @@
         )
         exc.not_run = {Verdict.never: True, Verdict.ran: False}.get(verdict)
 
+    def _worth_asking(
+        self,
+        dispatch: Dispatch,
+        exc: CactusridgeError,
+    ) -> bool:
+        """Tell whether the sidecar should be asked what became of it.
+
+        Someone who waits for an online answer past its deadline gets
+        the refusal at once; a batch item can wait for the truth.
+        """
+        if isinstance(exc, DeadlineExceeded):
+            return dispatch.work == WorkClass.batch
+        return isinstance(exc, OutcomeUnknown)
+
     def _begin(
         self,
         order: RunOrder,
--- a/cactusridge/entry/files.py
+++ b/cactusridge/entry/files.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cactusridge.batch.file_store import FileStore
+from cactusridge.batch.job_reader import JobReader
 from cactusridge.batch.job_store import JobStore
 from cactusridge.batch.manifest import Manifest
 from cactusridge.entry.parts import Parts
@@ -21,11 +22,18 @@
 class FilesApi:
     """Serves files; outputs are read through the table's pointers."""
 
-    def __init__(self, parts: Parts, files: FileStore, jobs: JobStore) -> None:
+    def __init__(
+        self,
+        parts: Parts,
+        files: FileStore,
+        jobs: JobStore,
+        reader: JobReader,
+    ) -> None:
         """Serve ``files`` and the outputs of ``jobs``."""
         self._parts = parts
         self._files = files
         self._jobs = jobs
+        self._reader = reader
 
     def routes(self) -> list[Route]:
         """Return the routes of this interface."""
@@ -39,7 +47,7 @@
     def create(self, req: Req) -> Reply:
         """Take an upload; refuse it whole when a line is wrong."""
         team = self._team(req)
-        reader = UploadReader(
+        upload_reader = UploadReader(
             req,
             self._parts.cfg.batch.max_file_bytes,
             self._parts.cfg.body_timeout_s,
@@ -48,7 +56,7 @@
         def accept(filename: str, blocks: Blocks) -> Manifest:  # noqa: WPS430
             return self._files.accept(team, filename, blocks)
 
-        upload = reader.read(accept)
+        upload = upload_reader.read(accept)
         if upload.accepted is None:
             raise BadRequest('the upload has no file', param='file')
         if upload.fields.get('purpose') != PURPOSE:
@@ -76,17 +84,17 @@
         headers = [('Content-Type', JSONL)]
         if name.startswith(OUTPUT_PREFIX):
             job = self._jobs.get(team, name.removeprefix(OUTPUT_PREFIX))
-            return Reply(HTTPStatus.OK, headers, self._jobs.output(job))
+            return Reply(HTTPStatus.OK, headers, self._reader.output(job))
         if name.startswith(ERROR_PREFIX):
             job = self._jobs.get(team, name.removeprefix(ERROR_PREFIX))
-            return Reply(HTTPStatus.OK, headers, self._jobs.errors(job))
+            return Reply(HTTPStatus.OK, headers, self._reader.errors(job))
         manifest = self._files.get(team, name)
         return Reply(HTTPStatus.OK, headers, self._files.blocks(manifest))
 
     def _output_entry(self, team: str, name: str) -> dict[str, Any]:
         job_name = name.removeprefix(OUTPUT_PREFIX)
         job = self._jobs.get(team, job_name.removeprefix(ERROR_PREFIX))
-        results = list(self._jobs.results(job))
+        results = list(self._reader.results(job))
         size = sum(found.ok_bytes for found in results)
         if name.startswith(ERROR_PREFIX):
             size = sum(found.size - found.ok_bytes for found in results)
--- a/cactusridge/errors.py
+++ b/cactusridge/errors.py
@@ -2,8 +2,6 @@
 
 from typing import ClassVar, TypedDict
 
-UNKNOWN_RETRY = None
-
 
 class ErrorBody(TypedDict):
     """The ``error`` object of every refusal."""
@@ -29,7 +27,7 @@
         message: str = '',
         *,
         param: str | None = None,
-        retry_after_s: float | None = UNKNOWN_RETRY,
+        retry_after_s: float | None = None,
     ) -> None:
         """Keep the text, the field at fault and the seconds to wait."""
         super().__init__(message or self.__class__.__doc__ or self.code)
--- a/cactusridge/routing/outliers.py
+++ b/cactusridge/routing/outliers.py
@@ -2,6 +2,7 @@
 
 import abc
 import statistics
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 MAX_PAUSE_S = 30
 MAX_SHARE = 0.5
 TRIALS = 2
+MAX_TRACKED = 4096
 
 
 class Health(NamedTuple):
@@ -73,7 +75,7 @@
     def __init__(self, clock: Clock) -> None:
         """Start with every replica trusted."""
         self._clock = clock
-        self._health: dict[str, Health] = {}
+        self._health: OrderedDict[str, Health] = OrderedDict()
 
     def succeeded(self, key: str, pace_s: float) -> None:
         """Note an answer of a replica whose pace is ``pace_s`` a token.
@@ -91,14 +93,14 @@
         )
         if not health.trials:
             health = health._replace(pause_s=FIRST_PAUSE_S, ejected_until=0)
-        self._health[key] = health
+        self._keep(key, health)
         if health.samples >= MIN_SAMPLES and self._is_slow(key):
             self._eject(key)
 
     def failed(self, key: str) -> None:
         """Note a failure; a trial that fails ejects at once."""
         old = self._health.get(key, Health())
-        self._health[key] = old._replace(failures=old.failures + 1)
+        self._keep(key, old._replace(failures=old.failures + 1))
         if old.failures + 1 >= FAILURES or old.trials:
             self._eject(key)
 
@@ -115,9 +117,12 @@
         spared = by_return[: max(0, len(out) - bound)]
         return known - out | set(spared)
 
-    def forget(self, key: str) -> None:
-        """Drop what is known of a replica that is gone."""
-        self._health.pop(key, None)
+    def _keep(self, key: str, health: Health) -> None:
+        self._health[key] = health
+        self._health.move_to_end(key)
+        if len(self._health) > MAX_TRACKED:
+            # The one not heard of for longest is long gone.
+            self._health.popitem(last=False)
 
     def _is_out(self, key: str) -> bool:
         health = self._health.get(key)
--- a/cactusridge/settings/paths.py
+++ b/cactusridge/settings/paths.py
@@ -47,11 +47,6 @@
         """Return the team that owns this path."""
         return self.names[0]
 
-    @property
-    def leaf(self) -> str:
-        """Return the last name of this path."""
-        return self.names[-1]
-
 
 def parse(path: str) -> NodePath:
     """Return the parts of ``path``; raise BadRequest for no such kind."""
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -23,7 +23,7 @@
 
 ID_HEADER = 'X-Request-Id'
 RESUME_HEADER = 'X-Resume'
-PRIORITY_HOP_HEADERS = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     (
         'connection',
         'keep-alive',
@@ -62,7 +62,7 @@
     return [
         (name, text)
         for name, text in headers
-        if name.lower() not in PRIORITY_HOP_HEADERS
+        if name.lower() not in HOP_BY_HOP_HEADERS
     ]
 
 
--- a/demo/check.py
+++ b/demo/check.py
@@ -8,7 +8,8 @@
 
 from openai import OpenAI
 
-from standins.local_fleet import ADMIN, YAZMAN, LocalFleet, wait_for
+from standins.local_fleet import ADMIN, YAZMAN, LocalFleet
+from standins.waiting import wait_for
 
 ITEMS = 200
 TOKENS = 8
--- /dev/null
+++ b/standins/waiting.py
@@ -0,0 +1,30 @@
+"""Waiting for things to happen, with a generous bound."""
+
+import socket
+import time
+from typing import Any
+
+WAIT_S = 60
+POLL_S = 0.05
+
+
+class NotReady(Exception):
+    """Something did not come up or did not happen in time."""
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now, as the system gives it."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(what: str, happened: Any, bound_s: float = WAIT_S) -> Any:
+    """Return what ``happened`` returns once it is true."""
+    deadline = time.monotonic() + bound_s
+    while time.monotonic() < deadline:
+        found = happened()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise NotReady(what)
--- a/tests/jobs_client.py
+++ b/tests/jobs_client.py
@@ -6,7 +6,7 @@
 
 from openai import APIError, OpenAI
 
-from standins.local_fleet import wait_for
+from standins.waiting import wait_for
 
 
 def submit_to(url: str, texts: list[str], tokens: int, window: str) -> str:
--- a/tests/rig_case.py
+++ b/tests/rig_case.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from typing import Any
 
-from standins.local_fleet import wait_for
-from tests.rig import Answer, Rig, Served
+from standins.waiting import wait_for
+from tests.rig import Rig
+from tests.served import Answer, Served
 
 BOUNDARY = 'boundary-of-tests'
 FORM = {'Content-Type': f'multipart/form-data; boundary={BOUNDARY}'}
--- a/tests/test_cancel.py
+++ b/tests/test_cancel.py
@@ -3,7 +3,7 @@
 from nose2.tools import params
 
 from standins.faults import Fault, FaultKind
-from standins.local_fleet import wait_for
+from standins.waiting import wait_for
 from tests.rig_case import RigCase
 
 ITEMS = 120
--- a/tests/test_exactly_once.py
+++ b/tests/test_exactly_once.py
@@ -9,7 +9,7 @@
     Write,
 )
 from standins.faults import Fault, FaultKind
-from standins.local_fleet import wait_for
+from standins.waiting import wait_for
 from tests.rig_case import RigCase
 
 ITEMS = 70
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,7 +3,8 @@
 import gevent
 from nose2.tools import params
 
-from standins.local_fleet import YAZMAN, wait_for
+from standins.local_fleet import YAZMAN
+from standins.waiting import wait_for
 from tests.rig_case import RigCase
 
 WORDS = ('list', 'own', 'both')
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -1,8 +1,10 @@
 """Items that can never be done end as failed; the others are done."""
 
+import gevent
 from nose2.tools import params
 
 from standins.local_fleet import YAZMAN
+from standins.waiting import wait_for
 from tests.rig_case import RigCase
 
 ITEMS = 24
@@ -56,3 +58,18 @@
             if stored and key.startswith('spans/')
         ]
         self.assertGreater(max(begun), 3)
+
+    def test_waiting_is_no_attempt(self):
+        """An item that waits behind online requests is not counted."""
+        self.rig.update(YAZMAN, item_timeout_s=0.4, max_item_attempts=1)
+        self.rig.wait_ready()
+        online = [
+            gevent.spawn(self.rig.chat, f'busy {n}', n % 2, max_tokens=250)
+            for n in range(16)
+        ]
+        engines = [engine.subject.batch for engine in self.rig.engines]
+        wait_for('busy', lambda: sum(len(e.running) for e in engines) > 12)
+        job = self.submit([f'w{n}' for n in range(4)])
+        shown = self.wait_state(job, 'completed')
+        gevent.joinall(online)
+        self.assertEqual(4, shown['request_counts']['completed'])
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,7 +5,8 @@
 import gevent
 from openai import APIError
 
-from standins.local_fleet import YAZMAN, wait_for
+from standins.local_fleet import YAZMAN
+from standins.waiting import wait_for
 from tests import jobs_client
 from tests.fleet_case import FleetCase
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,7 +6,7 @@
 from cactusridge.http.app import App, route
 from cactusridge.http.client import Clients
 from cactusridge.http.exchange import SOCKET_KEY, Reply, Req, json_reply
-from tests.rig import loopback, serve
+from tests.served import loopback, serve
 
 
 def no_delay(req: Req) -> Reply:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,6 +1,7 @@
 """Open connections go silent for good while new ones work."""
 
-from standins.local_fleet import DEFTER, YAZMAN, wait_for
+from standins.local_fleet import DEFTER, YAZMAN
+from standins.waiting import wait_for
 from tests.rig_case import RigCase
 
 
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -4,7 +4,7 @@
 from nose2.tools import params
 
 from standins.faults import Fault, FaultKind
-from standins.local_fleet import wait_for
+from standins.waiting import wait_for
 from tests.rig_case import RigCase, job_line
 
 FOREVER = 1_000_000
