--- a/tests/rig.py
+++ b/tests/rig.py
@@ -80,7 +80,11 @@
                     'address': str(to_engine),
                     'read_timeout_s': 2,
                 },
-                {'service': DEFTER, 'address': str(plain)},
+                {
+                    'service': DEFTER,
+                    'address': str(plain),
+                    'read_timeout_s': 2,
+                },
             ],
             **options,
         )
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -11,7 +11,7 @@
 from standins.local_fleet import YAZMAN
 from tests.rig_case import RigCase
 
-SEEDS = tuple(range(int(os.environ.get('CHAOS_SEEDS', '3'))))
+SEEDS = tuple(range(int(os.environ.get('CHAOS_SEEDS', '8'))))
 STEPS = 12
 ITEMS = 90
 REGISTERS = '/services/defter/registers/1'
