Serve callers on descriptors above 1,023; own pauses are no silence

With the answer shown, the whole suite on the old code gave 502 "connection closed": Req.caller_gone asked select(), which refuses descriptors above 1,023, and took the ValueError for a caller that had gone. In the suite enough connections are open by then; in service any entry or sidecar with about a thousand connections would cut its callers. The HTTP library's check of idle connections asks select too, so such a connection was never used twice. test_waiting_is_no_attempt failed in the same run (4 != 3) and has passed since.

Ruled out: a stall of the machine. The failing test took 0.33 s, less than the time-out for silence. Eight copies of the test at once did not fail. But stopping the process for 0.8 s in the middle did, with other answers (outcome_unknown, no_replica), and that is a fault by itself: a process that was paused takes its pause for its peers' silence.

Change: poll() in http/readable.py for both checks; patient sockets give a peer its time again when the time-out came late; sidecars age by a clock that stands still while the process does (leases and deadlines keep the real one). A fleet that does not come up shows the last answer and the end of its log.

--- a/cactusridge/clock.py
+++ b/cactusridge/clock.py
@@ -28,6 +28,34 @@
         return time.time()
 
 
+class AwakeClock(Clock):
+    """A clock that stands still while its process is paused.
+
+    Nothing can be said of others for the time this process itself did
+    not run: a host is not silent for not having been listened to. It
+    has to be read at least once in ``max_step_s`` seconds; a longer
+    step is taken for a pause. Leases and deadlines never use it.
+    """
+
+    def __init__(self, source: Clock, max_step_s: float) -> None:
+        """Follow ``source`` by steps of at most ``max_step_s`` seconds."""
+        self._source = source
+        self._max_step_s = max_step_s
+        self._read_at = source.monotonic()
+        self._now = self._read_at
+
+    def monotonic(self) -> float:
+        """Return the seconds the process has been awake, from any start."""
+        read_at = self._source.monotonic()
+        self._now += min(read_at - self._read_at, self._max_step_s)
+        self._read_at = read_at
+        return self._now
+
+    def wall(self) -> float:
+        """Return Unix time, which no pause stops."""
+        return self._source.wall()
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to; for replays and tests."""
 
--- a/cactusridge/entry/admin.py
+++ b/cactusridge/entry/admin.py
@@ -147,7 +147,7 @@
         return json_reply(report)
 
     def _own(self) -> dict[str, Any]:
-        now = self._parts.clock.monotonic()
+        now = self._parts.fleet.now()
         sidecars = {
             str(host.address): {
                 'zone': host.zone,
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -115,7 +115,7 @@
             new_id('r', self._clock),
             host.incarnation,
             now,
-            self.fleet.report_due(host, now),
+            self.fleet.report_due(host),
         )
         metrics.ATTEMPTS.inc({'service': dispatch.service.path})
         try:
@@ -140,7 +140,7 @@
                 retry_after_s=MIN_RETRY_S,
             )
         allowed = self.outliers.allowed(replicas) & fresh
-        now = self._clock.monotonic()
+        now = self.fleet.now()
         sharers = len(self.fleet.entry_names())
         candidates = [
             replicas[key].candidate(now, sharers)
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/entry/fleet.py
@@ -5,7 +5,7 @@
 from gevent.pool import Group
 
 from cactusridge import events, logs
-from cactusridge.clock import Clock
+from cactusridge.clock import AwakeClock, Clock
 from cactusridge.entry.peer_host import SidecarHost
 from cactusridge.entry.prober import SidecarProber
 from cactusridge.entry.replica import Replica
@@ -21,6 +21,7 @@
 
 SIDECAR = 'sidecar'
 ENTRY = 'entry'
+TICKS_PER_PROBE = 2
 
 
 class Fleet:
@@ -40,9 +41,9 @@
         self.changed = Event()
         self._host_list = host_list
         self._client = client
-        self._clock = clock
+        self._clock = AwakeClock(clock, cfg.probe_s)
         self._greenlets = greenlets
-        self._prober = SidecarProber(cfg, client, tree, clock)
+        self._prober = SidecarProber(cfg, client, tree, self._clock)
         self._sidecars: dict[Address, SidecarHost] = {}
         tree.follow(self._on_change)
         self._entries: set[Address] = {
@@ -51,10 +52,15 @@
 
     def run(self) -> None:
         """Poll the host list for ever."""
+        self._greenlets.spawn(self._keep_clock)
         while True:
             self.refresh()
             gevent.sleep(self.cfg.hosts_poll_s)
 
+    def now(self) -> float:
+        """Return the seconds by which reports of sidecars age."""
+        return self._clock.monotonic()
+
     def refresh(self) -> None:
         """Take the host list once; keep what is known if it is down."""
         try:
@@ -82,17 +88,17 @@
 
     def replicas(self, service: str) -> list[Replica]:
         """Return the replicas of ``service`` that take new work."""
-        now = self._clock.monotonic()
+        now = self.now()
         return [
             host.replicas[service]
             for host in self._sidecars.values()
             if service in host.replicas and host.belief(now) == Belief.serving
         ]
 
-    def report_due(self, host: SidecarHost, now: float) -> bool:
+    def report_due(self, host: SidecarHost) -> bool:
         """Tell whether a sidecar's next reply should bring its report."""
         heard_at = host.heard_at
-        return heard_at is None or now - heard_at > self.cfg.report_age_s
+        return heard_at is None or self.now() - heard_at > self.cfg.report_age_s
 
     def note_report(self, address: Address, report: SidecarReport) -> None:
         """Take a sidecar's own word, from a probe or a reply."""
@@ -101,18 +107,24 @@
             return
         if report['draining'] and not host.draining:
             logs.emit(events.REPLICA_LEAVING, host=str(address))
-        host.note_report(report, self._clock.monotonic())
+        host.note_report(report, self.now())
         if self._prober.behind(host, report):
             host.wake.set()
         self.changed.set()
 
+    def _keep_clock(self) -> None:
+        """Read the clock often enough for it to tell a pause."""
+        while True:
+            gevent.sleep(self.cfg.probe_s / TICKS_PER_PROBE)
+            self._clock.monotonic()
+
     def _take_entries(self, hosts: list[Host]) -> None:
         listed = {host.address for host in hosts if host.role == ENTRY}
         if listed:
             self._entries = listed | {self.cfg.address}
 
     def _take_sidecars(self, hosts: list[Host]) -> None:
-        now = self._clock.monotonic()
+        now = self.now()
         listed = {
             str(host.address): host for host in hosts if host.role == SIDECAR
         }
--- a/cactusridge/http/client.py
+++ b/cactusridge/http/client.py
@@ -3,10 +3,10 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
 from cactusridge import wire
+from cactusridge.http.patience import PatientClient
 
 POOL_SIZE = 4096
 BLOCK_SIZE = 65536
@@ -40,7 +40,7 @@
         """Bound connecting and each wait for bytes, in seconds."""
         self.connect_timeout_s = connect_timeout_s
         self.silence_timeout_s = silence_timeout_s
-        self._clients: dict[Address, HTTPClient] = {}
+        self._clients: dict[Address, PatientClient] = {}
 
     def send(
         self,
@@ -85,10 +85,10 @@
             body = resp.read()
             return resp.status_code, wire.decode(body)
 
-    def _client(self, address: Address) -> HTTPClient:
+    def _client(self, address: Address) -> PatientClient:
         client = self._clients.get(address)
         if client is None:
-            client = HTTPClient(
+            client = PatientClient(
                 address.host,
                 address.port,
                 concurrency=POOL_SIZE,
--- a/cactusridge/http/exchange.py
+++ b/cactusridge/http/exchange.py
@@ -6,10 +6,10 @@
 from urllib.parse import parse_qs
 
 import gevent
-from gevent import select as gevent_select
 
 from cactusridge import wire
 from cactusridge.errors import BadRequest, SlowRequest, TooLarge
+from cactusridge.http.readable import is_readable
 
 SOCKET_KEY = 'cactusridge.socket'
 JSON_TYPE = 'application/json'
@@ -108,8 +108,7 @@
         if sock is None:
             return False
         try:
-            readable = gevent_select.select([sock], [], [], 0)[0]
-            return bool(readable) and not sock.recv(1, socket.MSG_PEEK)
+            return is_readable(sock) and not sock.recv(1, socket.MSG_PEEK)
         except (OSError, ValueError):
             return True
 
--- a/standins/forwarder.py
+++ b/standins/forwarder.py
@@ -23,6 +23,7 @@
         self.address = target
         self.refusing = False
         self.deaf = False
+        self.opened = 0
 
     def start(self) -> Address:
         """Listen; return where."""
@@ -51,6 +52,7 @@
     def _serve(self, near: socket.socket, _: object) -> None:
         if self.refusing:
             return
+        self.opened += 1
         flowing = Event()
         flowing.set()
         try:
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -216,13 +216,23 @@
         self.processes[name] = LocalProcess(name, args, self.folder)
 
     def _wait_http(self, name: str, path: str) -> None:
+        said: list[str] = []
+
         def answers() -> bool:  # noqa: WPS430
             try:
-                return self.call(name, path, method='GET')[0] == 200
-            except OSError:
+                reply = self.call(name, path, method='GET')
+            except OSError as exc:
+                said.append(repr(exc))
                 return False
-
-        wait_for(f'{name}{path}', answers)
+            said.append(str(reply))
+            return reply[0] == 200
+
+        try:
+            wait_for(f'{name}{path}', answers)
+        except NotReady as exc:
+            exc.add_note(f'last answer: {said[-1:]}')
+            exc.add_note(self.processes[name].tail())
+            raise
 
     def _wait_fleet(self, name: str) -> None:
         wait_for(f'{name} knows all', lambda: self._knows_all(name))
--- a/standins/local_process.py
+++ b/standins/local_process.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 STOP_S = 60
+TAIL_LINES = 12
 
 
 class LocalProcess:
@@ -24,6 +25,13 @@
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
 
+    def tail(self) -> str:
+        """Return the last lines of its log, and its status if it ended."""
+        lines = self.log.read_text(errors='replace').splitlines()
+        status = self.process.poll()
+        state = 'runs' if status is None else f'ended with status {status}'
+        return '\n'.join((f'{self.name} {state}', *lines[-TAIL_LINES:]))
+
     def stop(self) -> int:
         """Ask it to stop and return its exit status."""
         self.send(signal.SIGTERM)
--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -46,6 +46,7 @@
         engine = self.rig.engines[0].subject
         for number, each in enumerate(sent):
             wanted = engine.digest(f'own {number}')
+            self.assertEqual(200, each.value.status, each.value)
             text = each.value.body['choices'][0]['message']['content']
             self.assertEqual(
                 [f'{wanted}-{n}' for n in range(1, 5)],
