Check the platform's answers; no failure ends background work

Cause: an answer of the platform that is no JSON ended the scan for batch work for good on every entry that saw it (BadRequest out of BatchDriver.run); a host entry that could not be read ended the reading of the host list (ValueError out of Fleet.run). A transaction whose answer was garbled, and which had taken effect, was answered with 400 and "not_run": true, which is false.

Ruled out: the handling of lost answers. It was right, but was reached only when the connection broke, not when the answer came and said nothing.

Change: replies are typed (platform/replies.py). An unreadable read is StoreUnavailable, an unreadable write is WriteUnknown and goes through the handling of lost answers, a short range of an object is StoreUnavailable. A host that cannot be read is left out by itself (event 408). Loops run under background.keep_doing, which logs a failure and goes on. The daemon raises its limit of descriptors.

--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -6,6 +6,7 @@
 import gevent
 
 from cactusridge import events, logs, metrics
+from cactusridge.background import keep_doing
 from cactusridge.batch.held_span import HeldSpan
 from cactusridge.batch.item_runner import ItemRunner
 from cactusridge.batch.placer import BatchPlacer
@@ -51,19 +52,15 @@
         )
         self._items = ItemRunner(parts.dispatcher, self._placer, parts.clock)
 
-    def run(self) -> None:
-        """Scan for ever."""
-        self._parts.greenlets.spawn(self._placer.run)
-        while not self._stopping:
-            try:
-                self.step()
-            except StoreUnavailable as exc:
-                gevent.sleep(min(1, exc.retry_after_s or 0))
-            spread = self._rng.uniform(*SPREAD)
-            gevent.sleep(self._cfg.scan_s * spread)
+    def start(self) -> None:
+        """Scan and place, in greenlets of its own."""
+        self._parts.greenlets.spawn(keep_doing, self._placer.step)
+        self._parts.greenlets.spawn(keep_doing, self._turn)
 
     def step(self) -> None:
         """Scan once and take what there is room for."""
+        if self._stopping:
+            return
         rows = self._open_rows()
         free = {row.key: row for row in rows if self._watch.free(row)}
         spans = {span_of(row).name: row for row in free.values()}
@@ -92,6 +89,14 @@
         """Return the spans held now."""
         return [runner.held.span for runner in self._runners.values()]
 
+    def _turn(self) -> None:
+        try:
+            self.step()
+        except StoreUnavailable as exc:
+            gevent.sleep(min(1, exc.retry_after_s or 0))
+        spread = self._rng.uniform(*SPREAD)
+        gevent.sleep(self._cfg.scan_s * spread)
+
     def _open_rows(self) -> list[Row]:
         names = self._parts.fleet.entry_names()
         mine = own_shards(
--- a/cactusridge/batch/placer.py
+++ b/cactusridge/batch/placer.py
@@ -41,13 +41,12 @@
         self._waiting: dict[str, list[tuple[float, int, Waiter]]] = {}
         self._placed: dict[str, int] = {}
 
-    def run(self) -> None:
-        """Look again whenever a report came, for ever."""
-        while True:
-            self._fleet.changed.wait(WAIT_S)
-            self._fleet.changed.clear()
-            for service in tuple(self._waiting):
-                self._grant(service)
+    def step(self) -> None:
+        """Wait for a report, then look again who may go."""
+        self._fleet.changed.wait(WAIT_S)
+        self._fleet.changed.clear()
+        for service in tuple(self._waiting):
+            self._grant(service)
 
     @property
     def waiting(self) -> int:
--- a/cactusridge/core.py
+++ b/cactusridge/core.py
@@ -7,7 +7,7 @@
 import typer
 from gevent.event import Event
 
-from cactusridge import events, logs
+from cactusridge import descriptors, events, logs
 from cactusridge.clock import Clock, SystemClock
 from cactusridge.entry.app import Entry
 from cactusridge.environment import Environment
@@ -109,6 +109,7 @@
     """Serve until ``stop`` is set, then drain; return how it ended."""
     logs.configure(cfg.log.style)
     logs.bind(address=str(cfg.address), zone=cfg.zone)
+    descriptors.allow_many()
     role = make_role(cfg, SystemClock())
     role.start()
     server = Server(cfg.address, role.application(), cfg.idle_timeout_s)
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -4,10 +4,10 @@
 import secrets
 from collections.abc import Callable
 
-import gevent
 from gevent.pool import Group
 
-from cactusridge import events, logs, metrics
+from cactusridge import metrics
+from cactusridge.background import keep_doing_every
 from cactusridge.batch.driver import BatchDriver
 from cactusridge.batch.file_store import FileStore
 from cactusridge.batch.job_reader import JobReader
@@ -101,8 +101,8 @@
         """Learn hosts and settings, then start the greenlets."""
         self.parts.fleet.refresh()
         self.follower.start()
-        self.parts.greenlets.spawn(self.parts.fleet.run)
-        self.parts.greenlets.spawn(self.driver.run)
+        self.parts.fleet.start()
+        self.driver.start()
         self._every(self.cfg.settings_poll_s, self.follower.step)
         self._every(self.cfg.report_s, self.parts.recorder.flush)
 
@@ -158,12 +158,4 @@
         return App(routes, self.cfg.max_body_bytes, self.cfg.body_timeout_s)
 
     def _every(self, pause_s: float, step: Callable[[], None]) -> None:
-        self.parts.greenlets.spawn(self._repeat, pause_s, step)
-
-    def _repeat(self, pause_s: float, step: Callable[[], None]) -> None:
-        while True:
-            gevent.sleep(pause_s)
-            try:
-                step()
-            except Exception as exc:
-                logs.emit(events.TASK_FAILED, error=repr(exc))
+        self.parts.greenlets.spawn(keep_doing_every, pause_s, step)
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/entry/fleet.py
@@ -1,10 +1,12 @@
 """The hosts this entry knows; one greenlet probes each sidecar."""
 
-import gevent
+import functools
+
 from gevent.event import Event
 from gevent.pool import Group
 
 from cactusridge import events, logs
+from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import AwakeClock, Clock
 from cactusridge.entry.peer_host import SidecarHost
 from cactusridge.entry.prober import SidecarProber
@@ -42,7 +44,7 @@
         self._host_list = host_list
         self._client = client
         self._clock = AwakeClock(clock, cfg.probe_s)
-        self._greenlets = greenlets
+        self._spawn = greenlets.spawn
         self._prober = SidecarProber(cfg, client, tree, self._clock)
         self._sidecars: dict[Address, SidecarHost] = {}
         tree.follow(self._on_change)
@@ -50,12 +52,12 @@
             parse_address(text) for text in cfg.seed_peers
         }
 
-    def run(self) -> None:
-        """Poll the host list for ever."""
-        self._greenlets.spawn(self._keep_clock)
-        while True:
-            self.refresh()
-            gevent.sleep(self.cfg.hosts_poll_s)
+    def start(self) -> None:
+        """Follow the host list, in greenlets of its own."""
+        tick_s = self.cfg.probe_s / TICKS_PER_PROBE
+        # Read often enough, the clock can tell a pause.
+        self._spawn(keep_doing_every, tick_s, self.now)
+        self._spawn(keep_doing_every, self.cfg.hosts_poll_s, self.refresh)
 
     def now(self) -> float:
         """Return the seconds by which reports of sidecars age."""
@@ -112,12 +114,6 @@
             host.wake.set()
         self.changed.set()
 
-    def _keep_clock(self) -> None:
-        """Read the clock often enough for it to tell a pause."""
-        while True:
-            gevent.sleep(self.cfg.probe_s / TICKS_PER_PROBE)
-            self._clock.monotonic()
-
     def _take_entries(self, hosts: list[Host]) -> None:
         listed = {host.address for host in hosts if host.role == ENTRY}
         if listed:
@@ -148,7 +144,11 @@
         found = SidecarHost(host, now, self.cfg.probe_s)
         self._sidecars[host.address] = found
         logs.emit(events.REPLICA_FOUND, host=str(host.address))
-        self._greenlets.spawn(self._probe_loop, found)
+        self._spawn(
+            keep_doing,
+            functools.partial(self._probe, found),
+            functools.partial(self._knows, found),
+        )
 
     def _drop_if_gone(self, address: Address, now: float) -> None:
         host = self._sidecars[address]
@@ -158,13 +158,15 @@
             self._client.drop(address)
             logs.emit(events.REPLICA_GONE, host=str(address))
 
-    def _probe_loop(self, host: SidecarHost) -> None:
-        """Probe one sidecar until it is dropped."""
-        while self._sidecars.get(host.address) is host:
-            report = self._prober.ask(host)
-            if report is not None:
-                self.note_report(host.address, report)
-            self._prober.wait_until_due(host)
+    def _probe(self, host: SidecarHost) -> None:
+        """Probe one sidecar once; wait until it is due again."""
+        report = self._prober.ask(host)
+        if report is not None:
+            self.note_report(host.address, report)
+        self._prober.wait_until_due(host)
+
+    def _knows(self, host: SidecarHost) -> bool:
+        return self._sidecars.get(host.address) is host
 
     def _on_change(self, path: str) -> None:
         for host in self._sidecars.values():
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -34,6 +34,7 @@
 REPLICA_SILENT: Final = Event(405, 'replica_silent', 'warning')
 RETRIED: Final = Event(406, 'retried')
 OUTCOME_UNKNOWN: Final = Event(407, 'outcome_unknown', 'warning')
+HOST_UNREADABLE: Final = Event(408, 'host_unreadable', 'warning')
 
 JOB_ACCEPTED: Final = Event(501, 'job_accepted')
 JOB_CANCELLED: Final = Event(502, 'job_cancelled')
--- a/cactusridge/platform/host_list.py
+++ b/cactusridge/platform/host_list.py
@@ -2,14 +2,23 @@
 
 import abc
 import enum
+from collections.abc import Iterable, Iterator
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from cactusridge import wire
+from cactusridge import events, logs
+from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, parse_address
 from cactusridge.platform.link import PlatformLink
+from cactusridge.platform.replies import (
+    HostsReply,
+    UnreadableReply,
+    parse_reply,
+)
 from cactusridge.platform.table import Priority
 
+RETRY_S = 1
+
 
 class HostState(enum.StrEnum):
     """What the platform says of a host."""
@@ -51,18 +60,29 @@
         answer = self.link.ask('GET', '/hosts', b'', Priority.lease, headers)
         if answer.status == HTTPStatus.NOT_MODIFIED:
             return self._known
-        self._known = self._parsed(answer.body)
+        try:
+            found = parse_reply(HostsReply, answer.body).hosts
+        except UnreadableReply as exc:
+            raise StoreUnavailable(str(exc), retry_after_s=RETRY_S) from exc
+        self._known = list(_readable(found))
         self._tag = answer.tag
         return self._known
 
-    def _parsed(self, body: bytes) -> list[Host]:
-        return [
-            Host(
-                parse_address(entry['address']),
-                entry['zone'],
-                entry['role'],
-                HostState(entry['state']),
-                tuple(entry['services']),
-            )
-            for entry in wire.decode(body)['hosts']
-        ]
+
+def _readable(entries: Iterable[dict[str, Any]]) -> Iterator[Host]:
+    """Yield the hosts that can be read; one that cannot hides no other."""
+    for entry in entries:
+        try:
+            yield _host(entry)
+        except (KeyError, TypeError, ValueError) as exc:
+            logs.emit(events.HOST_UNREADABLE, host=str(entry), error=repr(exc))
+
+
+def _host(entry: dict[str, Any]) -> Host:
+    return Host(
+        parse_address(entry['address']),
+        entry['zone'],
+        entry['role'],
+        HostState(entry['state']),
+        tuple(entry['services']),
+    )
--- a/cactusridge/platform/http_table.py
+++ b/cactusridge/platform/http_table.py
@@ -1,10 +1,18 @@
 """The table service over its HTTP protocol."""
 
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Any
 
 from cactusridge import wire
-from cactusridge.platform.link import PlatformLink
+from cactusridge.errors import StoreUnavailable
+from cactusridge.platform.link import PlatformAnswer, PlatformLink
+from cactusridge.platform.replies import (
+    RowsReply,
+    UnreadableReply,
+    VersionReply,
+    parse_reply,
+)
 from cactusridge.platform.table import (
     PAGE,
     Condition,
@@ -13,9 +21,10 @@
     Row,
     Table,
     Write,
+    WriteUnknown,
 )
 
-CONFLICT = 409
+RETRY_S = 1
 
 
 class HttpTable(Table):
@@ -42,15 +51,14 @@
             wire.encode(message),
             priority,
         )
-        reply = wire.decode(answer.body)
-        if answer.status == CONFLICT:
-            raise ConditionFailed([Row(*row) for row in reply['rows']])
-        return reply['version']
+        try:
+            return self._version(answer)
+        except UnreadableReply as exc:
+            raise WriteUnknown(str(exc)) from exc
 
     def read(self, keys: Sequence[str], priority: Priority) -> list[Row]:
         """Return the rows at ``keys``, in that order."""
-        reply = self._ask('/table/read', {'keys': keys}, priority)
-        return [Row(*row) for row in reply['rows']]
+        return self._rows('/table/read', {'keys': keys}, priority)
 
     def scan(
         self,
@@ -61,10 +69,28 @@
     ) -> list[Row]:
         """Return up to ``limit`` rows below ``prefix``, sorted by key."""
         message = {'prefix': prefix, 'after': after, 'limit': limit}
-        reply = self._ask('/table/scan', message, priority)
-        return [Row(*row) for row in reply['rows']]
+        return self._rows('/table/scan', message, priority)
+
+    def _version(self, answer: PlatformAnswer) -> int:
+        if answer.status == HTTPStatus.CONFLICT:
+            raise ConditionFailed(parse_reply(RowsReply, answer.body).rows)
+        if answer.status != HTTPStatus.OK:
+            # Refused as a whole; nothing of it was applied.
+            raise StoreUnavailable(
+                f'the table answered {answer.status}',
+                retry_after_s=RETRY_S,
+            )
+        return parse_reply(VersionReply, answer.body).version
 
-    def _ask(self, path: str, message: Any, priority: Priority) -> Any:
+    def _rows(
+        self,
+        path: str,
+        message: dict[str, Any],
+        priority: Priority,
+    ) -> list[Row]:
         raw = wire.encode(message)
         answer = self.link.ask('POST', path, raw, priority)
-        return wire.decode(answer.body)
+        try:
+            return parse_reply(RowsReply, answer.body).rows
+        except UnreadableReply as exc:
+            raise StoreUnavailable(str(exc), retry_after_s=RETRY_S) from exc
--- a/cactusridge/platform/object_store.py
+++ b/cactusridge/platform/object_store.py
@@ -55,6 +55,11 @@
         answer = self._ask(f'/objects/{name}', headers)
         if answer is None:
             raise NotFound(f'no object {name}')
+        if end is not None and len(answer) != end - start:
+            raise StoreUnavailable(
+                f'{len(answer)} bytes of {end - start} came',
+                retry_after_s=1,
+            )
         return answer
 
     def names(self, prefix: str, after: str = '') -> list[str]:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -18,6 +18,7 @@
     cut = 'cut'
     cross = 'cross'
     short = 'short'
+    garble = 'garble'
 
 
 class Fault(NamedTuple):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,6 +19,8 @@
 MAX_BODY = 1 << 30
 BODY_TIMEOUT_S = 60
 NAME_PAGE = 1000
+GARBLED = 'standins.garbled'
+GARBAGE = b'?'
 RANGE = re.compile(r'bytes=(\d+)-(\d*)')
 
 
@@ -64,6 +66,7 @@
                 route('POST', '/control/faults', self.add_fault),
                 route('DELETE', '/control/faults', self.clear_faults),
                 route('GET', '/control/history', self.get_history),
+                route('GET', '/control/hits', self.get_hits),
                 route('GET', '/control/counts', self.get_counts),
             ],
             MAX_BODY,
@@ -72,7 +75,10 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Serve one request, as WSGI has it."""
-        return self.app(environ, start_response)
+        blocks = self.app(environ, start_response)
+        if environ.get(GARBLED):
+            return [GARBAGE * len(block) for block in blocks]
+        return blocks
 
     def transact(self, req: Req) -> Reply:
         """Apply a conditional transaction."""
@@ -171,6 +177,10 @@
         """Return every commit since the start."""
         return json_reply({'history': self.table.history})
 
+    def get_hits(self, req: Req) -> Reply:
+        """Return the calls that have shown a fault."""
+        return json_reply({'hits': self.faults.hits})
+
     def get_counts(self, req: Req) -> Reply:
         """Return the number of calls by kind."""
         return json_reply(self.counts)
@@ -192,6 +202,9 @@
         wait_out(fault)
         if fault is not None and fault.kind == FaultKind.down:
             raise StandInDown
+        req.environ[GARBLED] = (
+            fault is not None and fault.kind == FaultKind.garble
+        )
         if fault is not None and fault.kind == FaultKind.cut:
             sever(req)
             raise StandInDown
--- a/tests/test_many_connections.py
+++ b/tests/test_many_connections.py
@@ -4,9 +4,11 @@
 import gc
 import os
 import resource
+import unittest
 
 import gevent
 
+from cactusridge import descriptors
 from tests.rig_case import RigCase
 
 # ``select`` fails from here on; ``poll`` and ``epoll`` do not.
@@ -50,3 +52,17 @@
         answers = [self.rig.chat(f'own {n}') for n in range(CALLS)]
         self.assertEqual({200}, {each.status for each in answers}, answers)
         self.assertEqual(opened, link.opened)
+
+
+class TestDescriptors(unittest.TestCase):
+    """A process may open as much as the system lets it."""
+
+    def test_limit_is_raised(self):
+        """A low limit is raised to the hard one."""
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        low = (SELECT_LIMIT, limits[1])
+        resource.setrlimit(resource.RLIMIT_NOFILE, low)
+        self.assertEqual(limits[1], descriptors.allow_many())
+        found = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.assertEqual((limits[1], limits[1]), found)
