--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -26,9 +26,10 @@
 
 
 def make_engine(told: str) -> EngineStandIn:
-    """Return an engine whose speed is told as JSON."""
-    speed = EngineSpeed(**json.loads(told or '{}'))
-    return EngineStandIn('yazman', speed)
+    """Return an engine; its speed, and whether it fences, come as JSON."""
+    fields = json.loads(told or '{}')
+    checks_fencing = fields.pop('checks_fencing', False)
+    return EngineStandIn('yazman', EngineSpeed(**fields), checks_fencing)
 
 
 KINDS = MappingProxyType(
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -33,6 +33,7 @@
     slots: int = 8
     engine_speed: dict[str, float] = {}
     engine_speeds: dict[int, dict[str, float]] = {}
+    fencing_engines: tuple[int, ...] = ()
 
 
 class LocalFleet:
@@ -70,7 +71,9 @@
         """Start or restart an engine at its address."""
         name = f'engine-{number}'
         speed = self.plan.engine_speeds.get(number, self.plan.engine_speed)
-        self._start(name, ['standins', 'engine'], [json.dumps(speed)])
+        checks = number in self.plan.fencing_engines
+        told = {**speed, 'checks_fencing': checks}
+        self._start(name, ['standins', 'engine'], [json.dumps(told)])
 
     def start_sidecar(self, number: int) -> None:
         """Start or restart a sidecar at its address."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,12 +1,8 @@
-"""Real processes are stopped, frozen and killed."""
-
-import signal
+"""Real processes are stopped and replaced."""
 
 import gevent
 from openai import APIError
 
-from standins.local_fleet import YAZMAN
-from standins.waiting import wait_for
 from tests import jobs_client
 from tests.fleet_case import FleetCase
 
@@ -89,71 +85,3 @@
         if len(chunks) == STREAM_TOKENS:
             return 'whole'
         return f'{name}: {len(chunks)} tokens'
-
-
-class TestPausedAndKilled(FleetCase):
-    """Entries are frozen past their lease, or killed at once."""
-
-    def holders(self, job: str) -> list[str]:
-        """Return who holds spans of a job now, by the platform's table."""
-        commits = self.fleet.call('platform', '/control/history', method='GET')
-        holders = {}
-        for commit in commits[1]['history']:
-            for key, stored in commit['writes']:
-                if key.startswith('spans/') and job in key:
-                    holders[key] = stored and stored['holder']
-        return [holder for holder in holders.values() if holder]
-
-    def name_of(self, holder: str) -> str:
-        """Return the process behind a holder's name."""
-        address = holder.partition('~')[0]
-        return next(
-            name
-            for name, found in self.fleet.addresses.items()
-            if str(found) == address
-        )
-
-    def test_frozen_holder_comes_back(self):
-        """Another finishes; the one that wakes adds nothing."""
-        api = self.client('entry-0')
-        texts = [f'freeze {number}' for number in range(ITEMS)]
-        job = jobs_client.submit(api, texts, 60)
-        holder = wait_for('a holder', lambda: self.holders(job))[0]
-        frozen = self.name_of(holder)
-        other = 'entry-1' if frozen == 'entry-0' else 'entry-0'
-        self.fleet.processes[frozen].send(signal.SIGSTOP)
-        jobs_client.wait_completed(self.client(other), job)
-        begun = self.executions('freeze')
-        self.fleet.processes[frozen].send(signal.SIGCONT)
-        wait_for('awake', lambda: self.awake(frozen))
-        gevent.sleep(2)
-        self.assertEqual(begun, self.executions('freeze'))
-        counts = jobs_client.result_counts(self.client(frozen), job)
-        self.assertEqual(jobs_client.once(ITEMS), counts)
-
-    def test_killed_right_after_acceptance(self):
-        """SIGKILL after the answer; the other entry runs the job."""
-        api = self.client('entry-0')
-        texts = [f'kill {number}' for number in range(ITEMS)]
-        job = jobs_client.submit(api, texts, 10)
-        self.fleet.processes['entry-0'].kill()
-        other = self.client('entry-1')
-        jobs_client.wait_completed(other, job)
-        counts = jobs_client.result_counts(other, job)
-        self.assertEqual(jobs_client.once(ITEMS), counts)
-        self.fleet.start_entry(0)
-        self.fleet.wait_ready()
-
-    def executions(self, text: str) -> int:
-        """Return how many executions the engines began for ``text``."""
-        total = 0
-        for name in self.fleet.named('engine'):
-            path = '/control/executions'
-            found = self.fleet.call(name, path, method='GET')[1]
-            total += sum(text in each['prompt'] for each in found['executions'])
-        return total
-
-    def awake(self, name: str) -> bool:
-        """Tell whether a process answers."""
-        found = self.fleet.call(name, '/livez', method='GET')
-        return found[0] == 200 and YAZMAN.startswith('/teams')
