Say once what online, plain, files, batches and secrets share

Cause: reading.

Change: entry/answering.py, http/secret.py, Parts.team_of and entry/settler.py. No behaviour changes but the metric.

--- a/cactusridge/entry/admin.py
+++ b/cactusridge/entry/admin.py
@@ -1,6 +1,5 @@
 """Settings, status and reports for operators."""
 
-import hmac
 from http import HTTPStatus
 from typing import Any
 
@@ -9,10 +8,10 @@
 from cactusridge import events, logs
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.peers import PeerClient
-from cactusridge.errors import BadRequest, Forbidden, Unauthorized
+from cactusridge.errors import BadRequest, Forbidden
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
-from cactusridge.orders import SECRET_HEADER
+from cactusridge.http.secret import check_secret
 from cactusridge.settings import paths
 from cactusridge.settings.access import Caller, check_operator
 from cactusridge.settings.follower import SettingsFollower
@@ -178,7 +177,4 @@
         return shown
 
     def _check_secret(self, req: Req) -> None:
-        given = req.header(SECRET_HEADER).encode()
-        wanted = self._parts.cfg.internal_secret.encode()
-        if not hmac.compare_digest(given, wanted):
-            raise Unauthorized('the internal secret is wrong')
+        check_secret(req, self._parts.cfg.internal_secret)
--- a/cactusridge/entry/batches.py
+++ b/cactusridge/entry/batches.py
@@ -9,7 +9,7 @@
 from cactusridge.batch.jobs import Job, JobState, JobStatus
 from cactusridge.entry.files import ERROR_PREFIX, OUTPUT_PREFIX
 from cactusridge.entry.parts import Parts
-from cactusridge.errors import BadRequest, NotFound
+from cactusridge.errors import BadRequest
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.settings.paths import NAME
@@ -50,7 +50,7 @@
 
     def create(self, req: Req) -> Reply:
         """Accept a job; the answer comes once it is in the platform."""
-        team = self._team(req)
+        team = self._parts.team_of(req)
         body = req.json()
         file_name = _checked(body)
         manifest = self._files.get(team, file_name)
@@ -78,7 +78,7 @@
         """List a page of the team's jobs."""
         limit = _limit(req.query('limit'))
         after = req.query('after')
-        jobs = self._jobs.page(self._team(req), after, limit + 1)
+        jobs = self._jobs.page(self._parts.team_of(req), after, limit + 1)
         listed = [self._entry(job) for job in jobs[:limit]]
         message = {
             'object': 'list',
@@ -91,11 +91,13 @@
 
     def show(self, req: Req, name: str) -> Reply:
         """Describe one job."""
-        return json_reply(self._entry(self._jobs.get(self._team(req), name)))
+        return json_reply(
+            self._entry(self._jobs.get(self._parts.team_of(req), name))
+        )
 
     def cancel(self, req: Req, name: str) -> Reply:
         """Cancel a job; what was committed before stays readable."""
-        job = self._jobs.cancel(self._team(req), name)
+        job = self._jobs.cancel(self._parts.team_of(req), name)
         return json_reply(self._entry(job))
 
     def _entry(self, job: Job) -> dict[str, Any]:
@@ -122,12 +124,6 @@
             raise BadRequest(f'nothing is set at {path}', param='metadata.job')
         return path, settings
 
-    def _team(self, req: Req) -> str:
-        caller = self._parts.access.caller(req.header('Authorization'))
-        if caller.admin:
-            raise NotFound('the administrator has no batches')
-        return caller.team
-
 
 def batch_entry(status: JobStatus) -> dict[str, Any]:
     """Return a job in its published form."""
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -18,21 +18,16 @@
     make_retries,
 )
 from cactusridge.entry.replica import Replica
+from cactusridge.entry.settler import Settler
 from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import (
     CactusridgeError,
     CallerGone,
     DeadlineExceeded,
     NoReplica,
-    OutcomeUnknown,
 )
 from cactusridge.identity import new_id
-from cactusridge.orders import (
-    RunOrder,
-    TombstoneOrder,
-    Verdict,
-    WorkClass,
-)
+from cactusridge.orders import RunOrder
 from cactusridge.routing.candidates import PickRequest
 from cactusridge.routing.retry_budget import RetryPolicy
 from cactusridge.startup.models import EntrySettings
@@ -72,6 +67,7 @@
         self._zone = cfg.zone
         self._policy = cfg.policy
         self._client = client
+        self._settler = Settler(client, clock)
         self._clock = clock
         self._rng = random.Random()  # noqa: S311
         self._picker = make_picker(cfg.policy, self._rng)
@@ -122,7 +118,7 @@
             attempt = self._begin(order, dispatch, replica, on_heartbeat)
         except CactusridgeError as exc:
             self._note_failure(replica, exc)
-            self.settle(order, dispatch, replica, exc, now)
+            self._settler.settle(order, dispatch, replica, exc, now)
             raise
         self.outliers.succeeded(replica.key, replica.report['token_s'])
         return attempt
@@ -149,52 +145,6 @@
         request = PickRequest(self._zone, dispatch.prefix)
         return replicas[self._picker.pick(candidates, request).key]
 
-    def settle(
-        self,
-        order: RunOrder,
-        dispatch: Dispatch,
-        replica: Replica,
-        exc: CactusridgeError,
-        sent_at: float,
-    ) -> None:
-        """Find out whether an order whose reply was lost has run.
-
-        Leaves the answer in ``exc.not_run``. The question also keeps an
-        order that is still on its way from ever running.
-        """
-        if exc.not_run or not self._worth_asking(dispatch, exc):
-            return
-        question = TombstoneOrder(
-            id=order.id,
-            incarnation=order.incarnation,
-            age_s=self._clock.monotonic() - sent_at,
-        )
-        try:
-            verdict = self._client.tombstone(replica.address, question)
-        except CactusridgeError:
-            verdict = Verdict.unknown
-        logs.emit(
-            events.OUTCOME_UNKNOWN,
-            order=order.id,
-            verdict=verdict.value,
-            repeatable=dispatch.repeatable,
-        )
-        exc.not_run = {Verdict.never: True, Verdict.ran: False}.get(verdict)
-
-    def _worth_asking(
-        self,
-        dispatch: Dispatch,
-        exc: CactusridgeError,
-    ) -> bool:
-        """Tell whether the sidecar should be asked what became of it.
-
-        Someone who waits for an online answer past its deadline gets
-        the refusal at once; a batch item can wait for the truth.
-        """
-        if isinstance(exc, DeadlineExceeded):
-            return dispatch.work == WorkClass.batch
-        return isinstance(exc, OutcomeUnknown)
-
     def _begin(
         self,
         order: RunOrder,
--- a/cactusridge/entry/files.py
+++ b/cactusridge/entry/files.py
@@ -9,7 +9,7 @@
 from cactusridge.batch.manifest import Manifest
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.uploads import Blocks, UploadReader
-from cactusridge.errors import BadRequest, NotFound
+from cactusridge.errors import BadRequest
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 
@@ -46,7 +46,7 @@
 
     def create(self, req: Req) -> Reply:
         """Take an upload; refuse it whole when a line is wrong."""
-        team = self._team(req)
+        team = self._parts.team_of(req)
         upload_reader = UploadReader(
             req,
             self._parts.cfg.batch.max_file_bytes,
@@ -65,7 +65,7 @@
 
     def page(self, req: Req) -> Reply:
         """List the team's files."""
-        rows = self._files.names(self._team(req))
+        rows = self._files.names(self._parts.team_of(req))
         listed = [_row_entry(row) for row in rows]
         return json_reply(
             {'object': 'list', 'data': listed, 'has_more': False},
@@ -73,14 +73,14 @@
 
     def show(self, req: Req, name: str) -> Reply:
         """Describe one file."""
-        team = self._team(req)
+        team = self._parts.team_of(req)
         if name.startswith((OUTPUT_PREFIX, ERROR_PREFIX)):
             return json_reply(self._output_entry(team, name))
         return json_reply(_file_entry(self._files.get(team, name)))
 
     def read(self, req: Req, name: str) -> Reply:
         """Return a file's lines; of an output, those committed so far."""
-        team = self._team(req)
+        team = self._parts.team_of(req)
         headers = [('Content-Type', JSONL)]
         if name.startswith(OUTPUT_PREFIX):
             job = self._jobs.get(team, name.removeprefix(OUTPUT_PREFIX))
@@ -100,12 +100,6 @@
             size = sum(found.size - found.ok_bytes for found in results)
         return _entry(name, size, int(job.created), f'{name}.jsonl', 'output')
 
-    def _team(self, req: Req) -> str:
-        caller = self._parts.access.caller(req.header('Authorization'))
-        if caller.admin:
-            raise NotFound('the administrator has no files')
-        return caller.team
-
 
 def _file_entry(manifest: Manifest) -> dict[str, Any]:
     return _row_entry(manifest.row())
--- a/cactusridge/entry/online.py
+++ b/cactusridge/entry/online.py
@@ -3,20 +3,20 @@
 from collections.abc import Iterator
 from typing import Any
 
-from cactusridge import metrics, wire
+from cactusridge import wire
+from cactusridge.entry.answering import answer_headers, begin_answer
 from cactusridge.entry.attempt import Attempt
 from cactusridge.entry.dispatch import Buffering, Dispatch
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.request_fields import passed_headers, read_fields
-from cactusridge.errors import BadRequest, CactusridgeError, CallerGone
+from cactusridge.errors import BadRequest, CactusridgeError
 from cactusridge.http.app import Route, route
-from cactusridge.http.exchange import Headers, Reply, Req, json_reply
+from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.settings.catalog import Service
 from cactusridge.slo.sample import AnswerTimer
 
 OK = 200
 PREFIX_CHARS = 512
-HOP_HEADERS = frozenset(('content-length', 'connection', 'date'))
 ERROR_EVENT = b'data: %b\n\n'
 
 
@@ -104,29 +104,12 @@
         return json_reply(_model_entry(name, service))
 
     def _serve(self, req: Req, dispatch: Dispatch) -> Reply:
-        timer = AnswerTimer(
-            self._parts.recorder,
-            dispatch.service,
-            self._parts.clock,
-        )
-
-        def watch_caller() -> None:  # noqa: WPS430
-            if req.caller_gone():
-                raise CallerGone
-
-        try:
-            attempt = self._parts.dispatcher.open(dispatch, watch_caller)
-        except CactusridgeError as exc:
-            timer.refused(exc)
-            metrics.REFUSALS.inc({'code': exc.code})
-            raise
-        headers = answer_headers(attempt)
+        answering = begin_answer(self._parts, req, dispatch)
+        attempt = answering.attempt
         if dispatch.streamed and attempt.status == OK:
-            return Reply(OK, headers, self._stream(attempt, timer))
-        body = attempt.whole()
-        timer.finished(attempt.status)
-        headers.append(('Content-Length', str(len(body))))
-        return Reply(attempt.status, headers, [body])
+            blocks = self._stream(attempt, answering.timer)
+            return Reply(OK, answer_headers(attempt), blocks)
+        return answering.whole()
 
     def _stream(self, attempt: Attempt, timer: AnswerTimer) -> Iterator[bytes]:
         """Pass the stream on; end it with an error if it breaks."""
@@ -154,15 +137,6 @@
             )
 
 
-def answer_headers(attempt: Attempt) -> Headers:
-    """Return the headers of an upstream's answer for the caller."""
-    return [
-        (name, text)
-        for name, text in attempt.headers
-        if name.lower() not in HOP_HEADERS
-    ]
-
-
 def _model_entry(name: str, service: Service) -> dict[str, Any]:
     return {
         'id': name,
--- a/cactusridge/entry/parts.py
+++ b/cactusridge/entry/parts.py
@@ -8,6 +8,8 @@
 from cactusridge.entry.dispatcher import Dispatcher
 from cactusridge.entry.fleet import Fleet
 from cactusridge.entry.sidecar_client import SidecarClient
+from cactusridge.errors import NotFound
+from cactusridge.http.exchange import Req
 from cactusridge.platform.object_store import ObjectStore
 from cactusridge.platform.table import Table
 from cactusridge.settings.access import AccessTable
@@ -34,3 +36,10 @@
     dispatcher: Dispatcher
     recorder: SloRecorder
     greenlets: Group
+
+    def team_of(self, req: Req) -> str:
+        """Return the caller's team; the administrator belongs to none."""
+        caller = self.access.caller(req.header('Authorization'))
+        if caller.admin:
+            raise NotFound('the administrator has no files or batches')
+        return caller.team
--- a/cactusridge/entry/peers.py
+++ b/cactusridge/entry/peers.py
@@ -9,7 +9,7 @@
 from cactusridge.entry.fleet import Fleet
 from cactusridge.errors import NoReplica
 from cactusridge.http.client import Address, Clients
-from cactusridge.orders import SECRET_HEADER
+from cactusridge.http.secret import SECRET_HEADER
 from cactusridge.settings.follower import PeerSource
 from cactusridge.settings.tree import Snapshot
 from cactusridge.startup.models import EntrySettings
--- a/cactusridge/entry/plain.py
+++ b/cactusridge/entry/plain.py
@@ -2,15 +2,13 @@
 
 from urllib.parse import quote
 
+from cactusridge.entry.answering import begin_answer
 from cactusridge.entry.dispatch import Buffering, Dispatch
-from cactusridge.entry.online import answer_headers
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.request_fields import passed_headers, read_fields
-from cactusridge.errors import CactusridgeError, CallerGone
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req
 from cactusridge.settings.catalog import Service
-from cactusridge.slo.sample import AnswerTimer
 
 REPEATABLE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 PATH_SAFE = "/:@!$&'()*+,;=~-._"
@@ -70,29 +68,7 @@
             buffering=Buffering.whole,
             share=fields.share,
         )
-        return self._serve(req, dispatch)
-
-    def _serve(self, req: Req, dispatch: Dispatch) -> Reply:
-        timer = AnswerTimer(
-            self._parts.recorder,
-            dispatch.service,
-            self._parts.clock,
-        )
-
-        def watch_caller() -> None:  # noqa: WPS430
-            if req.caller_gone():
-                raise CallerGone
-
-        try:
-            attempt = self._parts.dispatcher.open(dispatch, watch_caller)
-        except CactusridgeError as exc:
-            timer.refused(exc)
-            raise
-        body = attempt.whole()
-        timer.finished(attempt.status)
-        headers = answer_headers(attempt)
-        headers.append(('Content-Length', str(len(body))))
-        return Reply(attempt.status, headers, [body])
+        return begin_answer(self._parts, req, dispatch).whole()
 
 
 def _with_query(path: str, req: Req) -> str:
--- a/cactusridge/entry/sidecar_client.py
+++ b/cactusridge/entry/sidecar_client.py
@@ -6,8 +6,8 @@
 from cactusridge import wire
 from cactusridge.errors import NoReplica, OutcomeUnknown
 from cactusridge.http.client import Address, Clients
+from cactusridge.http.secret import SECRET_HEADER
 from cactusridge.orders import (
-    SECRET_HEADER,
     Probe,
     RunOrder,
     SettingsPush,
--- a/cactusridge/orders.py
+++ b/cactusridge/orders.py
@@ -8,7 +8,6 @@
 from cactusridge.errors import BadRequest
 
 MAX_ID = 200
-SECRET_HEADER = 'X-Cactusridge-Internal'
 MessageT = TypeVar('MessageT', bound='Message')
 
 
--- a/cactusridge/sidecar/app.py
+++ b/cactusridge/sidecar/app.py
@@ -1,6 +1,5 @@
 """The sidecar's HTTP interface to entries."""
 
-import hmac
 import secrets
 from collections.abc import Iterator
 from http import HTTPStatus
@@ -12,13 +11,12 @@
     Draining,
     NotFound,
     StaleOrder,
-    Unauthorized,
 )
 from cactusridge.http import frames
 from cactusridge.http.app import App, Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
+from cactusridge.http.secret import check_secret
 from cactusridge.orders import (
-    SECRET_HEADER,
     Probe,
     RunOrder,
     SettingsPush,
@@ -167,10 +165,7 @@
         return lane
 
     def _check_secret(self, req: Req) -> None:
-        given = req.header(SECRET_HEADER).encode()
-        wanted = self.cfg.internal_secret.encode()
-        if not hmac.compare_digest(given, wanted):
-            raise Unauthorized('the internal secret is wrong')
+        check_secret(req, self.cfg.internal_secret)
 
 
 def _frames_reply(body: Iterator[bytes]) -> Reply:
