--- a/cactusridge/entry/policies.py
+++ b/cactusridge/entry/policies.py
@@ -12,7 +12,7 @@
     TrustAll,
 )
 from cactusridge.routing.pickers import (
-    LeastOfTwoPicker,
+    LeastOfFewPicker,
     PrefixPicker,
     ReplicaPicker,
     RoundRobinPicker,
@@ -29,7 +29,7 @@
 PICKERS = MappingProxyType(
     {
         'prefix': PrefixPicker,
-        'least_of_two': LeastOfTwoPicker,
+        'least_of_few': LeastOfFewPicker,
         'round_robin': lambda _: RoundRobinPicker(),
     },
 )
--- a/cactusridge/routing/pickers.py
+++ b/cactusridge/routing/pickers.py
@@ -42,8 +42,8 @@
         return candidates[next(self._turn) % len(candidates)]
 
 
-class LeastOfTwoPicker(ReplicaPicker):
-    """The less loaded of two at random, in the same zone if not dearer."""
+class LeastOfFewPicker(ReplicaPicker):
+    """The least loaded of a few at random, in the same zone if not dearer."""
 
     def __init__(self, rng: random.Random) -> None:
         """Draw from ``rng``."""
@@ -54,8 +54,8 @@
         candidates: Sequence[Candidate],
         request: PickRequest,
     ) -> Candidate:
-        """Return the less loaded of two drawn from the zone or from all."""
-        return self._less_loaded(self._zone_first(candidates, request.zone))
+        """Return the least loaded of those drawn from the zone or from all."""
+        return self._least_loaded(self._zone_first(candidates, request.zone))
 
     def _zone_first(
         self,
@@ -70,12 +70,12 @@
         least_far = min(map(load_of, far))
         return near if least_near <= least_far else candidates
 
-    def _less_loaded(self, candidates: Sequence[Candidate]) -> Candidate:
+    def _least_loaded(self, candidates: Sequence[Candidate]) -> Candidate:
         drawn = self._rng.sample(candidates, min(DRAWN, len(candidates)))
         return min(drawn, key=load_of)
 
 
-class PrefixPicker(LeastOfTwoPicker):
+class PrefixPicker(LeastOfFewPicker):
     """Keeps prompts of one prefix together while that costs no wait.
 
     Rendezvous hashing ranks the replicas for a prefix; the first whose
@@ -99,8 +99,11 @@
             candidates,
             key=lambda each: _weight(request.prefix, each.key),
         )
+        all_full = loads[least.key] >= 1
         for candidate in ranked:
-            if loads[candidate.key] <= bound:
+            load = loads[candidate.key]
+            # With a free slot elsewhere, one without is a wait.
+            if load <= bound and (load < 1 or all_full):
                 return candidate
         return super().pick(candidates, request)
 
--- a/cactusridge/sidecar/gate.py
+++ b/cactusridge/sidecar/gate.py
@@ -79,7 +79,7 @@
         self._running.remove(ticket)
         self._counts[ticket.work] -= 1
         if ticket.work == WorkClass.online:
-            self._drain_rate.released()
+            self._drain_rate.released(waiting=len(self._online) > 0)
         self._dispatch()
 
     def tick(self) -> None:
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -68,12 +68,14 @@
     scan_s: PositiveSeconds = 0.5
     max_spans: Count = 16
     item_concurrency: Count = 256
+    # Share of the closed spans whose stored results are read again.
+    audit_share: float = Field(default=0.05, ge=0, le=1)
 
 
 class EntryPolicy(Model):
     """Which decision of each kind an entry uses; the second is naive."""
 
-    picker: Literal['prefix', 'least_of_two', 'round_robin'] = 'prefix'
+    picker: Literal['prefix', 'least_of_few', 'round_robin'] = 'prefix'
     retries: Literal['budget', 'thrice'] = 'budget'
     outliers: Literal['eject', 'trust'] = 'eject'
     spans: Literal['least_slack', 'first_come'] = 'least_slack'
