The quarter's proof: due times, exactly once, merged hours, alerts

Weighed (docs/DESIGN.md): rewriting one object an hour and entry, sums in the table, merging later. Taken: an entry by rendezvous hashing merges a sealed hour into one object, and a row inserted once names it; the next entry stands in an hour later. Periods are named by their end and wait two hours for the store at most.

Change: slo/period, history, hour_merger, objectives, burn_watch; batch/accounts counts due times at each commit, batch/audit reads a twentieth of the closed spans back and compares them with the accepted input. Alerts come from each entry's own counts, without reads. BurnReporter takes a history; the replayed quarter moved to tests/quarter.py; what test_burn checks is unchanged.

--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -7,6 +7,7 @@
 
 from cactusridge import events, logs, metrics
 from cactusridge.background import keep_doing
+from cactusridge.batch.accounts import BatchAccounts
 from cactusridge.batch.held_span import HeldSpan
 from cactusridge.batch.item_runner import ItemRunner
 from cactusridge.batch.placer import BatchPlacer
@@ -51,6 +52,13 @@
             self._cfg.item_concurrency,
         )
         self._items = ItemRunner(parts.dispatcher, self._placer, parts.clock)
+        self._accounts = BatchAccounts(
+            parts.recorder,
+            parts.objects,
+            self._cfg.audit_share,
+            parts.clock,
+            self._rng,
+        )
 
     def start(self) -> None:
         """Scan and place, in greenlets of its own."""
@@ -133,6 +141,7 @@
             service,
             self._parts.objects,
             self._items,
+            self._accounts,
             self._parts.clock,
         )
         self._runners[row.key] = runner
--- a/cactusridge/batch/shards.py
+++ b/cactusridge/batch/shards.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from cactusridge.hashing import hash64
+from cactusridge.hashing import rendezvous
 
 
 def own_shards(
@@ -17,8 +17,6 @@
     none; they find work in the foreign shard of each scan.
     """
     names = sorted({*entries, entry})
-    return [shard for shard in range(shards) if _best(names, shard) == entry]
-
-
-def _best(names: Sequence[str], shard: int) -> str:
-    return max(names, key=lambda name: hash64(name, shard))
+    return [
+        shard for shard in range(shards) if rendezvous(names, shard)[0] == entry
+    ]
--- a/cactusridge/batch/span_runner.py
+++ b/cactusridge/batch/span_runner.py
@@ -9,6 +9,7 @@
 
 from cactusridge import events, logs
 from cactusridge.batch import item_outcome
+from cactusridge.batch.accounts import BatchAccounts
 from cactusridge.batch.chunk_output import write_output
 from cactusridge.batch.held_span import HeldSpan, JobCancelled, LeaseLost
 from cactusridge.batch.item_outcome import ItemOutcome
@@ -40,6 +41,7 @@
         service: Service,
         objects: ObjectStore,
         items: ItemRunner,
+        accounts: BatchAccounts,
         clock: Clock,
     ) -> None:
         """Run the span in ``held`` on ``service``."""
@@ -48,6 +50,7 @@
         self._service = service
         self._objects = objects
         self._items = items
+        self._accounts = accounts
         self._clock = clock
         self._going = Event()
         self._permit = DispatchPermit(self._going, held.lease)
@@ -81,6 +84,7 @@
             self.held.hand_back()
             return
         self.held.close(cancelled=False)
+        self._accounts.closed(self.held.span)
 
     def _watch(self, workers: list[gevent.Greenlet]) -> None:
         """Renew the lease while the workers run; raise what ends them."""
@@ -125,6 +129,7 @@
         )
         following = self._next_chunks(1)
         self.held.commit(chunk, found, following)
+        self._accounts.committed(self.held.span, found)
         return following
 
     def _outcomes(
--- a/cactusridge/cli/show_commands.py
+++ b/cactusridge/cli/show_commands.py
@@ -73,13 +73,19 @@
         str,
         typer.Option(help='Write a page with a plot to this file.'),
     ] = '',
+    window: Annotated[
+        str,
+        typer.Option(help='The longest window: 1h, 6h, 3d or quarter.'),
+    ] = 'quarter',
 ) -> None:
     """Show how fast a service burns its error budget.
 
     Example: cactusridge report burn --service /teams/t/deployments/d/services/s
     """
     session = session_of(ctx)
-    found = session.api.call('GET', f'/admin/burn?service={service}')
+    found = session.api.call(
+        'GET', f'/admin/burn?service={service}&window={window}'
+    )
     if html:
         write_page(found, html)
         session.say(f'wrote {html}')
--- a/cactusridge/entry/admin.py
+++ b/cactusridge/entry/admin.py
@@ -5,7 +5,6 @@
 
 from gevent.pool import Pool
 
-from cactusridge import events, logs
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.peers import PeerClient
 from cactusridge.errors import BadRequest, Forbidden
@@ -16,7 +15,8 @@
 from cactusridge.settings.access import Caller, check_operator
 from cactusridge.settings.follower import SettingsFollower
 from cactusridge.settings.tree import Change
-from cactusridge.slo.burn import BurnReporter
+from cactusridge.slo.burn import QUARTER, BurnReporter
+from cactusridge.slo.history import SloHistory
 
 MAX_HISTORY = 200
 FAN_OUT = 16
@@ -135,14 +135,13 @@
         settings = self._parts.tree.model(service)
         if settings is None:
             raise BadRequest(f'nothing is set at {service}', param='service')
-        reporter = BurnReporter(self._parts.objects)
-        report = reporter.report(
+        history = SloHistory(self._parts.objects, self._parts.table)
+        report = BurnReporter(history).report(
             service,
             settings.objective,
             self._parts.clock.wall(),
+            req.query('window', QUARTER),
         )
-        for alert in report['alerts']:
-            logs.emit(events.BURN_ALERT, service=service, **alert)
         return json_reply(report)
 
     def _own(self) -> dict[str, Any]:
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -1,11 +1,7 @@
 """An entry: all its parts, its greenlets and its HTTP interface."""
 
-import random
-import secrets
 from collections.abc import Callable
 
-from gevent.pool import Group
-
 from cactusridge import metrics
 from cactusridge.background import keep_doing_every
 from cactusridge.batch.driver import BatchDriver
@@ -15,69 +11,20 @@
 from cactusridge.clock import Clock
 from cactusridge.entry.admin import AdminApi
 from cactusridge.entry.batches import BatchesApi
-from cactusridge.entry.dispatcher import Dispatcher
+from cactusridge.entry.building import build_parts
 from cactusridge.entry.files import FilesApi
-from cactusridge.entry.fleet import Fleet
 from cactusridge.entry.online import OnlineApi
-from cactusridge.entry.parts import Parts
 from cactusridge.entry.peers import PeerClient
 from cactusridge.entry.plain import PlainApi
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import Draining, Refused
 from cactusridge.http.app import App, route
-from cactusridge.http.client import parse_address
 from cactusridge.http.exchange import Reply, Req, json_reply
-from cactusridge.platform.host_list import HttpHostList
-from cactusridge.platform.http_table import HttpTable
-from cactusridge.platform.link import PlatformLink
-from cactusridge.platform.object_store import HttpObjectStore
-from cactusridge.settings.access import AccessTable
-from cactusridge.settings.catalog import ServiceCatalog
 from cactusridge.settings.follower import SettingsFollower
-from cactusridge.settings.store import SettingsStore
-from cactusridge.settings.tree import SettingsTree
-from cactusridge.slo.recorder import SloRecorder
+from cactusridge.slo.hour_merger import HourMerger, merge_due_hours
+from cactusridge.slo.recorder import seal_s
 from cactusridge.startup.models import EntrySettings
 
-NAME_BYTES = 4
-
-
-def build_parts(cfg: EntrySettings, clock: Clock) -> Parts:
-    """Return the parts of an entry; nothing runs yet."""
-    rng = random.Random()  # noqa: S311
-    tree = SettingsTree()
-    table = HttpTable(_link(cfg, clock))
-    objects = HttpObjectStore(_link(cfg, clock))
-    client = SidecarClient(cfg)
-    greenlets = Group()
-    host_list = HttpHostList(_link(cfg, clock))
-    fleet = Fleet(cfg, host_list, client, tree, clock, greenlets)
-    name = f'{cfg.address}~{secrets.token_hex(NAME_BYTES)}'
-    return Parts(
-        cfg=cfg,
-        clock=clock,
-        tree=tree,
-        settings=SettingsStore(table, clock, rng),
-        access=AccessTable(tree, cfg.admin_token_sha256),
-        catalog=ServiceCatalog(tree),
-        table=table,
-        objects=objects,
-        client=client,
-        fleet=fleet,
-        dispatcher=Dispatcher(cfg, fleet, client, clock),
-        recorder=SloRecorder(name, objects, cfg.report_s, clock),
-        greenlets=greenlets,
-    )
-
-
-def _link(cfg: EntrySettings, clock: Clock) -> PlatformLink:
-    return PlatformLink(
-        parse_address(cfg.store.address),
-        cfg.store.timeout_s,
-        cfg.store.calls_per_s,
-        clock,
-        random.Random(),  # noqa: S311
-    )
+MERGE_CHECK_S = 300
 
 
 class Entry:
@@ -95,6 +42,14 @@
             self.peers,
         )
         self.driver = BatchDriver(self.parts)
+        self._merger = HourMerger(
+            self.parts.objects,
+            self.parts.table,
+            str(cfg.address),
+            self.parts.fleet.entry_names,
+            seal_s(cfg.report_s),
+            clock,
+        )
         self.app = self._app()
 
     def start(self) -> None:
@@ -105,6 +60,7 @@
         self.driver.start()
         self._every(self.cfg.settings_poll_s, self.follower.step)
         self._every(self.cfg.report_s, self.parts.recorder.flush)
+        self._every(MERGE_CHECK_S, self._merge_hours)
 
     def begin_drain(self) -> None:
         """Fail readiness; requests are still served."""
@@ -157,5 +113,8 @@
         ]
         return App(routes, self.cfg.max_body_bytes, self.cfg.body_timeout_s)
 
+    def _merge_hours(self) -> None:
+        merge_due_hours(self._merger)
+
     def _every(self, pause_s: float, step: Callable[[], None]) -> None:
         self.parts.greenlets.spawn(keep_doing_every, pause_s, step)
--- /dev/null
+++ b/cactusridge/entry/building.py
@@ -0,0 +1,77 @@
+"""Builds the parts of an entry from its start settings."""
+
+import functools
+import random
+import secrets
+
+from gevent.pool import Group
+
+from cactusridge.clock import Clock
+from cactusridge.entry.dispatcher import Dispatcher
+from cactusridge.entry.fleet import Fleet
+from cactusridge.entry.parts import Parts
+from cactusridge.entry.sidecar_client import SidecarClient
+from cactusridge.http.client import parse_address
+from cactusridge.platform.host_list import HttpHostList
+from cactusridge.platform.http_table import HttpTable
+from cactusridge.platform.link import PlatformLink
+from cactusridge.platform.object_store import HttpObjectStore
+from cactusridge.settings.access import AccessTable
+from cactusridge.settings.catalog import ServiceCatalog
+from cactusridge.settings.schema import ObjectiveSettings
+from cactusridge.settings.store import SettingsStore
+from cactusridge.settings.tree import SettingsTree
+from cactusridge.slo.burn_watch import BurnWatch
+from cactusridge.slo.recorder import SloRecorder
+from cactusridge.startup.models import EntrySettings
+
+NAME_BYTES = 4
+
+
+def build_parts(cfg: EntrySettings, clock: Clock) -> Parts:
+    """Return the parts of an entry; nothing runs yet."""
+    rng = random.Random()  # noqa: S311
+    tree = SettingsTree()
+    table = HttpTable(_link(cfg, clock))
+    objects = HttpObjectStore(_link(cfg, clock))
+    client = SidecarClient(cfg)
+    greenlets = Group()
+    host_list = HttpHostList(_link(cfg, clock))
+    fleet = Fleet(cfg, host_list, client, tree, clock, greenlets)
+    name = f'{cfg.address}~{secrets.token_hex(NAME_BYTES)}'
+    return Parts(
+        cfg=cfg,
+        clock=clock,
+        tree=tree,
+        settings=SettingsStore(table, clock, rng),
+        access=AccessTable(tree, cfg.admin_token_sha256),
+        catalog=ServiceCatalog(tree),
+        table=table,
+        objects=objects,
+        client=client,
+        fleet=fleet,
+        dispatcher=Dispatcher(cfg, fleet, client, clock),
+        recorder=SloRecorder(
+            name,
+            objects,
+            cfg.report_s,
+            clock,
+            BurnWatch(functools.partial(_objective, tree), clock),
+        ),
+        greenlets=greenlets,
+    )
+
+
+def _objective(tree: SettingsTree, path: str) -> ObjectiveSettings | None:
+    settings = tree.model(path)
+    return None if settings is None else settings.objective
+
+
+def _link(cfg: EntrySettings, clock: Clock) -> PlatformLink:
+    return PlatformLink(
+        parse_address(cfg.store.address),
+        cfg.store.timeout_s,
+        cfg.store.calls_per_s,
+        clock,
+        random.Random(),  # noqa: S311
+    )
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -51,6 +51,9 @@
 
 BURN_ALERT: Final = Event(701, 'burn_alert', 'warning')
 REPORT_LOST: Final = Event(702, 'report_lost', 'warning')
+HOUR_MERGED: Final = Event(703, 'hour_merged')
+REPORT_LATE: Final = Event(704, 'report_late', 'warning')
+ITEM_NOT_ONCE: Final = Event(705, 'item_not_once', 'error')
 
 
 def catalogue() -> tuple[Event, ...]:
--- a/cactusridge/metrics.py
+++ b/cactusridge/metrics.py
@@ -28,6 +28,7 @@
 LEASE_LOST = Counter('cr_leases_lost_total', 'Leases lost to another holder')
 STORE_CALLS = Counter('cr_store_calls_total', 'Store calls by kind, outcome')
 STORE_DOWN = Gauge('cr_store_down', 'One while the store is not answering')
+BURN = Gauge('cr_burn', 'Burn by service, objective, window')
 ITEMS = Counter('cr_items_total', 'Batch items by service and outcome')
 
 
--- a/cactusridge/output/burn_page.py
+++ b/cactusridge/output/burn_page.py
@@ -35,7 +35,7 @@
     rows = [
         f'<tr><th>{escape(kind)}</th><td>target {told["target"]}</td>'
         f'<td>good {told["good"]}</td><td>bad {told["bad"]}</td>'
-        f'<td>left {told["budget_left"]:.1%}</td></tr>'
+        f'<td>left {_share(told["budget_left"])}</td></tr>'
         for kind, told in report['objectives'].items()
     ]
     missing = [
@@ -49,6 +49,10 @@
     )
 
 
+def _share(left: float | None) -> str:
+    return 'not known from this window' if left is None else f'{left:.1%}'
+
+
 def _plot(bars: list[tuple[str, float]]) -> str:
     drawn = [_rate_bar(number, *rated) for number, rated in enumerate(bars)]
     height = ROW * len(bars)
--- a/cactusridge/platform/object_store.py
+++ b/cactusridge/platform/object_store.py
@@ -17,7 +17,13 @@
         """Store ``body``; repeating it with the same body is harmless."""
 
     @abc.abstractmethod
-    def get(self, name: str, start: int = 0, end: int | None = None) -> bytes:
+    def get(
+        self,
+        name: str,
+        start: int = 0,
+        end: int | None = None,
+        priority: Priority = Priority.commit,
+    ) -> bytes:
         """Return bytes ``start`` to ``end`` (exclusive) of an object."""
 
     @abc.abstractmethod
@@ -44,7 +50,13 @@
             return
         raise StoreUnavailable(retry_after_s=1)
 
-    def get(self, name: str, start: int = 0, end: int | None = None) -> bytes:
+    def get(
+        self,
+        name: str,
+        start: int = 0,
+        end: int | None = None,
+        priority: Priority = Priority.commit,
+    ) -> bytes:
         """Return bytes ``start`` to ``end`` (exclusive) of an object."""
         headers = {}
         if start or end is not None:
@@ -52,7 +64,7 @@
             headers = {'Range': f'bytes={start}-{last}'}
         if end is not None and end <= start:
             return b''
-        answer = self._ask(f'/objects/{name}', headers)
+        answer = self._ask(f'/objects/{name}', headers, priority)
         if answer is None:
             raise NotFound(f'no object {name}')
         if end is not None and len(answer) != end - start:
@@ -65,11 +77,16 @@
     def names(self, prefix: str, after: str = '') -> list[str]:
         """Return a page of sorted names below ``prefix``."""
         path = f'/object-names?prefix={prefix}&after={after}'
-        raw = self._ask(path, {}) or b''
+        raw = self._ask(path, {}, Priority.report) or b''
         return raw.decode().split()
 
-    def _ask(self, path: str, headers: dict[str, str]) -> bytes | None:
-        answer = self.link.ask('GET', path, b'', Priority.commit, headers)
+    def _ask(
+        self,
+        path: str,
+        headers: dict[str, str],
+        priority: Priority,
+    ) -> bytes | None:
+        answer = self.link.ask('GET', path, b'', priority, headers)
         if answer.status == NOT_FOUND:
             return None
         return answer.body
--- a/cactusridge/slo/recorder.py
+++ b/cactusridge/slo/recorder.py
@@ -1,16 +1,29 @@
-"""Counts answers by service and flushes them by period."""
+"""Counts answers and batch items by service; flushes them by period."""
 
 from typing import Protocol
 
-from cactusridge import events, logs, wire
+from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
 from cactusridge.platform.object_store import ObjectStore
 from cactusridge.platform.table import Priority
-from cactusridge.slo.window import ServiceWindow
+from cactusridge.slo.burn_watch import BurnWatch
+from cactusridge.slo.period import Period, Run, encode_period, period_name
+from cactusridge.slo.window import Quantity, ServiceWindow
 
-PREFIX = 'slo'
-MAX_KEPT = 240
+KEPT_S = 7200
+KEPT_PERIODS = 8
+GRACE_PERIODS = 2
+
+
+def kept_s(period_s: float) -> float:
+    """Return for how many seconds a period waits for the store."""
+    return max(KEPT_S, KEPT_PERIODS * period_s)
+
+
+def seal_s(period_s: float) -> float:
+    """Return after how many seconds no period can come any more."""
+    return kept_s(period_s) + GRACE_PERIODS * period_s
 
 
 class Recorded(Protocol):
@@ -21,18 +34,13 @@
     between_s: float | None
 
 
-def object_name(start: int, entry: str, serial: int) -> str:
-    """Return the name of a period's counts; sorts by time."""
-    return f'{PREFIX}/{start:012}/{entry}-{serial}'
-
-
 class SloRecorder:
     """Windows by service, put into the object store once a period.
 
     Every period is written, also one without a request: a period that
     is missing then means that its entry vanished, never that it was
-    idle. ``serial`` numbers the periods of one process, and the last
-    one says that it stopped as planned, so that a gap can be named.
+    idle. Periods are numbered, and the last one says that its process
+    stopped as planned, so that a gap can be named.
     """
 
     def __init__(
@@ -41,59 +49,79 @@
         objects: ObjectStore,
         period_s: float,
         clock: Clock,
+        watch: BurnWatch | None = None,
     ) -> None:
         """Flush to ``objects`` under this process's name."""
         self.period_s = period_s
         self._entry = entry
         self._objects = objects
         self._clock = clock
+        self._watch = watch
         self._serial = 0
         self._start = int(clock.wall())
         self._windows: dict[str, ServiceWindow] = {}
-        self._unsent: list[tuple[str, bytes]] = []
+        self._unsent: list[tuple[int, str, bytes]] = []
 
     def record(self, service: str, sample: Recorded) -> None:
         """Count one answer of ``service``."""
-        if service not in self._windows:
-            self._windows[service] = ServiceWindow()
-        self._windows[service].add(
+        self._window(service).add(
             sample.good,
             sample.first_s,
             sample.between_s,
         )
 
+    def record_due(self, service: str, items: Quantity) -> None:
+        """Count batch items that were done by their due time, or after."""
+        self._window(service).count('due_met', items)
+
+    def record_once(self, service: str, items: Quantity) -> None:
+        """Count audited batch items with one result, or another number."""
+        self._window(service).count('exactly_once', items)
+
     def flush(self, last: bool = False) -> None:
         """Store the period that ends now; keep it if the store is down."""
         now = int(self._clock.wall())
-        message = {
-            'entry': self._entry,
-            'serial': self._serial,
-            'start': self._start,
-            'end': now,
-            'period_s': self.period_s,
-            'last': last,
-            'services': {
-                path: window.encode() for path, window in self._windows.items()
-            },
+        run = Run(
+            self._entry,
+            self._serial,
+            self._serial,
+            self._start,
+            now,
+            last,
+        )
+        services = {
+            path: window.encode() for path, window in self._windows.items()
         }
-        name = object_name(self._start, self._entry, self._serial)
-        self._unsent.append((name, wire.encode(message)))
+        period = Period(now, self.period_s, (run,), services)
+        name = period_name(now, self._entry, self._serial)
+        self._unsent.append((now, name, encode_period(period)))
+        if self._watch is not None:
+            self._watch.add(self._windows)
         self._serial += 1
         self._start = now
         self._windows = {}
         self._send()
 
+    def _window(self, service: str) -> ServiceWindow:
+        return self._windows.setdefault(service, ServiceWindow())
+
     def _send(self) -> None:
+        self._drop_old()
         while self._unsent:
-            name, body = self._unsent[0]
+            _, name, body = self._unsent[0]
             try:
                 self._objects.put(name, body, Priority.report)
             except CactusridgeError as exc:
-                self._bound(exc)
+                logs.emit(events.REPORT_LATE, name=name, error=str(exc))
                 return
             self._unsent.pop(0)
 
-    def _bound(self, exc: CactusridgeError) -> None:
-        if len(self._unsent) > MAX_KEPT:
-            lost, _ = self._unsent.pop(0)
-            logs.emit(events.REPORT_LOST, name=lost, error=str(exc))
+    def _drop_old(self) -> None:
+        """Drop what would come after its hour has been merged.
+
+        The number it leaves out shows in every report.
+        """
+        oldest = self._clock.wall() - kept_s(self.period_s)
+        while self._unsent and self._unsent[0][0] < oldest:
+            _, name, _ = self._unsent.pop(0)
+            logs.emit(events.REPORT_LOST, name=name)
--- a/cactusridge/slo/window.py
+++ b/cactusridge/slo/window.py
@@ -1,6 +1,6 @@
 """Mergeable counts of one service over one period."""
 
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 from hdrh.histogram import HdrHistogram
 
@@ -17,6 +17,7 @@
     bad: int
     first: str
     between: str
+    batch: NotRequired[dict[str, list[int]]]
 
 
 class Quantity(NamedTuple):
@@ -25,9 +26,19 @@
     good: int
     bad: int
 
+    def plus(self, other: 'Quantity') -> 'Quantity':
+        """Return the sum of both."""
+        return Quantity(self.good + other.good, self.bad + other.bad)
+
+
+NOTHING = Quantity(0, 0)
+
 
 class ServiceWindow:
-    """Good and bad answers and their times, in microseconds."""
+    """Good and bad answers, their times in microseconds, batch items.
+
+    ``batch`` counts items by objective, ``due_met`` or ``exactly_once``.
+    """
 
     def __init__(self) -> None:
         """Start with nothing counted."""
@@ -35,6 +46,7 @@
         self.bad = 0
         self.first = new_histogram()
         self.between = new_histogram()
+        self.batch: dict[str, Quantity] = {}
 
     def add(
         self,
@@ -50,12 +62,19 @@
         if between_s is not None:
             self.between.record_value(to_us(between_s))
 
+    def count(self, objective: str, items: Quantity) -> None:
+        """Count batch items against an objective."""
+        known = self.batch.get(objective, NOTHING)
+        self.batch[objective] = known.plus(items)
+
     def merge(self, other: 'ServiceWindow') -> None:
         """Add the counts of ``other``."""
         self.good += other.good
         self.bad += other.bad
         self.first.add(other.first)
         self.between.add(other.between)
+        for objective, items in other.batch.items():
+            self.count(objective, items)
 
     def encode(self) -> EncodedWindow:
         """Return the window as it is stored."""
@@ -64,6 +83,7 @@
             bad=self.bad,
             first=self.first.encode().decode(),
             between=self.between.encode().decode(),
+            batch={name: list(items) for name, items in self.batch.items()},
         )
 
     @classmethod
@@ -74,6 +94,8 @@
         window.bad = stored['bad']
         window.first.decode_and_add(stored['first'].encode())
         window.between.decode_and_add(stored['between'].encode())
+        for objective, items in stored.get('batch', {}).items():
+            window.count(objective, Quantity(*items))
         return window
 
 
--- a/tests/memory_objects.py
+++ b/tests/memory_objects.py
@@ -1,6 +1,6 @@
 """An object store in memory, behind the same interface."""
 
-from cactusridge.errors import NotFound
+from cactusridge.errors import NotFound, StoreUnavailable
 from cactusridge.platform.object_store import ObjectStore
 from cactusridge.platform.table import Priority
 
@@ -11,13 +11,25 @@
     def __init__(self) -> None:
         """Start empty."""
         self.stored: dict[str, bytes] = {}
+        self.gets = 0
+        self.failing = 0
 
     def put(self, name: str, body: bytes, priority: Priority) -> None:
         """Store an object."""
         self.stored[name] = body
 
-    def get(self, name: str, start: int = 0, end: int | None = None) -> bytes:
+    def get(
+        self,
+        name: str,
+        start: int = 0,
+        end: int | None = None,
+        priority: Priority = Priority.commit,
+    ) -> bytes:
         """Return an object or a part of it."""
+        self.gets += 1
+        if self.failing:
+            self.failing -= 1
+            raise StoreUnavailable(retry_after_s=1)
         if name not in self.stored:
             raise NotFound(name)
         return self.stored[name][start:end]
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -1,6 +1,5 @@
 """The burn report against a naive one from the raw events."""
 
-import random
 import unittest
 
 from hypothesis import given, settings
@@ -8,76 +7,14 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.errors import StoreUnavailable
-from cactusridge.settings.schema import ObjectiveSettings
-from cactusridge.slo.burn import DAY_S, WINDOWS, BurnReporter, find_gaps
+from cactusridge.slo.burn import DAY_S, WINDOWS, BurnReporter
+from cactusridge.slo.history import SloHistory
+from cactusridge.slo.period import find_gaps
 from cactusridge.slo.recorder import SloRecorder
 from cactusridge.slo.sample import Sample
+from standins.memory_table import MemoryTable
 from tests.memory_objects import MemoryObjects
-
-SERVICE = '/teams/t/deployments/d/services/s'
-PERIOD_S = 3600
-START = 1_000_000_000
-OBJECTIVE = ObjectiveSettings()
-
-
-def clear_of(limit: float, seconds: float) -> float:
-    """Keep a time off the limit by more than the histogram's 1%."""
-    near = abs(seconds - limit) < limit / 50
-    return limit * 2 if near else seconds
-
-
-class Quarter:
-    """Entries that answer for some days, and every event they saw."""
-
-    def __init__(self, seed: int, days: int) -> None:
-        """Replay ``days`` days of two entries."""
-        rng = random.Random(seed)
-        self.clock = ManualClock(START)
-        self.objects = MemoryObjects()
-        self.events: list[tuple[float, Sample]] = []
-        recorders = [
-            SloRecorder(f'e{n}', self.objects, PERIOD_S, self.clock)
-            for n in range(2)
-        ]
-        for _ in range(days * 24):
-            for recorder in recorders:
-                self.hour(recorder, rng)
-            self.clock.advance(PERIOD_S)
-            for recorder in recorders:
-                recorder.flush()
-
-    def hour(self, recorder: SloRecorder, rng: random.Random) -> None:
-        """Record an hour's events at one entry."""
-        for _ in range(rng.randrange(6)):
-            sample = Sample(
-                rng.randrange(10) > 0,
-                clear_of(OBJECTIVE.first_token_s, rng.expovariate(8)),
-                clear_of(OBJECTIVE.between_tokens_s, rng.expovariate(60)),
-            )
-            recorder.record(SERVICE, sample)
-            self.events.append((self.clock.wall(), sample))
-
-    def report(self) -> dict:
-        """Return the report now."""
-        reporter = BurnReporter(self.objects)
-        return reporter.report(SERVICE, OBJECTIVE, self.clock.wall())
-
-    def naive(self, length_s: float) -> dict[str, float]:
-        """Return the burn over a window, from the raw events."""
-        # A period counts when it ends within the window.
-        since = self.clock.wall() - length_s - PERIOD_S
-        found = [sample for at, sample in self.events if at >= since]
-        limits = OBJECTIVE.first_token_s, OBJECTIVE.between_tokens_s
-        late = 1 - OBJECTIVE.latency_share
-        count = len(found)
-        slow = sum(each.first_s > limits[0] for each in found)
-        spread = sum(each.between_s > limits[1] for each in found)
-        bad = sum(not each.good for each in found)
-        return {
-            'availability': bad / count / (1 - OBJECTIVE.availability),
-            'first_token': slow / count / late,
-            'between_tokens': spread / count / late,
-        }
+from tests.quarter import OBJECTIVE, PERIOD_S, SERVICE, START, Quarter
 
 
 class TestBurn(unittest.TestCase):
@@ -120,7 +57,7 @@
             recorder.flush(last=number == 2)
         objects.stored.pop(sorted(objects.stored)[1])
         clock.advance(DAY_S)
-        reporter = BurnReporter(objects)
+        reporter = BurnReporter(SloHistory(objects, MemoryTable()))
         found = reporter.report(SERVICE, OBJECTIVE, clock.wall())
         self.assertEqual(
             [{'entry': 'e', 'after': START + PERIOD_S, 'serial': 1}],
@@ -137,7 +74,7 @@
             recorder.record(SERVICE, Sample(True, 0.1, 0.01))
             clock.advance(PERIOD_S)
             recorder.flush()
-        reporter = BurnReporter(objects)
+        reporter = BurnReporter(SloHistory(objects, MemoryTable()))
         found = reporter.report(SERVICE, OBJECTIVE, clock.wall())
         self.assertEqual(5, found['objectives']['availability']['good'])
         self.assertEqual([], found['missing'])
@@ -153,7 +90,7 @@
                 recorder.record(SERVICE, Sample(good, 0.1, 0.01))
             clock.advance(PERIOD_S)
             recorder.flush()
-        reporter = BurnReporter(objects)
+        reporter = BurnReporter(SloHistory(objects, MemoryTable()))
         found = reporter.report(SERVICE, OBJECTIVE, clock.wall())
         kinds = {each['severity'] for each in found['alerts']}
         self.assertEqual({'page', 'ticket'}, kinds)
