Refuse what is no readable request as all else is refused

Cause: too long a request line or header got the library's bare 400 or 414, without our error object; slow readers were not tested.

Change: the server's handler answers with the usual error object, code unreadable_request, not_run true. A caller that stops reading is given up after the idle time-out (it was so; now it is tested).

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -1,6 +1,7 @@
 """gevent's WSGI server with time-outs on reading and a graceful stop."""
 
 import socket
+from http import HTTPStatus
 from typing import Any
 
 import gevent
@@ -9,6 +10,7 @@
 
 from cactusridge import events, logs
 from cactusridge.http.exchange import SOCKET_KEY
+from cactusridge.http.unreadable import refusal
 
 SILENT_LOG = None
 POLL_S = 0.05
@@ -32,6 +34,14 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_one_request(self) -> Any:
+        """Serve one request; refuse an unreadable one as all others are."""
+        outcome = super().handle_one_request()
+        if isinstance(outcome, tuple):
+            status = HTTPStatus(int(outcome[0]))
+            return str(status.value), refusal(status)
+        return outcome
+
     def handle_one_response(self) -> None:
         """Serve one request, counted while it is in work."""
         self.server.active += 1
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,13 +1,24 @@
 """The HTTP server of both roles."""
 
+import itertools
 import socket
 import unittest
+from collections.abc import Iterator
 
+from nose2.tools import params
+
+from cactusridge import wire
 from cactusridge.http.app import App, route
 from cactusridge.http.client import Clients
 from cactusridge.http.exchange import SOCKET_KEY, Reply, Req, json_reply
+from standins.waiting import wait_for
 from tests.served import loopback, serve
 
+MEGABYTE = 1 << 20
+BLOB = 64 * MEGABYTE
+LONG = b'x' * 9000
+LONGER = b'x' * 70_000
+
 
 def no_delay(req: Req) -> Reply:
     """Answer whether Nagle's algorithm is off for this connection."""
@@ -16,12 +27,23 @@
     return json_reply({'no_delay': bool(found)})
 
 
+def blob(req: Req) -> Reply:
+    """Answer with more than the system keeps for a slow reader."""
+    return Reply(200, [('Content-Length', str(BLOB))], blocks())
+
+
+def blocks() -> Iterator[bytes]:
+    """Yield a megabyte at a time."""
+    yield from itertools.repeat(bytes(MEGABYTE), BLOB // MEGABYTE)
+
+
 class TestServer(unittest.TestCase):
     """A server alone."""
 
     def setUp(self):
         """Serve one route."""
-        app = App([route('GET', '/', no_delay)], 1024, 5)
+        routes = [route('GET', '/', no_delay), route('GET', '/blob', blob)]
+        app = App(routes, 1024, 5)
         self.served = serve(None, app, loopback())
         self.addCleanup(self.served.server.stop, 0)
         self.clients = Clients(1, 5)
@@ -44,3 +66,33 @@
                 (200, 'close'), (resp.status_code, resp['connection'])
             )
             self.assertEqual(b'{"no_delay":true}', resp.read())
+
+    def ask(self, raw: bytes) -> socket.socket:
+        """Send bytes as they are; return the connection."""
+        conn = socket.create_connection(self.served.address)
+        self.addCleanup(conn.close)
+        conn.sendall(raw)
+        return conn
+
+    @params(
+        (b'GET /%b HTTP/1.1\r\n\r\n' % LONG, b'414'),
+        (b'GET / HTTP/1.1\r\nX-Long: %b\r\n\r\n' % LONGER, b'400'),
+        (b'GET / HTTP/1.1\r\n%b\r\n' % (b'X: y\r\n' * 200), b'400'),
+        (b'nonsense\r\n\r\n', b'400'),
+    )
+    def test_unreadable_request(self, raw, status):
+        """It gets an error in the form of all others, as not run."""
+        with self.ask(raw).makefile('rb') as answer:
+            head, _, body = answer.read().partition(b'\r\n\r\n')
+        self.assertEqual(status, head.split()[1])
+        error = wire.decode(body)['error']
+        self.assertEqual('unreadable_request', error['code'])
+        self.assertTrue(error['not_run'])
+
+    def test_slow_reader(self):
+        """A caller that stops reading is given up; nothing is held."""
+        self.served.server.idle_timeout_s = 0.5
+        self.ask(b'GET /blob HTTP/1.1\r\nHost: x\r\n\r\n')
+        server = self.served.server
+        wait_for('the request', lambda: server.active == 1)
+        wait_for('its end', lambda: server.active == 0)
