Mend "settings edit", which never worked; faults are no usage mistakes

Change: click.edit, with click declared; only the library's own errors are usage mistakes, anything else is named a fault of this program, status 1.

--- a/cactusridge/cli/app.py
+++ b/cactusridge/cli/app.py
@@ -4,6 +4,7 @@
 from typing import Annotated
 
 import typer
+from typer.exceptions import TyperException
 
 from cactusridge.cli import job_commands, settings_commands, show_commands
 from cactusridge.cli.api import Api
@@ -56,15 +57,24 @@
     try:
         with contextlib.redirect_stdout(env.stdout):
             code = app(args, obj=env, standalone_mode=False)
-    except CommandFailed as exc:
-        env.stderr.write(f'cactusridge: {exc}\n')
-        if exc.hint:
-            env.stderr.write(f'  {exc.hint}\n')
-        return exc.exit_status
     except KeyboardInterrupt:
         return ExitStatus.interrupted
     except Exception as exc:
-        # A usage mistake; the library's own text names the option.
-        env.stderr.write(f'cactusridge: {exc}\n  try --help\n')
-        return ExitStatus.usage
+        return report_failure(exc, env)
     return ExitStatus(code or 0)
+
+
+def report_failure(exc: Exception, env: Environment) -> ExitStatus:
+    """Write what went wrong and what to do; return the exit status."""
+    message, hint, status = str(exc), '', ExitStatus.failure
+    if isinstance(exc, CommandFailed):
+        hint, status = exc.hint, exc.exit_status
+    elif isinstance(exc, TyperException):
+        # A usage mistake; the library's own text names the option.
+        hint, status = 'try --help', ExitStatus.usage
+    else:
+        message = f'a fault of this program: {exc!r}'
+    env.stderr.write(f'cactusridge: {message}\n')
+    if hint:
+        env.stderr.write(f'  {hint}\n')
+    return status
--- a/cactusridge/cli/settings_commands.py
+++ b/cactusridge/cli/settings_commands.py
@@ -4,6 +4,7 @@
 import os
 from typing import Annotated, Any
 
+import click
 import typer
 import yaml
 
@@ -64,7 +65,7 @@
     """Change what is set at a path in your editor ($EDITOR)."""
     session = session_of(ctx)
     found = read(session, path)
-    text = typer.edit(_yaml(found['raw'] or {}), extension='.yaml')
+    text = click.edit(_yaml(found['raw'] or {}), extension='.yaml')
     if text is None:
         session.say('unchanged')
         return
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,8 +2,10 @@
 
 import io
 import json
+import os
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 from nose2.tools import params
 
@@ -61,6 +63,39 @@
         out = self.run_cli('--output', 'json', 'settings', 'history', MAIN)[1]
         self.assertEqual('demo', json.loads(out)[0]['who'])
 
+    @params(
+        ('sed -i s/old/new/', ExitStatus.success, 'new'),
+        ('true', ExitStatus.success, 'old'),
+        ('sed -i s/description/surprise/', ExitStatus.bad_settings, 'old'),
+        ('sed -i s/old/[/', ExitStatus.usage, 'old'),
+    )
+    def test_settings_edit(self, editor, wanted, description):
+        """What the editor leaves is set; a mistake changes nothing."""
+        file = self.file('description: old\n')
+        self.run_cli('settings', 'set', MAIN, file)
+        with mock.patch.dict(os.environ, {'EDITOR': editor, 'VISUAL': ''}):
+            status, _, errors = self.run_cli('settings', 'edit', MAIN)
+        self.assertEqual(wanted, status, errors)
+        out = self.run_cli('--output', 'json', 'settings', 'get', MAIN)[1]
+        found = json.loads(out)['settings']
+        self.assertEqual({'description': description}, found)
+
+    def test_settings_edit_races(self):
+        """A change made while the editor was open is not overwritten."""
+        self.run_cli('settings', 'set', MAIN, self.file('description: a\n'))
+
+        def edit(text: str, **options: str) -> str:
+            other = self.file('description: theirs\n')
+            self.run_cli('settings', 'set', MAIN, other)
+            return 'description: ours\n'
+
+        with mock.patch('click.edit', edit):
+            status, _, errors = self.run_cli('settings', 'edit', MAIN)
+        self.assertEqual(ExitStatus.conflict, status, errors)
+        out = self.run_cli('--output', 'json', 'settings', 'get', MAIN)[1]
+        found = json.loads(out)['settings']
+        self.assertEqual({'description': 'theirs'}, found)
+
     def test_settings_status(self):
         """Every process is named with the version in force."""
         out = self.run_cli('--output', 'json', 'settings', 'status')[1]
