Bench: the storm by time, the loss of an entry; faults told in one place

Cause: the retry storm's faults were counted (60 at each engine), so a policy that retries more had them behind it sooner and the trace compared nothing. Take-over by the number of jobs was not measured. Three stand-ins had the same routes for faults.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,6 +18,7 @@
 SAMPLE_S = 0.5
 SLOW = MappingProxyType({'step_s': 0.03})
 GRACE_S = 3
+FOREVER = 1_000_000
 
 
 class Policy(NamedTuple):
@@ -124,6 +125,7 @@
             'lose': _lose,
             'return': _return,
             'cut': _cut,
+            'mend': _mend,
         }
         happen[event.kind](fleet, event)
 
@@ -218,10 +220,15 @@
 
 
 def _cut(fleet: LocalFleet, event: Event) -> None:
-    fault = {'kind': 'cut', 'match': '', 'count': event.items}
+    fault = {'kind': 'cut', 'match': '', 'count': FOREVER}
     fleet.call(f'engine-{event.target}', '/control/faults', fault)
 
 
+def _mend(fleet: LocalFleet, event: Event) -> None:
+    name = f'engine-{event.target}'
+    fleet.call(name, '/control/faults', method='DELETE')
+
+
 def _counter(raw: bytes, name: bytes) -> float:
     lines = [line for line in raw.splitlines() if line.startswith(name)]
     wanted = [line for line in lines if YAZMAN.encode() in line]
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -100,9 +100,11 @@
 
 
 def _retry_storm(rng: random.Random) -> Trace:
-    """Engines cut connections for a while, all at once."""
+    """All engines cut every connection for two seconds."""
     online = arrivals(rng, steady(30), LENGTH_S)
-    faults = tuple(
-        Event(4, 'cut', target=number, items=60) for number in range(4)
+    faults = (
+        Event(at, kind, target=number)
+        for at, kind in ((4, 'cut'), (6, 'mend'))
+        for number in range(4)
     )
     return Trace('retry-storm', LENGTH_S, (*faults, *online))
--- a/bench/traces_report.py
+++ b/bench/traces_report.py
@@ -11,11 +11,13 @@
 
 from bench.outcomes import Outcome
 from bench.replay import NAIVE, NO_BATCH, NO_ONLINE, OURS, Replay
+from bench.takeover import takeover_section
 from bench.trace import load_trace, save_trace
 from bench.traces import make_traces
 
 DOCS = Path(__file__).parent.parent / 'docs'
 TRACES = Path(__file__).parent / 'data'
+TAKEOVER = 'takeover'
 POLICIES = (OURS, NAIVE, NO_BATCH, NO_ONLINE)
 HEAD = (
     'policy',
@@ -44,9 +46,8 @@
 ones are fewer in so short a run, since a chunk counts when it is whole.
 Asked for and not reached: batch at 0.90 of what idle capacity would allow.
 Slots that online used in the last 0.75 s stay free, and at light load that
-is most of the difference. The retry storm's faults are by count (60 at each
-engine), so whoever retries most has them behind soonest: naive fails fewer
-requests there and sends half as many again; ours stays in its budget.
+is most of the difference. In the retry storm all engines cut every
+connection for two seconds, about 60 requests' worth.
 """
 TARGETS = """
 Harm to first-token p99: **{harm:.2f}** x the run without batch (asked:
@@ -69,6 +70,9 @@
         sections.append(section(outcomes))
         sys.stdout.write(sections[-1])
         sys.stdout.flush()
+    if not names or TAKEOVER in names:
+        sections.append(takeover_section())
+        sys.stdout.write(sections[-1])
     text = INTRO.format(slots=8) + '\n'.join(sections)
     (DOCS / 'MEASUREMENTS.md').write_text(text)
     return 0
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from standins.engine_messages import chunk, completion, event, last_chunk
+from standins.fault_control import FaultControl
 from standins.faults import Fault, FaultKind, Faults, wait_out
 from standins.model import ContinuousBatch, EngineSpeed, Stream
 from standins.severing import sever
@@ -58,8 +59,8 @@
                 route('GET', '/v1/models', self.models),
                 route('POST', '/v1/streams/(?P<name>.+)/cancel', self.cancel),
                 route('GET', '/load', self.load),
-                route('POST', '/control/faults', self.add_fault),
                 route('GET', '/control/executions', self.list_executions),
+                *FaultControl(self.faults).routes(),
             ],
             MAX_BODY,
             BODY_TIMEOUT_S,
@@ -108,13 +109,6 @@
         """Return the numbers of streams."""
         return json_reply({**self.batch.load(), 'hits': self.batch.hits})
 
-    def add_fault(self, req: Req) -> Reply:
-        """Show a fault from now on."""
-        message = req.json()
-        message['kind'] = FaultKind(message['kind'])
-        self.faults.add(Fault(**message))
-        return json_reply({})
-
     def list_executions(self, req: Req) -> Reply:
         """Return every execution begun."""
         return json_reply({'executions': self.executions})
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -6,7 +6,8 @@
 
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import Reply, Req, json_reply
-from standins.faults import Fault, FaultKind, Faults, wait_out
+from standins.fault_control import FaultControl
+from standins.faults import FaultKind, Faults, wait_out
 from standins.severing import sever
 
 MAX_BODY = 1 << 26
@@ -22,9 +23,9 @@
         self.faults = Faults()
         self.app = App(
             [
-                route('POST', '/control/faults', self.add_fault),
                 route('GET', '/control/calls', self.get_calls),
                 route('*', '/.*', self.echo),
+                *FaultControl(self.faults).routes(),
             ],
             MAX_BODY,
             BODY_TIMEOUT_S,
@@ -56,13 +57,6 @@
         reply.headers.append(('X-Plain', 'stand-in'))
         return reply
 
-    def add_fault(self, req: Req) -> Reply:
-        """Show a fault from now on."""
-        message = req.json()
-        message['kind'] = FaultKind(message['kind'])
-        self.faults.add(Fault(**message))
-        return json_reply({})
-
     def get_calls(self, req: Req) -> Reply:
         """Return every call that was carried out."""
         gevent.sleep(0)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,6 +10,7 @@
 from cactusridge.hashing import hash64
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import Reply, Req, json_reply
+from standins.fault_control import FaultControl
 from standins.faults import Fault, FaultKind, Faults, wait_out
 from standins.rate import Rate
 from standins.severing import sever
@@ -63,11 +64,10 @@
                 *self.weights.routes(),
                 route('GET', '/hosts', self.get_hosts),
                 route('PUT', '/hosts', self.put_hosts),
-                route('POST', '/control/faults', self.add_fault),
-                route('DELETE', '/control/faults', self.clear_faults),
                 route('GET', '/control/history', self.get_history),
-                route('GET', '/control/hits', self.get_hits),
                 route('GET', '/control/counts', self.get_counts),
+                route('GET', '/control/held/(?P<holder>.+)', self.get_held),
+                *FaultControl(self.faults).routes(),
             ],
             MAX_BODY,
             BODY_TIMEOUT_S,
@@ -161,25 +161,18 @@
         gevent.spawn_later(self.host_lag_s, self._publish, hosts)
         return json_reply({})
 
-    def add_fault(self, req: Req) -> Reply:
-        """Show a fault from now on."""
-        message = req.json()
-        message['kind'] = FaultKind(message['kind'])
-        self.faults.add(Fault(**message))
-        return json_reply({})
-
-    def clear_faults(self, req: Req) -> Reply:
-        """Show no fault any more."""
-        self.faults.clear()
-        return json_reply({})
-
     def get_history(self, req: Req) -> Reply:
         """Return every commit since the start."""
         return json_reply({'history': self.table.history})
 
-    def get_hits(self, req: Req) -> Reply:
-        """Return the calls that have shown a fault."""
-        return json_reply({'hits': self.faults.hits})
+    def get_held(self, req: Req, holder: str) -> Reply:
+        """Return how many spans an entry holds."""
+        held = [
+            key
+            for key, (stored, _) in self.table.rows.items()
+            if key.startswith('spans/') and stored['holder'].startswith(holder)
+        ]
+        return json_reply({'held': len(held)})
 
     def get_counts(self, req: Req) -> Reply:
         """Return the number of calls by kind."""
--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -1,6 +1,7 @@
 """Rows with versions, conditional transactions and their history."""
 
 import bisect
+import time
 from typing import Any
 
 Row = tuple[str, Any, int]
@@ -31,7 +32,8 @@
         self.version += 1
         for key, stored in writes:
             self._put(key, stored)
-        self.history.append({'version': self.version, 'writes': writes})
+        commit = {'version': self.version, 'writes': writes, 'at': time.time()}
+        self.history.append(commit)
         return self.version
 
     def scan(self, prefix: str, after: str, limit: int) -> list[Row]:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -19,7 +19,8 @@
 from standins.plain import PlainStandIn
 from standins.platform import PlatformStandIn
 from standins.waiting import wait_for
-from tests.served import Answer, Served, loopback, prompt_of, serve
+from tests.refusals import Refusals
+from tests.served import Answer, Served, loopback, serve
 
 SECRET = 'internal-secret-of-tests'
 TOKEN = {'Authorization': 'Bearer demo'}
@@ -47,7 +48,7 @@
         self.sidecars: list[Served] = []
         self.entries: list[Served] = []
         self.forwarders: list[Forwarder] = []
-        self.refused: list[tuple[str, bytes]] = []
+        self.refusals = Refusals()
         plain = PlainStandIn()
         self.plain = serve(plain, plain, loopback())
         self.hosts: dict[str, dict[str, Any]] = {}
@@ -238,31 +239,12 @@
             kind = resp.get('content-type') or ''
             found = wire.decode(body) if kind == 'application/json' else body
             answer = Answer(resp.status_code, found)
-        self.note_refusal(path, raw, answer)
+        self.refusals.note(path, raw, answer)
         return answer
 
-    def note_refusal(self, path: str, raw: bytes, answer: Answer) -> None:
-        """Remember a request that was said not to have run."""
-        error = (
-            answer.body.get('error') if hasattr(answer.body, 'get') else None
-        )
-        if isinstance(error, dict) and error['not_run']:
-            self.refused.append((path, raw))
-
     def ran_though_refused(self) -> list[bytes]:
         """Return requests said not to have run that the upstreams have."""
-        plain = {call['body'] for call in self.plain.subject.calls}
-        prompts = {
-            each['prompt']
-            for engine in self.engines
-            for each in engine.subject.executions
-        }
-        return [
-            raw
-            for path, raw in self.refused
-            if (path.startswith('/services') and raw.decode() in plain)
-            or (path.startswith('/v1/chat') and prompt_of(raw) in prompts)
-        ]
+        return self.refusals.ran(self.engines, self.plain.subject)
 
     def chat(
         self,
