--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -11,7 +11,8 @@
 from cactusridge import wire
 from cactusridge.http.client import Address, Clients
 from standins.local_process import LocalProcess
-from standins.waiting import NotReady, free_port, wait_for
+from standins.ports import Ports
+from standins.waiting import NotReady, wait_for
 
 DEMO = Path(__file__).parent.parent / 'demo'
 ADMIN = MappingProxyType({'Authorization': 'Bearer admin'})
@@ -47,6 +48,7 @@
         self.addresses: dict[str, Address] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.http = Clients(CONNECT_S, SILENCE_S)
+        self._ports = Ports()
 
     def start(self) -> None:
         """Start everything, seed the settings, wait until all is ready."""
@@ -186,6 +188,7 @@
         for process in self.processes.values():
             process.send(18)
             process.kill()
+        self._ports.close()
 
     def url(self, name: str) -> str:
         """Return the URL of a process."""
@@ -198,7 +201,7 @@
         more: list[str] | None = None,
     ) -> None:
         if name not in self.addresses:
-            self.addresses[name] = Address('127.0.0.1', free_port())
+            self.addresses[name] = self._ports.give()
         whole = [*args, str(self.addresses[name]), *(more or [])]
         self.processes[name] = LocalProcess(name, whole, self.folder)
 
@@ -210,7 +213,7 @@
         number: int,
     ) -> None:
         if name not in self.addresses:
-            self.addresses[name] = Address('127.0.0.1', free_port())
+            self.addresses[name] = self._ports.give()
         raw['listen'] = str(self.addresses[name])
         raw['zone'] = ZONES[number % len(ZONES)]
         path = self.folder / f'{name}.yaml'
