Say when to come back with every refusal that a later try may not meet

The header was rounded to the nearest second, so down to before the wait was over.

Change: such errors have a usual wait of a second, used unless a better one is known; the header is rounded up.

--- a/cactusridge/errors.py
+++ b/cactusridge/errors.py
@@ -21,6 +21,7 @@
     kind: ClassVar[str] = 'server_error'
     code: ClassVar[str] = 'internal_error'
     not_run: bool | None = None
+    come_back_s: ClassVar[float | None] = None
 
     def __init__(
         self,
@@ -32,7 +33,9 @@
         """Keep the text, the field at fault and the seconds to wait."""
         super().__init__(message or self.__class__.__doc__ or self.code)
         self.param = param
-        self.retry_after_s = retry_after_s
+        # Whoever raises it may know better than the usual wait.
+        known = retry_after_s is not None
+        self.retry_after_s = retry_after_s if known else self.come_back_s
 
     def body(self) -> ErrorBody:
         """Return the ``error`` object for the wire."""
@@ -123,6 +126,7 @@
     """The request was not run; it may be sent again later."""
 
     status = 503
+    come_back_s = 1
     kind = 'unavailable'
     code = 'refused'
     not_run = True
@@ -188,6 +192,7 @@
     """The deadline passed after the request had begun."""
 
     status = 504
+    come_back_s = 1
     kind = 'timeout_error'
     code = 'deadline_exceeded'
 
--- a/cactusridge/http/app.py
+++ b/cactusridge/http/app.py
@@ -1,5 +1,6 @@
 """A WSGI application: routes, typed errors, request ids."""
 
+import math
 import re
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -36,7 +37,7 @@
     """Return the JSON reply for ``exc``, with Retry-After where known."""
     reply = json_reply({'error': exc.body()}, exc.status)
     if exc.retry_after_s is not None:
-        seconds = max(1, round(exc.retry_after_s))
+        seconds = max(1, math.ceil(exc.retry_after_s))
         reply.headers.append(('Retry-After', str(seconds)))
     return reply
 
