--- a/cactusridge/batch/span_runner.py
+++ b/cactusridge/batch/span_runner.py
@@ -27,13 +27,14 @@
 from cactusridge.platform.object_store import ObjectStore
 from cactusridge.settings.catalog import Service
 
-WINDOW = 2
+MIN_WINDOW = 2
+WINDOW_ITEMS = 128
 SUSPECT_AFTER = 3
 PAUSE_S = 0.5
 
 
 class SpanRunner:
-    """Runs a span's chunks, two at a time, and commits each."""
+    """Runs a span's chunks, some at a time, and commits each."""
 
     def __init__(
         self,
@@ -66,7 +67,7 @@
             logs.emit(events.SPAN_LOST, span=self.held.span.name)
 
     def _run(self, holder: str) -> None:
-        first = self._next_chunks(WINDOW)
+        first = self._next_chunks(self._window())
         self.held.take(holder, first)
         logs.emit(
             events.SPAN_TAKEN,
@@ -86,6 +87,14 @@
         self.held.close(cancelled=False)
         self._accounts.closed(self.held.span)
 
+    def _window(self) -> int:
+        """Return how many chunks to run at once, by the items in each.
+
+        A chunk ends with its slowest item; with few items in work the
+        next job's would take the slots that an urgent one leaves.
+        """
+        return max(MIN_WINDOW, WINDOW_ITEMS // self.held.cfg.chunk_items)
+
     def _watch(self, workers: list[gevent.Greenlet]) -> None:
         """Renew the lease while the workers run; raise what ends them."""
         while not all(worker.ready() for worker in workers):
