--- a/bench/capacity_figures.py
+++ b/bench/capacity_figures.py
@@ -109,7 +109,7 @@
             per_entry * fits['entry: a streamed token'].slope / second * 1000,
             'thousandths of a core',
             1000,
-            'one read and one write a token; **does not reach**',
+            'one read and one write a token; **no room to spare**',
         ),
         Figure(
             'open streams, memory (600 of them)',
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -33,7 +33,10 @@
 Jobs of {items} items, one span each, two entries, leases of {lease} s; one
 entry is killed while it holds spans. Seconds are from the kill to the first
 and the last of its spans in other hands; calls are the platform's own counts
-until then, of everything the remaining entry does.
+until then, of everything the remaining entry does. The engines are full all
+the time, and an entry takes no span that is not urgent while items of its own
+wait: so the times are those of the queue, not of finding the lost spans,
+which takes a lease and a scan.
 
 | open jobs | spans lost | first s | last s | reads | writes | reads a s |
 | --- | --- | --- | --- | --- | --- | --- |
