--- a/tests/test_hour_merger.py
+++ b/tests/test_hour_merger.py
@@ -8,7 +8,7 @@
 from nose2.tools import params
 
 from cactusridge.errors import StoreUnavailable
-from cactusridge.slo.burn import HOUR_S, WINDOWS
+from cactusridge.slo.burn import HOUR_S, QUARTER_DAYS, WINDOWS
 from cactusridge.slo.hour_merger import HourMerger, merge_due_hours
 from cactusridge.slo.period import hour_of
 from standins.faults import FaultKind
@@ -59,6 +59,20 @@
             for kind, rate in wanted.items():
                 self.assertAlmostEqual(rate, before['burn'][name][kind])
 
+    def test_whole_quarter(self):
+        """92 days of two entries burn as their raw events say."""
+        quarter = Quarter(10, QUARTER_DAYS)
+        before = quarter.report()
+        merge_due_hours(merger_of(quarter))
+        self.assertEqual(before, quarter.report())
+        self.assertEqual(sealed_hours(quarter), merged_hours(quarter))
+        for name, length_s in WINDOWS:
+            wanted = quarter.naive(length_s)
+            found = {kind: before['burn'][name][kind] for kind in wanted}
+            for kind, rate in wanted.items():
+                self.assertAlmostEqual(rate, found[kind], msg=kind)
+        self.assertEqual([], before['missing'])
+
     def test_reads_one_object_an_hour(self):
         """What is merged is not read again by period."""
         quarter = Quarter(3, 2)
