An audited result that is gone or unreadable is no result

Cause: reading the change again. The failure the audit is for went unseen.

Change: both count as results that are missing. HOUR_S and DAY_S stand once, in slo/period.

--- a/cactusridge/batch/audit.py
+++ b/cactusridge/batch/audit.py
@@ -5,6 +5,7 @@
 import orjson
 
 from cactusridge.batch.span import Span
+from cactusridge.errors import NotFound
 from cactusridge.platform.object_store import ObjectStore
 from cactusridge.platform.table import Priority
 from cactusridge.slo.window import Quantity
@@ -15,7 +16,8 @@
 
     Compares the ids in the input with those in the outputs that the
     span's row points at, as a reader of the results finds them. An
-    item missing, doubled or foreign is bad. Raises StoreUnavailable.
+    item missing, doubled or foreign is bad, and so is one whose result
+    is gone or cannot be read. Raises StoreUnavailable.
     """
     wanted = _ids(
         objects.get(
@@ -27,8 +29,7 @@
     )
     found = Counter[str]()
     for result in span.results():
-        raw = objects.get(result.name, priority=Priority.report)
-        found.update(_ids(raw))
+        found.update(_ids(_stored(objects, result.name)))
     bad = sum(
         found[custom_id] != wanted[custom_id]
         for custom_id in wanted.keys() | found.keys()
@@ -36,5 +37,21 @@
     return Quantity(len(wanted) - min(bad, len(wanted)), bad)
 
 
+def _stored(objects: ObjectStore, name: str) -> bytes:
+    """Return a result object; one that is gone holds no results."""
+    try:
+        return objects.get(name, priority=Priority.report)
+    except NotFound:
+        return b''
+
+
 def _ids(raw: bytes) -> Counter[str]:
-    return Counter(orjson.loads(line)['custom_id'] for line in raw.splitlines())
+    return Counter(map(_id_in, raw.splitlines()))
+
+
+def _id_in(line: bytes) -> str:
+    """Return the id in a line, or the line itself if it has none."""
+    try:
+        return str(orjson.loads(line)['custom_id'])
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return line.decode(errors='replace')
--- a/cactusridge/slo/burn.py
+++ b/cactusridge/slo/burn.py
@@ -12,11 +12,9 @@
     alerts,
     measure,
 )
-from cactusridge.slo.period import Gap, Period, find_gaps
+from cactusridge.slo.period import DAY_S, HOUR_S, Gap, Period, find_gaps
 from cactusridge.slo.window import ServiceWindow
 
-HOUR_S = 3600
-DAY_S = 86_400
 QUARTER_DAYS = 92
 QUARTER_S = QUARTER_DAYS * DAY_S
 QUARTER = 'quarter'
--- a/cactusridge/slo/burn_watch.py
+++ b/cactusridge/slo/burn_watch.py
@@ -15,12 +15,11 @@
     alerts,
     measure,
 )
+from cactusridge.slo.period import DAY_S, HOUR_S
 from cactusridge.slo.window import NOTHING, ServiceWindow
 
 BUCKET_S = 300
 MIN_COUNTED = 20
-HOUR_S = 3600
-DAY_S = 24 * HOUR_S
 WINDOWS_S = MappingProxyType(
     {'1h': HOUR_S, '6h': 6 * HOUR_S, '3d': 3 * DAY_S},
 )
--- a/cactusridge/slo/period.py
+++ b/cactusridge/slo/period.py
@@ -9,6 +9,7 @@
 
 PREFIX = 'slo'
 HOUR_S = 3600
+DAY_S = 24 * HOUR_S
 
 
 class Run(NamedTuple):
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -95,6 +95,18 @@
         stored[name] = b''.join(change(lines))
         self.assertEqual(wanted, audit_span(self.parts.objects, span))
 
+    @params(None, b'not JSON\n', b'{"custom_id": []}\n')
+    def test_unreadable_results(self, raw):
+        """A result that is gone or cannot be read is no result."""
+        span = self.closed()
+        result = span.results()[0]
+        stored = self.rig.platform.objects
+        stored.pop(result.name)
+        if raw is not None:
+            stored[result.name] = raw
+        found = audit_span(self.parts.objects, span)
+        self.assertGreaterEqual(found.bad, result.ok)
+
     def test_violation_is_reported(self):
         """One item without its result leaves no budget."""
         span = self.closed()
