--- a/bench/cost.py
+++ b/bench/cost.py
@@ -10,7 +10,8 @@
 from bench.caller import Caller
 from bench.slopes import Fit, fit_line
 from bench.trace import Event
-from standins.local_fleet import FleetPlan, LocalFleet
+from standins.fleet_plan import FleetPlan
+from standins.local_fleet import LocalFleet
 
 STREAMS = (10, 25, 50, 100)
 SPEED = {'step_s': 0.04, 'per_stream_s': 0, 'slots': 400}
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -11,7 +11,8 @@
 from bench.caller import Caller
 from bench.outcomes import Answer, Outcome
 from bench.trace import Event, Trace
-from standins.local_fleet import ADMIN, YAZMAN, FleetPlan, LocalFleet
+from standins.fleet_plan import FleetPlan
+from standins.local_fleet import ADMIN, YAZMAN, LocalFleet
 from tests.jobs_client import submit_to
 
 TOKEN = MappingProxyType({'Authorization': 'Bearer demo'})
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -10,7 +10,8 @@
 from gevent.pool import Pool
 from openai import OpenAI
 
-from standins.local_fleet import FleetPlan, LocalFleet
+from standins.fleet_plan import FleetPlan
+from standins.local_fleet import LocalFleet
 from standins.waiting import wait_for
 from tests import jobs_client
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -14,7 +14,8 @@
 from gevent.event import Event
 
 from demo.check import run_check
-from standins.local_fleet import FleetPlan, LocalFleet
+from standins.fleet_plan import FleetPlan
+from standins.local_fleet import LocalFleet
 
 PORTS = (8400, 8401)
 
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -4,12 +4,13 @@
 from collections.abc import Mapping
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import Any
 
 import yaml
 
 from cactusridge import wire
 from cactusridge.http.client import Address, Clients
+from standins.fleet_plan import FleetPlan
 from standins.local_process import LocalProcess
 from standins.ports import Ports
 from standins.waiting import NotReady, wait_for
@@ -23,20 +24,6 @@
 SILENCE_S = 60
 
 
-class FleetPlan(NamedTuple):
-    """How many processes of each kind, and what differs from the demo."""
-
-    entries: int = 2
-    sidecars: int = 4
-    entry_ports: tuple[int, ...] = ()
-    entry_extra: dict[str, Any] = {}
-    sidecar_extra: dict[str, Any] = {}
-    slots: int = 8
-    engine_speed: dict[str, float] = {}
-    engine_speeds: dict[int, dict[str, float]] = {}
-    fencing_engines: tuple[int, ...] = ()
-
-
 class LocalFleet:
     """Starts, stops and talks to the processes of a fleet."""
 
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -10,7 +10,8 @@
 from openai import OpenAI
 
 from standins.faults import FaultKind
-from standins.local_fleet import FleetPlan, LocalFleet
+from standins.fleet_plan import FleetPlan
+from standins.local_fleet import LocalFleet
 from standins.waiting import wait_for
 
 DEMO = {'Authorization': 'Bearer demo'}
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,9 +3,7 @@
 from typing import Any
 
 import gevent
-import yaml
 
-from cactusridge import wire
 from cactusridge.clock import SystemClock
 from cactusridge.entry.app import Entry
 from cactusridge.http.client import Address, Clients
@@ -14,17 +12,16 @@
 from cactusridge.startup.models import EntrySettings, SidecarSettings
 from standins.engine import EngineStandIn
 from standins.forwarder import Forwarder
-from standins.local_fleet import DEFTER, DEMO, YAZMAN
+from standins.local_fleet import DEFTER, YAZMAN
 from standins.model import EngineSpeed
 from standins.plain import PlainStandIn
 from standins.platform import PlatformStandIn
 from standins.waiting import wait_for
 from tests.refusals import Refusals
-from tests.served import Answer, Served, loopback, serve
+from tests.rig_calls import RigCalls
+from tests.served import Served, loopback, serve
 
 SECRET = 'internal-secret-of-tests'
-TOKEN = {'Authorization': 'Bearer demo'}
-ADMIN = {'Authorization': 'Bearer admin'}
 BATCH = {
     'lease_s': 1.5,
     'lease_margin_s': 0.3,
@@ -35,7 +32,7 @@
 }
 
 
-class Rig:
+class Rig(RigCalls):
     """Platform, engines, sidecars and entries; links may be disturbed."""
 
     def __init__(self, sidecars: int = 2, entries: int = 2) -> None:
@@ -186,26 +183,6 @@
         """Let the platform show the list now."""
         self.platform.hosts = [dict(host) for host in self.hosts.values()]
 
-    def seed(self) -> None:
-        """Set the demo's teams and services."""
-        nodes = yaml.safe_load((DEMO / 'settings.yaml').read_text())
-        for path, raw in nodes.items():
-            answer = self.set(path, raw, 0)
-            assert answer.status == 200, answer
-
-    def set(self, path: str, raw: Any, if_version: int) -> Answer:
-        """Set a path through the first entry."""
-        message = {'raw': raw, 'if_version': if_version}
-        url = f'/admin/settings{path}'
-        return self.call(self.entries[0], url, message, ADMIN, 'PUT')
-
-    def update(self, path: str, **fields: Any) -> Answer:
-        """Change some fields of what is set at a path."""
-        url = f'/admin/settings{path}'
-        old = self.call(self.entries[0], url, None, ADMIN, 'GET').body
-        raw = {**old['raw'], **fields}
-        return self.set(path, raw, old['version'])
-
     def wait_ready(self) -> None:
         """Wait until every entry has the settings and all sidecars."""
         for served in self.entries:
@@ -223,55 +200,6 @@
         in_force = entry.parts.tree.version == version
         return in_force and known == listed.count('sidecar')
 
-    def call(
-        self,
-        served: Served,
-        path: str,
-        message: Any = None,
-        headers: Any = None,
-        method: str = 'POST',
-    ) -> Answer:
-        """Return status and body of one call."""
-        raw = message if isinstance(message, bytes) else wire.encode(message)
-        sent = {**TOKEN, **(headers or {})}
-        with self.http.send(served.address, path, raw, sent, method) as resp:
-            body = resp.read()
-            kind = resp.get('content-type') or ''
-            found = wire.decode(body) if kind == 'application/json' else body
-            answer = Answer(resp.status_code, found)
-        self.refusals.note(path, raw, answer)
-        return answer
-
-    def ran_though_refused(self) -> list[bytes]:
-        """Return requests said not to have run that the upstreams have."""
-        return self.refusals.ran(self.engines, self.plain.subject)
-
-    def chat(
-        self,
-        text: str,
-        entry: int = 0,
-        headers: Any = None,
-        **fields: Any,
-    ) -> Answer:
-        """Send one chat completion."""
-        message = {
-            'model': 'yazman',
-            'messages': [{'role': 'user', 'content': text}],
-            'max_tokens': 4,
-            **fields,
-        }
-        path = '/v1/chat/completions'
-        return self.call(self.entries[entry], path, message, headers)
-
-    def executions(self, text: str) -> list[dict[str, Any]]:
-        """Return what the engines began for prompts with ``text``."""
-        return [
-            each
-            for engine in self.engines
-            for each in engine.subject.executions
-            if text in each['prompt']
-        ]
-
     def close(self) -> None:
         """End everything."""
         for served in self.entries:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from tests.rig import ADMIN
+from tests.rig_calls import ADMIN
 from tests.rig_case import FORM, RigCase, job_line, upload_body
 
 CHAT = '/v1/chat/completions'
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -6,7 +6,7 @@
 from standins.faults import Fault, FaultKind
 from standins.local_fleet import YAZMAN
 from standins.waiting import wait_for
-from tests.rig import ADMIN
+from tests.rig_calls import ADMIN
 from tests.rig_case import RigCase
 from tests.served import Answer
 
--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -6,7 +6,7 @@
 
 from cactusridge import wire
 from standins.faults import Fault, FaultKind
-from tests.rig import TOKEN
+from tests.rig_calls import TOKEN
 from tests.rig_case import RigCase
 
 BREAKS = (FaultKind.lose_answer, FaultKind.cut, FaultKind.cross)
