--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,11 +29,11 @@
     WorkClass,
     parse_order,
 )
-from cactusridge.platform.table import Row
 from cactusridge.routing.candidates import Candidate, PickRequest
 from cactusridge.routing.pickers import PrefixPicker
 from cactusridge.routing.subset import choose_subset
 from cactusridge.settings.tree import Change
+from cactusridge.store.table import Row
 from standins.memory_table import MemoryTable
 from tests.memory_objects import MemoryObjects
 
--- a/bench/made_state.py
+++ b/bench/made_state.py
@@ -10,13 +10,13 @@
     ServiceReport,
     SidecarReport,
 )
-from cactusridge.platform.host_list import Host, HostState
 from cactusridge.settings.access import AccessTable, token_hash
 from cactusridge.settings.catalog import Service, ServiceCatalog
 from cactusridge.settings.schema import ServiceSettings
 from cactusridge.settings.tree import SettingsTree, Snapshot
 from cactusridge.sidecar.ledger import RunLedger
 from cactusridge.startup.models import SidecarSettings
+from cactusridge.store.host_list import Host, HostState
 
 SERVICE = '/teams/t/deployments/d/services/s'
 LOAD = ServiceReport(
--- a/cactusridge/batch/accounts.py
+++ b/cactusridge/batch/accounts.py
@@ -7,9 +7,9 @@
 from cactusridge.batch.span import ChunkResult, Span
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
-from cactusridge.platform.object_store import ObjectStore
 from cactusridge.slo.recorder import SloRecorder
 from cactusridge.slo.window import Quantity
+from cactusridge.store.object_store import ObjectStore
 
 
 class BatchAccounts:
--- a/cactusridge/batch/audit.py
+++ b/cactusridge/batch/audit.py
@@ -6,9 +6,9 @@
 
 from cactusridge.batch.span import Span
 from cactusridge.errors import NotFound
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority
 from cactusridge.slo.window import Quantity
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority
 
 
 def audit_span(objects: ObjectStore, span: Span) -> Quantity:
--- a/cactusridge/batch/chunk_output.py
+++ b/cactusridge/batch/chunk_output.py
@@ -7,8 +7,8 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import StoreUnavailable
 from cactusridge.identity import new_id
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority
 
 PAUSE_S = 0.5
 
--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -19,7 +19,7 @@
 from cactusridge.entry.policies import make_order
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
-from cactusridge.platform.table import Priority, Row, scan_all
+from cactusridge.store.table import Priority, Row, scan_all
 
 URGENT_S = 600
 SPREAD = (0.8, 1.2)
--- a/cactusridge/batch/file_store.py
+++ b/cactusridge/batch/file_store.py
@@ -8,17 +8,17 @@
 from cactusridge.batch.manifest import Manifest, decode
 from cactusridge.clock import Clock
 from cactusridge.errors import NotFound
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import (
+from cactusridge.settings.catalog import ServiceCatalog
+from cactusridge.startup.models import BatchSettings
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import (
     ABSENT,
     Condition,
     Priority,
     Table,
     Write,
 )
-from cactusridge.platform.writer import insert_once
-from cactusridge.settings.catalog import ServiceCatalog
-from cactusridge.startup.models import BatchSettings
+from cactusridge.store.writer import insert_once
 
 ID_CHARS = 32
 
--- a/cactusridge/batch/held_span.py
+++ b/cactusridge/batch/held_span.py
@@ -13,7 +13,8 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
-from cactusridge.platform.table import (
+from cactusridge.startup.models import BatchSettings
+from cactusridge.store.table import (
     ABSENT,
     Condition,
     ConditionFailed,
@@ -24,7 +25,6 @@
     WriteUnknown,
     by_key,
 )
-from cactusridge.startup.models import BatchSettings
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 2
--- a/cactusridge/batch/ingest.py
+++ b/cactusridge/batch/ingest.py
@@ -9,9 +9,9 @@
 from cactusridge.errors import TooLarge
 from cactusridge.hashing import hash64
 from cactusridge.identity import new_id
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority
 from cactusridge.startup.models import BatchSettings
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority
 
 NEWLINE = b'\n'
 MAX_LINE_BYTES = 4 * 1024 * 1024
--- a/cactusridge/batch/job_reader.py
+++ b/cactusridge/batch/job_reader.py
@@ -19,8 +19,8 @@
     span_of,
 )
 from cactusridge.clock import Clock
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority, Table, by_key
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority, Table, by_key
 
 KEYS_A_READ = 200
 
--- a/cactusridge/batch/job_store.py
+++ b/cactusridge/batch/job_store.py
@@ -20,17 +20,17 @@
 )
 from cactusridge.clock import Clock
 from cactusridge.errors import IdempotencyMismatch, NotFound
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import (
+from cactusridge.settings.catalog import Service
+from cactusridge.settings.schema import JobSettings
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import (
     ABSENT,
     Condition,
     Priority,
     Table,
     Write,
 )
-from cactusridge.platform.writer import insert_once
-from cactusridge.settings.catalog import Service
-from cactusridge.settings.schema import JobSettings
+from cactusridge.store.writer import insert_once
 
 ID_CHARS = 32
 KEYS_A_READ = 200
--- a/cactusridge/batch/span.py
+++ b/cactusridge/batch/span.py
@@ -3,7 +3,7 @@
 from typing import Any, NamedTuple
 
 from cactusridge.hashing import hash64
-from cactusridge.platform.table import Row
+from cactusridge.store.table import Row
 
 SPANS = 'spans/'
 DONE = 'done/'
--- a/cactusridge/batch/span_runner.py
+++ b/cactusridge/batch/span_runner.py
@@ -24,8 +24,8 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.orders import Fence
-from cactusridge.platform.object_store import ObjectStore
 from cactusridge.settings.catalog import Service
+from cactusridge.store.object_store import ObjectStore
 
 MIN_WINDOW = 2
 WINDOW_ITEMS = 128
--- a/cactusridge/batch/watchlist.py
+++ b/cactusridge/batch/watchlist.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from cactusridge.clock import Clock
-from cactusridge.platform.table import Row
+from cactusridge.store.table import Row
 
 MAX_WATCHED = 10_000
 
--- a/cactusridge/clock.py
+++ b/cactusridge/clock.py
@@ -28,6 +28,22 @@
         return time.time()
 
 
+class BootClock(Clock):
+    """A clock that goes on while the host is suspended.
+
+    Deadlines and leases are over when others say so, also for a process
+    that stood still meanwhile.
+    """
+
+    def monotonic(self) -> float:
+        """Return the seconds since the host was booted."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall(self) -> float:
+        """Return the Unix time of this host, in seconds."""
+        return time.time()
+
+
 class AwakeClock(Clock):
     """A clock that stands still while its process is paused.
 
--- a/cactusridge/core.py
+++ b/cactusridge/core.py
@@ -1,18 +1,17 @@
 """The daemon: reads its start settings, serves, stops gracefully."""
 
-import abc
 import signal
 
 import gevent
 import typer
 from gevent.event import Event
 
-from cactusridge import descriptors, events, logs
+from cactusridge import descriptors, logs
 from cactusridge.clock import Clock, SystemClock
 from cactusridge.entry.app import Entry
 from cactusridge.environment import Environment
 from cactusridge.exits import ExitStatus
-from cactusridge.http.server import Server
+from cactusridge.serving import Role, serve
 from cactusridge.sidecar.app import Sidecar
 from cactusridge.startup.loader import BadStartSettings, load_file
 from cactusridge.startup.models import (
@@ -24,26 +23,6 @@
 TICK_S = 0.1
 
 
-class Role(abc.ABC):
-    """What the daemon runs."""
-
-    @abc.abstractmethod
-    def application(self) -> object:
-        """Return the WSGI application."""
-
-    @abc.abstractmethod
-    def start(self) -> None:
-        """Start the greenlets."""
-
-    @abc.abstractmethod
-    def begin_drain(self) -> None:
-        """Fail readiness."""
-
-    @abc.abstractmethod
-    def finish(self, bound_s: float) -> None:
-        """End background work within ``bound_s``."""
-
-
 class EntryRole(Role):
     """Runs an entry."""
 
@@ -105,35 +84,12 @@
     raise TypeError(cfg)
 
 
-def serve(cfg: CommonSettings, stop: Event) -> ExitStatus:
-    """Serve until ``stop`` is set, then drain; return how it ended."""
+def serve_as(cfg: CommonSettings, stop: Event) -> ExitStatus:
+    """Serve the role that ``cfg`` is for until ``stop`` is set."""
     logs.configure(cfg.log.style)
     logs.bind(address=str(cfg.address), zone=cfg.zone)
     descriptors.allow_many()
-    role = make_role(cfg, SystemClock())
-    role.start()
-    server = Server(cfg.address, role.application(), cfg.idle_timeout_s)
-    server.start()
-    logs.emit(events.LISTENING)
-    stop.wait()
-    return drain(cfg, role, server)
-
-
-def drain(cfg: CommonSettings, role: Role, server: Server) -> ExitStatus:
-    """Stop without cutting a request."""
-    logs.emit(events.DRAIN_BEGUN, active=server.active)
-    role.begin_drain()
-    # From now on each reply says that the connection closes.
-    server.draining = True
-    finishing = gevent.spawn(role.finish, cfg.drain_timeout_s)
-    # The balancer and the entries need a moment to see it; until then
-    # requests are still taken.
-    gevent.sleep(cfg.readiness_delay_s)
-    ended = server.drain(cfg.drain_timeout_s)
-    finishing.join(cfg.drain_timeout_s)
-    logs.emit(events.DRAIN_ENDED, active=server.active)
-    clean = ended and finishing.ready()
-    return ExitStatus.success if clean else ExitStatus.drain_timeout
+    return serve(cfg, make_role(cfg, SystemClock()), stop)
 
 
 def report_mistakes(env: Environment, exc: BadStartSettings) -> None:
@@ -159,7 +115,7 @@
         stop = Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, stop.set)
-        raise typer.Exit(serve(cfg, stop))
+        raise typer.Exit(serve_as(cfg, stop))
 
     @app.command()
     def entry(path: str) -> None:  # noqa: WPS430
--- /dev/null
+++ b/cactusridge/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Placing requests directly at upstreams, with what entries know."""
--- /dev/null
+++ b/cactusridge/dispatch/loads.py
@@ -0,0 +1,117 @@
+"""How many requests are at each replica: this entry's and its peers'."""
+
+import contextlib
+import enum
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from cactusridge.clock import Clock
+
+# A peer repeats its counts every half second; three repeats lost in a
+# row are a peer that is gone or cut off.
+PEER_SILENCE_S = 1.6
+
+
+class WorkKind(enum.StrEnum):
+    """Whether somebody waits for the answer on screen."""
+
+    online = 'online'
+    batch = 'batch'
+
+
+class Load(NamedTuple):
+    """Requests at one replica, in flight or waiting there."""
+
+    online: int = 0
+    batch: int = 0
+
+    @property
+    def total(self) -> int:
+        """All requests at the replica."""
+        return self.online + self.batch
+
+
+class PeerLoads(NamedTuple):
+    """A peer's counts by replica id and when they were received."""
+
+    loads: dict[str, Load]
+    heard_at: float
+
+
+NO_LOAD = Load()
+
+
+class LoadTable:
+    """Counts requests at replicas over all entries that can be heard."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with no request anywhere."""
+        self._clock = clock
+        self._own: dict[WorkKind, Counter[str]] = {
+            kind: Counter() for kind in WorkKind
+        }
+        self._peers: dict[str, PeerLoads] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after every change of this entry's counts."""
+        self._listeners.append(listener)
+
+    @contextlib.contextmanager
+    def running(self, replica_id: str, kind: WorkKind) -> Iterator[None]:
+        """Count one request of this entry at a replica while it lasts."""
+        counts = self._own[kind]
+        counts[replica_id] += 1
+        self._tell()
+        try:
+            yield
+        finally:
+            self._end(counts, replica_id)
+
+    def own(self, replica_id: str) -> Load:
+        """Return this entry's requests at a replica."""
+        return Load(
+            self._own[WorkKind.online][replica_id],
+            self._own[WorkKind.batch][replica_id],
+        )
+
+    def all_own(self) -> dict[str, Load]:
+        """Return this entry's requests by replica."""
+        ids = set().union(*self._own.values())
+        return {replica_id: self.own(replica_id) for replica_id in ids}
+
+    def heard(self, peer: str, loads: dict[str, Load]) -> None:
+        """Take a peer's counts."""
+        self._peers[peer] = PeerLoads(loads, self._clock.monotonic())
+
+    def forget(self, peer: str) -> None:
+        """Drop a peer that said it stops."""
+        self._peers.pop(peer, None)
+
+    def peers_at(self, replica_id: str) -> dict[str, Load]:
+        """Return the counts at a replica of each peer that is heard."""
+        oldest = self._clock.monotonic() - PEER_SILENCE_S
+        return {
+            peer: said.loads[replica_id]
+            for peer, said in self._peers.items()
+            if said.heard_at >= oldest and replica_id in said.loads
+        }
+
+    def at(self, replica_id: str) -> Load:
+        """Return the requests of all entries at a replica."""
+        loads = [self.own(replica_id), *self.peers_at(replica_id).values()]
+        return Load(
+            sum(load.online for load in loads),
+            sum(load.batch for load in loads),
+        )
+
+    def _end(self, counts: Counter[str], replica_id: str) -> None:
+        counts[replica_id] -= 1
+        if not counts[replica_id]:
+            counts.pop(replica_id)
+        self._tell()
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/cactusridge/dispatch/placement.py
@@ -0,0 +1,82 @@
+"""Which replica a request goes to, and when it is refused instead.
+
+Answers a load that exceeds the slots for a second or more, with requests
+that hold a slot for about a second each. A replica admits in order of
+arrival, so what is sent to a full one waits behind what is there.
+"""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from cactusridge.dispatch.loads import Load
+from cactusridge.dispatch.replica import Replica
+
+# Until a service has answered something: seconds a request holds a slot.
+FIRST_GUESS_S = 0.5
+# Weight of the newest request in the mean time that one holds a slot.
+HOLD_WEIGHT = 0.05
+# Share of the wait up to which an answer is on time that may be spent in
+# the replica's queue. The rest is prefill, the network and the error of
+# the estimate, which is one slot's release.
+QUEUE_SHARE = 0.7
+MIN_RETRY_S = 0.05
+
+
+class Choice(NamedTuple):
+    """A replica that may be chosen and what is there now."""
+
+    replica: Replica
+    load: Load
+
+
+class HoldTime:
+    """The mean time a request holds a slot, in seconds."""
+
+    def __init__(self) -> None:
+        """Start from a guess."""
+        self.mean_s = FIRST_GUESS_S
+
+    def ended(self, held_s: float) -> None:
+        """Take in one request that held a slot for ``held_s``."""
+        self.mean_s += HOLD_WEIGHT * (held_s - self.mean_s)
+
+
+def expected_wait_s(choice: Choice, hold_s: float) -> float:
+    """Return how long an online request would wait for a slot.
+
+    Batch requests do not count: they yield to it. With ``slots`` in use
+    one comes free every ``hold_s / slots`` seconds.
+    """
+    ahead = choice.load.online - choice.replica.slots + 1
+    return max(0, ahead) * hold_s / max(1, choice.replica.slots)
+
+
+def choose(
+    choices: Sequence[Choice],
+    zone: str,
+    rng: random.Random,
+) -> Choice:
+    """Return the choice with the least online work by its slots.
+
+    Among equals the one with the fewest requests in all, so that batch
+    work is disturbed last; then one in ``zone``, since bytes between
+    availability zones cost; then any, so that entries do not all pick
+    the same.
+    """
+    ranked = [
+        (
+            max(0, choice.load.online - choice.replica.slots + 1),
+            choice.load.total / max(1, choice.replica.slots),
+            choice.replica.zone != zone,
+            rng.random(),
+            number,
+        )
+        for number, choice in enumerate(choices)
+    ]
+    return choices[min(ranked)[-1]]
+
+
+def retry_after_s(wait_s: float, aim_s: float) -> float:
+    """Return when a refused request has a chance to start in time."""
+    return max(MIN_RETRY_S, wait_s - QUEUE_SHARE * aim_s)
--- /dev/null
+++ b/cactusridge/dispatch/run.py
@@ -0,0 +1,132 @@
+"""One request at one replica, counted as load while it lasts."""
+
+import contextlib
+
+from cactusridge import metrics
+from cactusridge.clock import Clock
+from cactusridge.dispatch.loads import LoadTable, WorkKind
+from cactusridge.dispatch.placement import HoldTime
+from cactusridge.dispatch.replica import Replica
+from cactusridge.dispatch.upstream import (
+    Exchange,
+    Upstream,
+    UpstreamHead,
+    UpstreamRequest,
+    UpstreamSilent,
+)
+from cactusridge.errors import CactusridgeError, CrossedReply, Refused
+from cactusridge.routing.outliers import OutlierDetector
+
+SERVER_FAULT = 500
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+
+
+def is_success(status: int) -> bool:
+    """Tell whether ``status`` says that the request was served."""
+    return FIRST_SUCCESS <= status < FIRST_REDIRECT
+
+
+class NotRun(Refused):
+    """The replica said that it did not run the request."""
+
+    code = 'not_run'
+
+
+class Run:
+    """A request under way; ``close`` ends it wherever it is."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        exchange: Exchange,
+        runner: 'Runner',
+        stack: contextlib.ExitStack,
+    ) -> None:
+        """Read from ``exchange``; ``stack`` is what closing undoes."""
+        self.replica = replica
+        self.exchange = exchange
+        self._runner = runner
+        self._stack = stack
+
+    def head(self, wait_s: float) -> UpstreamHead:
+        """Return a head that is this request's; raise NotRun and others."""
+        try:
+            head = self.exchange.head(wait_s)
+        except UpstreamSilent:
+            raise
+        except CactusridgeError:
+            self.failed()
+            raise
+        if head.wrong_one or head.not_run:
+            if head.wrong_one:
+                self.failed()
+            raise NotRun(f'{self.replica.id} answered {head.status}')
+        if is_success(head.status) and not head.genuine:
+            self.failed()
+            raise CrossedReply(f'{self.replica.id} did not sign its answer')
+        if head.status >= SERVER_FAULT:
+            self.failed()
+        else:
+            self._runner.health.succeeded(self.replica.id, 0)
+        return head
+
+    def read(self, wait_s: float) -> bytes:
+        """Return the next bytes of the answer, nothing at its end."""
+        try:
+            return self.exchange.read(wait_s)
+        except UpstreamSilent:
+            raise
+        except CactusridgeError:
+            self.failed()
+            raise
+
+    def failed(self) -> None:
+        """Note that the replica failed this request."""
+        self._runner.health.failed(self.replica.id)
+
+    def close(self) -> None:
+        """End the request; its replica stops if it is still at work."""
+        self._stack.close()
+
+
+class Runner:
+    """Opens runs and keeps what they teach of replicas and services."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        loads: LoadTable,
+        health: OutlierDetector,
+        clock: Clock,
+    ) -> None:
+        """Send through ``upstream``, count in ``loads``."""
+        self.loads = loads
+        self.health = health
+        self.clock = clock
+        self._upstream = upstream
+        self._hold: dict[str, HoldTime] = {}
+
+    def hold(self, service: str) -> HoldTime:
+        """Return how long online requests of a service hold a slot."""
+        return self._hold.setdefault(service, HoldTime())
+
+    def open(
+        self,
+        replica: Replica,
+        req: UpstreamRequest,
+        kind: WorkKind,
+        left_s: float,
+    ) -> Run:
+        """Send a request; raise ConnectFailed or OutcomeUnknown."""
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.loads.running(replica.id, kind))
+            try:
+                exchange = self._upstream.send(replica, req, left_s)
+            except CactusridgeError:
+                self.health.failed(replica.id)
+                raise
+            metrics.ATTEMPTS.inc({'service': replica.service})
+            stack.callback(exchange.close)
+            return Run(replica, exchange, self, stack.pop_all())
+        raise AssertionError('unreachable')
--- a/cactusridge/entry/building.py
+++ b/cactusridge/entry/building.py
@@ -12,10 +12,6 @@
 from cactusridge.entry.parts import Parts
 from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.http.client import parse_address
-from cactusridge.platform.host_list import HttpHostList
-from cactusridge.platform.http_table import HttpTable
-from cactusridge.platform.link import PlatformLink
-from cactusridge.platform.object_store import HttpObjectStore
 from cactusridge.settings.access import AccessTable
 from cactusridge.settings.catalog import ServiceCatalog
 from cactusridge.settings.schema import ObjectiveSettings
@@ -24,6 +20,10 @@
 from cactusridge.slo.burn_watch import BurnWatch
 from cactusridge.slo.recorder import SloRecorder
 from cactusridge.startup.models import EntrySettings
+from cactusridge.store.host_list import HttpHostList
+from cactusridge.store.http_table import HttpTable
+from cactusridge.store.link import PlatformLink
+from cactusridge.store.object_store import HttpObjectStore
 
 NAME_BYTES = 4
 
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/entry/fleet.py
@@ -15,11 +15,11 @@
 from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, parse_address
 from cactusridge.orders import SidecarReport
-from cactusridge.platform.host_list import Host, HostList
 from cactusridge.routing.membership import Belief
 from cactusridge.routing.subset import choose_subset
 from cactusridge.settings.tree import SettingsTree
 from cactusridge.startup.models import EntrySettings
+from cactusridge.store.host_list import Host, HostList
 
 SIDECAR = 'sidecar'
 ENTRY = 'entry'
--- a/cactusridge/entry/parts.py
+++ b/cactusridge/entry/parts.py
@@ -10,14 +10,14 @@
 from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import NotFound
 from cactusridge.http.exchange import Req
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Table
 from cactusridge.settings.access import AccessTable
 from cactusridge.settings.catalog import ServiceCatalog
 from cactusridge.settings.store import SettingsStore
 from cactusridge.settings.tree import SettingsTree
 from cactusridge.slo.recorder import SloRecorder
 from cactusridge.startup.models import EntrySettings
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Table
 
 
 class Parts(NamedTuple):
--- a/cactusridge/entry/peer_host.py
+++ b/cactusridge/entry/peer_host.py
@@ -5,8 +5,8 @@
 from cactusridge.entry.replica import Replica
 from cactusridge.http.client import Address
 from cactusridge.orders import SidecarReport
-from cactusridge.platform.host_list import Host, HostState
 from cactusridge.routing.membership import Belief, Evidence, judge
+from cactusridge.store.host_list import Host, HostState
 
 
 class SidecarHost:
--- a/cactusridge/http/exchange.py
+++ b/cactusridge/http/exchange.py
@@ -12,6 +12,10 @@
 from cactusridge.http.readable import is_readable
 
 SOCKET_KEY = 'cactusridge.socket'
+# The request target and the headers as they came: the WSGI environment
+# has the path unquoted and repeated headers joined.
+TARGET_KEY = 'cactusridge.target'
+HEADERS_KEY = 'cactusridge.headers'
 JSON_TYPE = 'application/json'
 HEADER_PREFIX = 'HTTP_'
 READ_BLOCK = 65536
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 
 from cactusridge import events, logs
-from cactusridge.http.exchange import SOCKET_KEY
+from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
 from cactusridge.http.unreadable import refusal
 
 SILENT_LOG = None
@@ -32,6 +32,8 @@
         """Return the WSGI environment, with the socket to watch."""
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[TARGET_KEY] = self.path
+        environ[HEADERS_KEY] = list(self.headers.items())
         return environ
 
     def handle_one_request(self) -> Any:
--- /dev/null
+++ b/cactusridge/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs whose items entries run directly at upstreams."""
--- /dev/null
+++ b/cactusridge/jobs/ledger.py
@@ -0,0 +1,338 @@
+"""The ledger of batch jobs: rows of the store under conditions.
+
+A job's rows share a part of their tables, so that one transaction covers
+them. Every write of a holder depends on the version of the progress row,
+which a take-over changes: a holder that has lost the job cannot list a
+result, whatever it believes.
+"""
+
+import contextlib
+from collections.abc import Iterable, Sequence
+from typing import Any, NamedTuple
+
+import gevent
+
+from cactusridge import events, logs, wire
+from cactusridge.clock import Clock
+from cactusridge.errors import (
+    CactusridgeError,
+    NotFound,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+from cactusridge.identity import new_id
+from cactusridge.jobs.keys import (
+    head_key,
+    payload_prefix,
+    progress_key,
+    result_prefix,
+)
+from cactusridge.jobs.model import (
+    ItemState,
+    JobHead,
+    JobItem,
+    JobState,
+    Progress,
+    Result,
+    head_of,
+    head_value,
+)
+from cactusridge.store.table import (
+    ABSENT,
+    Condition,
+    ConditionFailed,
+    Priority,
+    Row,
+    Table,
+    Write,
+    WriteUnknown,
+)
+from cactusridge.store.writer import insert_once
+
+# Characters of JSON text in one row; the store's rows hold 65,536 bytes,
+# and a character may take four.
+PIECE_CHARS = 16_000
+# Results in one transaction; of at most some 23 KB each they stay well
+# under a transaction's megabyte and hundred rows.
+MAX_COMMIT = 20
+TRIES = 8
+PAUSE_S = 0.15
+# Results in one answer to a reader.
+PAGE_RESULTS = 30
+
+
+class HoldLost(CactusridgeError):
+    """Another entry holds the job now."""
+
+    status = 409
+    code = 'hold_lost'
+
+
+class ItemEnd(NamedTuple):
+    """An item that ended, by its index in the job."""
+
+    index: int
+    result: Result
+
+
+class JobLedger:
+    """Accepts, takes, commits, ends and reads jobs."""
+
+    def __init__(self, table: Table, clock: Clock) -> None:
+        """Keep everything in ``table``."""
+        self._table = table
+        self._clock = clock
+
+    def accept(
+        self,
+        head: JobHead,
+        items: Sequence[JobItem],
+    ) -> JobHead:
+        """Store a job; return its head, which may be that of a resend.
+
+        Raises StoreUnavailable if nothing was stored, OutcomeUnknown if
+        that could not be found out.
+        """
+        write_id = new_id('w', self._clock)
+        writes = [
+            Write(head_key(head.id), head_value(head)),
+            Write(progress_key(head.id), progress_value([], {}, write_id)),
+            *_pieces(payload_prefix(head.id), _packed_items(items)),
+        ]
+        condition = Condition(head_key(head.id), ABSENT)
+        insert_once(self._table, [condition], writes)
+        return self.head(head.id)
+
+    def head(self, job_id: str) -> JobHead:
+        """Return a job's head; raise NotFound, StoreUnavailable."""
+        row = self._table.read([head_key(job_id)], Priority.acceptance)[0]
+        if row.value is None:
+            raise NotFound(f'no job {job_id}')
+        return head_of(job_id, row.value, row.version)
+
+    def progress(self, job_id: str) -> Progress:
+        """Return what is committed of a job."""
+        row = self._table.read([progress_key(job_id)], Priority.lease)[0]
+        if row.value is None:
+            raise NotFound(f'no job {job_id}')
+        return Progress(version=row.version, **row.value)
+
+    def items(self, job_id: str) -> list[JobItem]:
+        """Return the items of a job; raise NotFound."""
+        rows = self._table.scan(payload_prefix(job_id), Priority.commit)
+        text = ''.join(row.value['text'] for row in rows if row.value)
+        if not text:
+            raise NotFound(f'no job {job_id}')
+        return [JobItem(*fields) for fields in wire.decode(text.encode())]
+
+    def take(self, head: JobHead, holder: str, life: str) -> JobHead:
+        """Become the holder; raise HoldLost if another was faster."""
+        progress = self.progress(head.id)
+        taken = head._replace(holder=holder, life=life)
+        write_id = new_id('w', self._clock)
+        raw = progress_value(progress.listed, progress.failures, write_id)
+        self._write(
+            [
+                Condition(head_key(head.id), head.version),
+                Condition(progress_key(head.id), progress.version),
+            ],
+            [
+                Write(head_key(head.id), head_value(taken)),
+                Write(progress_key(head.id), raw),
+            ],
+            (progress_key(head.id), write_id),
+        )
+        return self.head(head.id)
+
+    def release(self, head: JobHead) -> None:
+        """Let any other entry take the job; raise HoldLost."""
+        self._put_head(head._replace(holder='', life=''))
+
+    def commit(
+        self,
+        job_id: str,
+        progress: Progress,
+        ended: Sequence[ItemEnd],
+        failures: dict[str, int],
+    ) -> Progress:
+        """List results after those that are listed; raise HoldLost.
+
+        Raises StoreUnavailable or OutcomeUnknown if it has to be tried
+        again, with the same results in the same order.
+        """
+        write_id = new_id('w', self._clock)
+        listed = [*progress.listed, *(end.index for end in ended)]
+        first = len(progress.listed)
+        writes = [
+            Write(
+                progress_key(job_id),
+                progress_value(listed, failures, write_id),
+            ),
+        ]
+        for position, end in enumerate(ended, first):
+            writes.extend(_result_rows(job_id, position, end.result))
+        version = self._write(
+            [Condition(progress_key(job_id), progress.version)],
+            writes,
+            (progress_key(job_id), write_id),
+        )
+        return Progress(listed, failures, write_id, version)
+
+    def end(self, job_id: str) -> JobHead:
+        """End a job; repeating it is harmless. Raises NotFound."""
+        for _ in range(TRIES):
+            head = self.head(job_id)
+            if head.state == JobState.ended:
+                return head
+            # Where its holder changes meanwhile the newer row counts.
+            with contextlib.suppress(HoldLost):
+                return self._put_head(head._replace(state=JobState.ended))
+        raise OutcomeUnknown('the job changes too fast', retry_after_s=1)
+
+    def close(self, head: JobHead) -> JobHead:
+        """Note that every item of the job is listed."""
+        return self._put_head(head._replace(state=JobState.closed))
+
+    def results(self, job_id: str, after: int) -> list[Result]:
+        """Return results from position ``after`` on, one if there is one."""
+        prefix = result_prefix(job_id)
+        start = f'{prefix}{after - 1:06}~' if after else ''
+        rows = self._table.scan(prefix, Priority.report, start, PAGE_RESULTS)
+        if len(rows) == PAGE_RESULTS:
+            rows = _without_last_result(rows)
+        return list(_results(rows))
+
+    def _put_head(self, head: JobHead) -> JobHead:
+        """Write a head over the version that it was read with."""
+        version = self._write(
+            [Condition(head_key(head.id), head.version)],
+            [Write(head_key(head.id), head_value(head))],
+            None,
+        )
+        return head._replace(version=version)
+
+    def _write(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        mark: tuple[str, str] | None,
+    ) -> int:
+        """Write under conditions, again while the outcome is unknown.
+
+        ``mark`` is the key of a row and the write id put there: if a
+        repeat finds the condition broken, it tells whether an earlier
+        try of this very write broke it.
+        """
+        try:
+            return self._table.transact(conditions, writes, Priority.commit)
+        except ConditionFailed as exc:
+            raise HoldLost(str(exc)) from exc
+        except WriteUnknown:
+            return self._write_again(conditions, writes, mark)
+
+    def _write_again(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        mark: tuple[str, str] | None,
+    ) -> int:
+        """Repeat a write whose outcome is unknown until it is known."""
+        for _ in range(TRIES):
+            gevent.sleep(PAUSE_S)
+            # Neither says what became of the earlier try.
+            with contextlib.suppress(WriteUnknown, StoreUnavailable):
+                return self._repeat(conditions, writes, mark)
+        raise OutcomeUnknown('the store did not say', retry_after_s=PAUSE_S)
+
+    def _repeat(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        mark: tuple[str, str] | None,
+    ) -> int:
+        try:
+            return self._table.transact(conditions, writes, Priority.commit)
+        except ConditionFailed as exc:
+            return self._version_if_mine(writes, mark, exc)
+
+    def _version_if_mine(
+        self,
+        writes: Sequence[Write],
+        mark: tuple[str, str] | None,
+        exc: ConditionFailed,
+    ) -> int:
+        key, write_id = mark or (writes[0].key, '')
+        row = self._table.read([key], Priority.lease)[0]
+        found = row.value or {}
+        mine = (
+            found.get('write_id') == write_id
+            if mark
+            else (found == writes[0].value)
+        )
+        if not mine:
+            raise HoldLost(str(exc)) from exc
+        logs.emit(events.WRITE_RESOLVED, key=key)
+        return row.version
+
+
+def progress_value(
+    listed: list[int],
+    failures: dict[str, int],
+    write_id: str,
+) -> dict[str, Any]:
+    """Return progress as its row's value."""
+    return {'listed': listed, 'failures': failures, 'write_id': write_id}
+
+
+def _packed_items(items: Sequence[JobItem]) -> str:
+    return wire.encode([list(item) for item in items]).decode()
+
+
+def _cut(text: str) -> list[str]:
+    """Return ``text`` in pieces that fit a row, one at least."""
+    starts = range(0, max(1, len(text)), PIECE_CHARS)
+    return [text[start : start + PIECE_CHARS] for start in starts]
+
+
+def _pieces(prefix: str, text: str) -> list[Write]:
+    return [
+        Write(f'{prefix}{number:04}', {'text': piece})
+        for number, piece in enumerate(_cut(text))
+    ]
+
+
+def _result_rows(
+    job_id: str,
+    position: int,
+    result: Result,
+) -> Iterable[Write]:
+    """Yield the rows of a result; all but the first only go on its output."""
+    first, *others = _cut(result.output)
+    key = f'{result_prefix(job_id)}{position:06}'
+    yield Write(
+        key,
+        {'id': result.id, 'state': result.state, 'output': first},
+    )
+    for number, piece in enumerate(others):
+        yield Write(f'{key}.{number:04}', {'more': piece})
+
+
+def _without_last_result(rows: list[Row]) -> list[Row]:
+    """Drop the last result, whose rows may not all be on the page."""
+    firsts = [
+        number for number, row in enumerate(rows) if 'id' in (row.value or {})
+    ]
+    return rows[: firsts[-1]] if len(firsts) > 1 else rows
+
+
+def _results(rows: Iterable[Row]) -> Iterable[Result]:
+    """Yield the results in rows that are sorted by key."""
+    found: list[dict[str, Any]] = []
+    for row in rows:
+        raw = row.value or {}
+        if 'id' in raw:
+            found.append({**raw})
+        elif found:
+            found[-1]['output'] += raw.get('more', '')
+    for fields in found:
+        yield Result(fields['id'], ItemState(fields['state']), fields['output'])
--- /dev/null
+++ b/cactusridge/jobs/session.py
@@ -0,0 +1,146 @@
+"""Which entries live, by rows that each renews in the store."""
+
+import secrets
+from typing import Any, NamedTuple
+
+from cactusridge import events, logs
+from cactusridge.clock import Clock
+from cactusridge.errors import CactusridgeError, StoreUnavailable
+from cactusridge.store.table import Priority, Row, Table, Write, WriteUnknown
+
+PREFIX = 'members//'
+# Renewals and readings, one of each a second and entry: two of the
+# store's calls, of some thousands a second.
+RENEW_S = 1.0
+# An entry whose row has not changed for this long is taken for dead: two
+# lost renewals and the time to read a third.
+LEASE_S = 3.2
+# A holder sends nothing more this long before others may take its jobs.
+MARGIN_S = 0.7
+
+
+class Member(NamedTuple):
+    """An entry as its row has it; ``life`` is its process's incarnation."""
+
+    name: str
+    life: str
+    host: str
+    port: int
+    zone: str
+
+
+class Seen(NamedTuple):
+    """A member's row version and when it was first read."""
+
+    member: Member
+    version: int
+    seen_at: float
+
+
+class Session:
+    """Renews this entry's row and watches the others'."""
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        name: str,
+        address: tuple[str, int],
+        zone: str,
+    ) -> None:
+        """Live as ``name``; peers reach this entry at ``address``."""
+        self.me = Member(name, secrets.token_hex(8), *address, zone)
+        self.renewed_at: float | None = None
+        self._table = table
+        self._clock = clock
+        self._seen: dict[str, Seen] = {}
+        self._read_at: float | None = None
+
+    def step(self) -> None:
+        """Renew and read once; the store may be away."""
+        try:
+            self._renew()
+            self._read()
+        except (StoreUnavailable, WriteUnknown) as exc:
+            # Nothing can be said of rows that could not be read: the
+            # silence of the others is counted from the next reading.
+            self._read_at = None
+            logs.emit(events.RENEWAL_FAILED, error=str(exc))
+
+    def may_dispatch(self) -> bool:
+        """Tell whether no other entry can have taken this one's jobs."""
+        if self.renewed_at is None:
+            return False
+        held_s = self._clock.monotonic() - self.renewed_at
+        return held_s < LEASE_S - MARGIN_S
+
+    def members(self) -> list[Member]:
+        """Return the entries that live, this one among them."""
+        now = self._clock.monotonic()
+        others = [
+            seen.member
+            for seen in self._seen.values()
+            if seen.member.name != self.me.name and now - seen.seen_at < LEASE_S
+        ]
+        return [self.me, *others]
+
+    def lives(self, name: str, life: str) -> bool:
+        """Tell whether a holder may still be at work.
+
+        Before the first reading everybody may be.
+        """
+        if name == self.me.name:
+            return life == self.me.life
+        if self._read_at is None:
+            return True
+        seen = self._seen.get(name)
+        if seen is None or seen.member.life != life:
+            return False
+        return self._clock.monotonic() - seen.seen_at < LEASE_S
+
+    def leave(self) -> None:
+        """Remove this entry's row, so that nobody waits for its lease."""
+        write = Write(f'{PREFIX}{self.me.name}', None)
+        self._table.transact([], [write], Priority.lease)
+
+    def _renew(self) -> None:
+        sent_at = self._clock.monotonic()
+        raw = {**self.me._asdict(), 'beat': secrets.token_hex(4)}
+        write = Write(f'{PREFIX}{self.me.name}', raw)
+        self._table.transact([], [write], Priority.lease)
+        self.renewed_at = sent_at
+
+    def _read(self) -> None:
+        rows = self._table.scan(PREFIX, Priority.lease)
+        now = self._clock.monotonic()
+        anew = self._read_at is None
+        self._seen = {
+            row.key.removeprefix(PREFIX): self._note(row, now, anew)
+            for row in rows
+            if row.value is not None
+        }
+        self._read_at = now
+
+    def _note(self, row: Row, now: float, anew: bool) -> Seen:
+        known = self._seen.get(row.key.removeprefix(PREFIX))
+        if known is None or anew or known.version != row.version:
+            return Seen(_member(row.value or {}), row.version, now)
+        return known
+
+
+def _member(raw: dict[str, Any]) -> Member:
+    return Member(
+        raw['name'],
+        raw['life'],
+        raw['host'],
+        raw['port'],
+        raw['zone'],
+    )
+
+
+def ignore_store_errors(action: Any) -> None:
+    """Do something that may fail with the store; say so if it does."""
+    try:
+        action()
+    except CactusridgeError as exc:
+        logs.emit(events.RENEWAL_FAILED, error=str(exc))
--- a/cactusridge/platform/__init__.py
+++ b/cactusridge/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: table service, object store, host list."""
+"""Translation between the product and the machines' platform."""
--- /dev/null
+++ b/cactusridge/platform/__main__.py
@@ -0,0 +1,42 @@
+"""Starts an entry on a machine of the platform."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import os
+import signal
+import sys
+
+import gevent
+from gevent.event import Event
+
+from cactusridge import descriptors, logs
+from cactusridge.exits import ExitStatus
+from cactusridge.platform.role import DirectEntry
+from cactusridge.serving import serve
+from cactusridge.startup.loader import BadStartSettings, load_file
+
+# The platform names the settings file in this variable.
+SETTINGS_VARIABLE = 'CACTUSRIDGE_CONFIG'
+
+
+def run() -> ExitStatus:
+    """Serve until the platform says to stop."""
+    try:
+        cfg = load_file(os.environ[SETTINGS_VARIABLE], 'direct_entry')
+    except BadStartSettings as exc:
+        for mistake in exc.exceptions:
+            sys.stderr.write(f'cactusridge: {mistake}\n')
+        return ExitStatus.bad_settings
+    logs.configure(cfg.log.style, sys.stdout)
+    logs.bind(host=cfg.name)
+    descriptors.allow_many()
+    stop = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop.set)
+    return serve(cfg, DirectEntry(cfg), stop)
+
+
+if __name__ == '__main__':
+    sys.exit(run())
--- /dev/null
+++ b/cactusridge/platform/caller_app.py
@@ -0,0 +1,144 @@
+"""The WSGI application that the platform's clients reach."""
+
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+from cactusridge import events, logs, metrics
+from cactusridge.clock import Clock
+from cactusridge.dispatch.catalog import Route, RouteKind
+from cactusridge.dispatch.online import OnlineCall, OnlineDispatcher
+from cactusridge.dispatch.upstream import UpstreamRequest
+from cactusridge.errors import (
+    CactusridgeError,
+    Draining,
+    NotFound,
+    TooLarge,
+)
+from cactusridge.http.exchange import SOCKET_KEY, Reply
+from cactusridge.platform.caller_request import CallerRequest
+from cactusridge.platform.caller_watch import SocketWatch
+from cactusridge.platform.errors import failure_reply
+from cactusridge.platform.job_calls import JobCalls
+from cactusridge.platform.operator import CatalogHolder
+
+# A process that has just started knows its configuration within this
+# time, in seconds, unless the store is away.
+UNCONFIGURED_RETRY_S = 0.3
+CLOSE = ('Connection', 'close')
+
+
+class NotConfigured(Draining):
+    """This process knows no configuration yet."""
+
+    code = 'not_configured'
+
+
+class CallerApp:
+    """Routes the requests of clients by the configuration in force."""
+
+    def __init__(
+        self,
+        holder: CatalogHolder,
+        online: OnlineDispatcher,
+        jobs: JobCalls,
+        clock: Clock,
+    ) -> None:
+        """Answer with ``online`` and ``jobs``."""
+        self._holder = holder
+        self._online = online
+        self._jobs = jobs
+        self._clock = clock
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Serve one request, as WSGI has it."""
+        arrived_at = self._clock.monotonic()
+        try:
+            reply = self._answer(environ, arrived_at)
+        except CactusridgeError as exc:
+            reply = self._refusal(exc)
+        except Exception as exc:
+            logs.emit(events.INTERNAL_ERROR, error=repr(exc))
+            reply = failure_reply(CactusridgeError(repr(exc)))
+        start_response(_status_line(reply.status), reply.headers)
+        return reply.body
+
+    def _answer(self, environ: dict[str, Any], arrived_at: float) -> Reply:
+        catalog = self._holder.catalog
+        call = CallerRequest(environ, catalog.limits)
+        if not self._holder.known:
+            raise NotConfigured(retry_after_s=UNCONFIGURED_RETRY_S)
+        if self._jobs.handles(call):
+            return self._jobs.answer(call)
+        route = catalog.match(call.host, call.path)
+        if route is None:
+            raise NotFound(f'no route for {call.host}{call.path}')
+        if route.kind == RouteKind.batch:
+            return self._jobs.submit(call, route)
+        return self._serve(environ, call, route, arrived_at)
+
+    def _serve(
+        self,
+        environ: dict[str, Any],
+        call: CallerRequest,
+        route: Route,
+        arrived_at: float,
+    ) -> Reply:
+        left_s = min(call.time_left_s(route.timeout_s), route.timeout_s)
+        body = call.body()
+        watch = SocketWatch(environ[SOCKET_KEY])
+        req = UpstreamRequest(
+            call.id,
+            call.method,
+            call.target,
+            call.headers,
+            body,
+        )
+        online_call = OnlineCall(
+            req,
+            route,
+            arrived_at,
+            arrived_at + left_s,
+            watch,
+        )
+        try:
+            answer = self._online.answer(online_call)
+        except BaseException:
+            watch.stop()
+            raise
+        if isinstance(answer.body, list):
+            watch.stop()
+            return Reply(answer.status, answer.headers, answer.body)
+        body_parts = self._watched(answer.body, watch)
+        return Reply(answer.status, answer.headers, body_parts)
+
+    def _watched(
+        self,
+        parts: Iterator[bytes],
+        watch: SocketWatch,
+    ) -> Iterator[bytes]:
+        """Yield the parts of a stream; watch the caller to its end."""
+        try:
+            yield from parts
+        finally:
+            watch.stop()
+
+    def _refusal(self, exc: CactusridgeError) -> Reply:
+        metrics.REFUSALS.inc({'code': exc.code})
+        reply = failure_reply(exc)
+        malformed = reply.status == HTTPStatus.BAD_REQUEST
+        if malformed or isinstance(exc, TooLarge):
+            # The rest of the body cannot be told from a next request.
+            reply.headers.append(CLOSE)
+        return reply
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f'{status} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unknown'
--- /dev/null
+++ b/cactusridge/platform/connections.py
@@ -0,0 +1,116 @@
+"""Kept connections to replicas, each used by one request at a time."""
+
+import collections
+import re
+import socket as std_socket
+from typing import NamedTuple
+
+from gevent import socket
+
+from cactusridge.clock import Clock
+from cactusridge.dispatch.upstream import ConnectFailed
+from cactusridge.http.client import Address
+from cactusridge.http.readable import is_readable
+
+# Far over the way to any zone and back (under 10 ms), and short enough
+# that another replica can still answer in time (aims from 100 ms).
+CONNECT_TIMEOUT_S = 0.25
+# A replica that names no time-out closes idle connections when it likes.
+UNSTATED_IDLE_S = 2
+# Sending on a connection that its replica is closing loses the request.
+IDLE_MARGIN_S = 1
+MAX_IDLE_S = 8
+# Bytes that stay unacknowledged for longer mean that the way is cut.
+UNACKED_TIMEOUT_MS = 2000
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+STATED_IDLE = re.compile(r'timeout\s*=\s*(\d+)')
+
+
+class Idle(NamedTuple):
+    """A connection in no use and until when it may be used again."""
+
+    sock: socket.socket
+    until: float
+
+
+def guard_silence(sock: socket.socket) -> None:
+    """Let the kernel find out when the other end no longer answers."""
+    tcp = std_socket.IPPROTO_TCP
+    sock.setsockopt(tcp, std_socket.TCP_NODELAY, 1)
+    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, std_socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(tcp, std_socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(tcp, std_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, std_socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+
+
+def idle_s(stated: str) -> float:
+    """Return how long a connection may idle, by its ``Keep-Alive``."""
+    found = STATED_IDLE.search(stated)
+    if found is None:
+        return UNSTATED_IDLE_S
+    return min(MAX_IDLE_S, int(found.group(1)) - IDLE_MARGIN_S)
+
+
+class Connections:
+    """Connections by the id of the replica, the latest used first."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with none."""
+        self._clock = clock
+        self._idle: dict[str, collections.deque[Idle]] = {}
+
+    def take(self, replica_id: str, address: Address) -> socket.socket:
+        """Return a kept or new connection; raise ConnectFailed."""
+        kept = self._idle.get(replica_id)
+        while kept:
+            idle = kept.pop()
+            if idle.until > self._clock.monotonic() and _is_quiet(idle.sock):
+                return idle.sock
+            idle.sock.close()
+        return self._connect(address)
+
+    def give_back(
+        self,
+        replica_id: str,
+        sock: socket.socket,
+        keep_s: float,
+    ) -> None:
+        """Keep a connection for its replica's next request."""
+        if keep_s <= 0:
+            sock.close()
+            return
+        until = self._clock.monotonic() + keep_s
+        kept = self._idle.setdefault(replica_id, collections.deque())
+        kept.append(Idle(sock, until))
+
+    def drop(self, replica_id: str) -> None:
+        """Close the idle connections to a replica."""
+        for idle in self._idle.pop(replica_id, ()):
+            idle.sock.close()
+
+    def trim(self) -> None:
+        """Close what has idled for too long."""
+        now = self._clock.monotonic()
+        for replica_id, kept in list(self._idle.items()):
+            while kept and kept[0].until <= now:
+                kept.popleft().sock.close()
+            if not kept:
+                self._idle.pop(replica_id)
+
+    def _connect(self, address: Address) -> socket.socket:
+        try:
+            sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
+        except OSError as exc:
+            raise ConnectFailed(f'{address}: {exc!r}') from exc
+        guard_silence(sock)
+        return sock
+
+
+def _is_quiet(sock: socket.socket) -> bool:
+    """Tell whether neither bytes nor an end have come on an idle socket."""
+    try:
+        return not is_readable(sock)
+    except (OSError, ValueError):
+        return False
--- /dev/null
+++ b/cactusridge/platform/role.py
@@ -0,0 +1,190 @@
+"""Builds an entry of the machines' platform from its parts."""
+
+import random
+from http import HTTPStatus
+
+import gevent
+
+from cactusridge import metrics
+from cactusridge.background import keep_doing, keep_doing_every
+from cactusridge.clock import BootClock
+from cactusridge.dispatch.catalog import Catalog
+from cactusridge.dispatch.fleet_view import FleetView
+from cactusridge.dispatch.loads import LoadTable
+from cactusridge.dispatch.online import OnlineDispatcher
+from cactusridge.dispatch.peers import PeerExchange, Target
+from cactusridge.dispatch.run import Runner
+from cactusridge.errors import CactusridgeError
+from cactusridge.http.app import App, route
+from cactusridge.http.client import Address, parse_address
+from cactusridge.http.exchange import Reply, Req, json_reply
+from cactusridge.http.server import Server
+from cactusridge.jobs.heads import TABLE as JOBS
+from cactusridge.jobs.heads import JobHeads
+from cactusridge.jobs.keys import head_prefixes
+from cactusridge.jobs.ledger import JobLedger
+from cactusridge.jobs.manager import LOOK_S, JobManager
+from cactusridge.jobs.scheduler import BatchScheduler
+from cactusridge.jobs.session import RENEW_S, Session, ignore_store_errors
+from cactusridge.platform import discovery, operator
+from cactusridge.platform.caller_app import CallerApp
+from cactusridge.platform.job_calls import JobCalls
+from cactusridge.platform.rows import PlatformRows
+from cactusridge.platform.upstream import HttpUpstream
+from cactusridge.routing.outliers import OutlierEjector
+from cactusridge.serving import Role
+from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.store.link import PlatformLink
+from cactusridge.store.store_clock import StoreClock
+from cactusridge.store.table_follower import TableFollower
+
+# The largest body of a call between our own processes, in bytes.
+INNER_BODY = 65_536
+INNER_TIMEOUT_S = 2.0
+# One failure takes a replica out of choice for this long, in seconds,
+# doubled by each that follows: a replica that is gone is missed by the
+# list of replicas for seconds, one that broke off once is soon back.
+EJECT_FAILURES = 1
+EJECT_FIRST_S = 0.4
+EJECT_MOST_S = 4.0
+# A watch is answered after its wait; the link gives up this much later.
+FEED_SLACK_S = 3.0
+TRIM_S = 1.0
+
+
+class DirectEntry(Role):
+    """An entry that places requests at upstreams itself."""
+
+    def __init__(self, cfg: DirectEntrySettings) -> None:
+        """Build every part; nothing runs yet."""
+        self._cfg = cfg
+        clock = BootClock()
+        self._clock = clock
+        self._store_clock = StoreClock(clock)
+        self._rows = self._make_rows()
+        self._holder = operator.CatalogHolder()
+        self._fleet = FleetView()
+        self._upstream = HttpUpstream(clock)
+        health = OutlierEjector(
+            clock,
+            EJECT_FAILURES,
+            EJECT_FIRST_S,
+            EJECT_MOST_S,
+        )
+        loads = LoadTable(clock)
+        runner = Runner(self._upstream, loads, health, clock)
+        online = OnlineDispatcher(self._fleet, runner, cfg.zone, clock)
+        peer_address = parse_address(cfg.peer_listen)
+        self._session = Session(
+            self._rows,
+            clock,
+            cfg.name,
+            peer_address,
+            cfg.zone,
+        )
+        self._scheduler = BatchScheduler(
+            str(peer_address),
+            self._fleet,
+            runner,
+            clock,
+            self._store_clock,
+            self._catalog,
+        )
+        loads.on_change(self._scheduler.wake.set)
+        self._peers = PeerExchange(
+            peer_address,
+            loads,
+            self._peer_targets,
+            self._scheduler.wake.set,
+        )
+        self._heads = JobHeads()
+        self._manager = JobManager(
+            JobLedger(self._rows, clock),
+            self._heads,
+            self._session,
+            self._scheduler,
+            clock,
+        )
+        jobs = JobCalls(self._manager, self._heads, self._store_clock)
+        self._app = CallerApp(self._holder, online, jobs, clock)
+        self._draining = False
+
+    def application(self) -> object:
+        """Return the application that callers reach."""
+        return self._app
+
+    def start(self) -> None:
+        """Start following the store, the peers and the jobs."""
+        self._peers.start()
+        for follower in self._followers():
+            gevent.spawn(keep_doing, follower.step)
+        gevent.spawn(keep_doing_every, RENEW_S, self._session.step)
+        gevent.spawn(keep_doing_every, LOOK_S, self._manager.look)
+        gevent.spawn(keep_doing, self._scheduler.step)
+        trim = self._upstream.connections.trim
+        gevent.spawn(keep_doing_every, TRIM_S, trim)
+        self._serve_at(self._cfg.readiness_listen, '/.*', self._readiness)
+        self._serve_at(self._cfg.metrics_listen, '/metrics', metrics.serve)
+
+    def begin_drain(self) -> None:
+        """Fail readiness."""
+        self._draining = True
+
+    def finish(self, bound_s: float) -> None:
+        """Hand the jobs on and leave the list of entries."""
+        with gevent.Timeout(bound_s, False):  # noqa: WPS425
+            self._manager.stop()
+            ignore_store_errors(self._session.leave)
+
+    def _make_rows(self) -> PlatformRows:
+        store = self._cfg.store
+        address = parse_address(store.address)
+        link = self._link(address, store.timeout_s)
+        feeds = self._link(address, store.timeout_s + FEED_SLACK_S)
+        return PlatformRows(link, feeds, self._store_clock)
+
+    def _link(self, address: Address, timeout_s: float) -> PlatformLink:
+        return PlatformLink(
+            address,
+            timeout_s,
+            self._cfg.store.calls_per_s,
+            self._clock,
+            random.Random(),  # noqa: S311
+        )
+
+    def _followers(self) -> list[TableFollower]:
+        discovered = discovery.Discovery(self._fleet)
+        followed = (
+            (operator.TABLE, [operator.KEY], self._holder),
+            (discovery.TABLE, [discovery.PREFIX], discovered),
+            (JOBS, head_prefixes(), self._heads),
+        )
+        return [
+            TableFollower(self._rows, table, prefixes, listener, self._clock)
+            for table, prefixes, listener in followed
+        ]
+
+    def _peer_targets(self) -> list[Target]:
+        return [
+            (member.host, member.port) for member in self._session.members()
+        ]
+
+    def _catalog(self) -> Catalog:
+        return self._holder.catalog
+
+    def _serve_at(self, listen: str, pattern: str, handler: object) -> None:
+        app = App([route('GET', pattern, handler)], INNER_BODY, INNER_TIMEOUT_S)
+        address = parse_address(listen)
+        Server(address, app, self._cfg.idle_timeout_s).start()
+
+    def _readiness(self, req: Req) -> Reply:
+        if self._holder.known and not self._draining:
+            return json_reply({})
+        raise NotReady
+
+
+class NotReady(CactusridgeError):
+    """This process takes no new connections now."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    code = 'not_ready'
--- a/cactusridge/routing/membership.py
+++ b/cactusridge/routing/membership.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from cactusridge.platform.host_list import HostState
+from cactusridge.store.host_list import HostState
 
 SILENT_PROBES = 6
 UNLISTED_S = 30
--- a/cactusridge/routing/outliers.py
+++ b/cactusridge/routing/outliers.py
@@ -72,9 +72,21 @@
     replica gets a few trial requests; only their success brings it back.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with every replica trusted."""
+    def __init__(
+        self,
+        clock: Clock,
+        failures: int = FAILURES,
+        first_pause_s: float = FIRST_PAUSE_S,
+        max_pause_s: float = MAX_PAUSE_S,
+    ) -> None:
+        """Start with every replica trusted.
+
+        ``failures`` in a row eject; pauses, in seconds, double.
+        """
         self._clock = clock
+        self._failures = failures
+        self._first_pause_s = first_pause_s
+        self._max_pause_s = max_pause_s
         self._health: OrderedDict[str, Health] = OrderedDict()
 
     def succeeded(self, key: str, pace_s: float) -> None:
@@ -84,7 +96,7 @@
         that there is much to do, not that the replica is bad. 0 means
         that there is none, as with plain services.
         """
-        old = self._health.get(key, Health())
+        old = self._health.get(key, self._unknown())
         health = old._replace(
             failures=0,
             pace_s=pace_s,
@@ -92,16 +104,19 @@
             trials=max(0, old.trials - 1),
         )
         if not health.trials:
-            health = health._replace(pause_s=FIRST_PAUSE_S, ejected_until=0)
+            health = health._replace(
+                pause_s=self._first_pause_s,
+                ejected_until=0,
+            )
         self._keep(key, health)
         if health.samples >= MIN_SAMPLES and self._is_slow(key):
             self._eject(key)
 
     def failed(self, key: str) -> None:
         """Note a failure; a trial that fails ejects at once."""
-        old = self._health.get(key, Health())
+        old = self._health.get(key, self._unknown())
         self._keep(key, old._replace(failures=old.failures + 1))
-        if old.failures + 1 >= FAILURES or old.trials:
+        if old.failures + 1 >= self._failures or old.trials:
             self._eject(key)
 
     def allowed(self, keys: Iterable[str]) -> set[str]:
@@ -117,6 +132,9 @@
         spared = by_return[: max(0, len(out) - bound)]
         return known - out | set(spared)
 
+    def _unknown(self) -> Health:
+        return Health(pause_s=self._first_pause_s)
+
     def _keep(self, key: str, health: Health) -> None:
         self._health[key] = health
         self._health.move_to_end(key)
@@ -157,5 +175,5 @@
             samples=0,
             trials=TRIALS,
             ejected_until=self._clock.monotonic() + old.pause_s,
-            pause_s=min(MAX_PAUSE_S, old.pause_s * 2),
+            pause_s=min(self._max_pause_s, old.pause_s * 2),
         )
--- a/cactusridge/settings/store.py
+++ b/cactusridge/settings/store.py
@@ -9,7 +9,9 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import Conflict, OutcomeUnknown, StoreUnavailable
 from cactusridge.identity import new_id
-from cactusridge.platform.table import (
+from cactusridge.settings import paths, schema
+from cactusridge.settings.tree import Change, Snapshot
+from cactusridge.store.table import (
     Condition,
     ConditionFailed,
     Priority,
@@ -20,8 +22,6 @@
     by_key,
     scan_all,
 )
-from cactusridge.settings import paths, schema
-from cactusridge.settings.tree import Change, Snapshot
 
 HEAD = 'settings/head'
 NODE_PREFIX = 'settings/node'
--- a/cactusridge/slo/history.py
+++ b/cactusridge/slo/history.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority, Table, scan_all
 from cactusridge.slo.period import (
     HOUR_S,
     PREFIX,
@@ -13,6 +11,8 @@
     hour_of,
     name_at,
 )
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority, Table, scan_all
 
 HOURS_PREFIX = 'slo-hours/'
 
--- a/cactusridge/slo/hour_merger.py
+++ b/cactusridge/slo/hour_merger.py
@@ -14,15 +14,6 @@
 from cactusridge.errors import StoreUnavailable
 from cactusridge.hashing import rendezvous
 from cactusridge.identity import new_id
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import (
-    ABSENT,
-    Condition,
-    Priority,
-    Table,
-    Write,
-)
-from cactusridge.platform.writer import insert_once
 from cactusridge.slo.history import SloHistory, hour_key
 from cactusridge.slo.period import (
     HOUR_S,
@@ -30,6 +21,15 @@
     encode_period,
     merge_periods,
 )
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import (
+    ABSENT,
+    Condition,
+    Priority,
+    Table,
+    Write,
+)
+from cactusridge.store.writer import insert_once
 
 
 class HourMerger:
--- a/cactusridge/slo/recorder.py
+++ b/cactusridge/slo/recorder.py
@@ -5,11 +5,11 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority
 from cactusridge.slo.burn_watch import BurnWatch
 from cactusridge.slo.period import Period, Run, encode_period, period_name
 from cactusridge.slo.window import Quantity, ServiceWindow
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority
 
 KEPT_S = 7200
 KEPT_PERIODS = 8
--- a/cactusridge/startup/loader.py
+++ b/cactusridge/startup/loader.py
@@ -10,12 +10,17 @@
 
 from cactusridge.startup.models import (
     CommonSettings,
+    DirectEntrySettings,
     EntrySettings,
     SidecarSettings,
 )
 
 ROLES: Mapping[str, type[CommonSettings]] = MappingProxyType(
-    {'entry': EntrySettings, 'sidecar': SidecarSettings},
+    {
+        'entry': EntrySettings,
+        'sidecar': SidecarSettings,
+        'direct_entry': DirectEntrySettings,
+    },
 )
 
 
@@ -54,7 +59,7 @@
     stated = raw.get('role')
     model = ROLES.get(stated) if isinstance(stated, str) else None
     if model is None:
-        raise _single(source, 'role', 'one of entry, sidecar')
+        raise _single(source, 'role', f'one of {", ".join(ROLES)}')
     if role not in {None, stated}:
         raise _single(source, 'role', f'{role}, as the command line says')
     try:
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -105,6 +105,24 @@
     policy: EntryPolicy = EntryPolicy()
 
 
+class DirectEntrySettings(CommonSettings):
+    """Start settings of an entry that reaches upstreams itself.
+
+    ``grace_s`` is the time between the platform's word to stop and its
+    kill. The peers of this entry are found through the store.
+    """
+
+    role: Literal['direct_entry'] = 'direct_entry'
+    # Nothing is told to sidecars, so there is no secret to share.
+    internal_secret: str = ''
+    name: str = Field(min_length=1, max_length=200)
+    readiness_listen: AddressText
+    peer_listen: AddressText
+    metrics_listen: AddressText
+    store: StoreSettings
+    grace_s: PositiveSeconds = 8
+
+
 class UpstreamSettings(Model):
     """One upstream on this host."""
 
--- a/cactusridge/platform/budget.py
+++ b/cactusridge/store/budget.py
@@ -1,7 +1,7 @@
 """This process's share of the store's calls, by priority."""
 
 from cactusridge.clock import Clock
-from cactusridge.platform.table import Priority
+from cactusridge.store.table import Priority
 
 BURST_S = 2
 RESERVE_SHARE = 0.12
--- a/cactusridge/platform/host_list.py
+++ b/cactusridge/store/host_list.py
@@ -9,13 +9,13 @@
 from cactusridge import events, logs
 from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, parse_address
-from cactusridge.platform.link import PlatformLink
-from cactusridge.platform.replies import (
+from cactusridge.store.link import PlatformLink
+from cactusridge.store.replies import (
     HostsReply,
     UnreadableReply,
     parse_reply,
 )
-from cactusridge.platform.table import Priority
+from cactusridge.store.table import Priority
 
 RETRY_S = 1
 
--- a/cactusridge/platform/http_table.py
+++ b/cactusridge/store/http_table.py
@@ -6,14 +6,14 @@
 
 from cactusridge import wire
 from cactusridge.errors import StoreUnavailable
-from cactusridge.platform.link import PlatformAnswer, PlatformLink
-from cactusridge.platform.replies import (
+from cactusridge.store.link import PlatformAnswer, PlatformLink
+from cactusridge.store.replies import (
     RowsReply,
     UnreadableReply,
     VersionReply,
     parse_reply,
 )
-from cactusridge.platform.table import (
+from cactusridge.store.table import (
     PAGE,
     Condition,
     ConditionFailed,
--- a/cactusridge/platform/link.py
+++ b/cactusridge/store/link.py
@@ -10,9 +10,9 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, Clients
-from cactusridge.platform.breaker import Breaker
-from cactusridge.platform.budget import StoreBudget
-from cactusridge.platform.table import Priority, WriteUnknown
+from cactusridge.store.breaker import Breaker
+from cactusridge.store.budget import StoreBudget
+from cactusridge.store.table import Priority, WriteUnknown
 
 SERVER_FAULT = 500
 NOT_FOUND = 404
--- a/cactusridge/platform/object_store.py
+++ b/cactusridge/store/object_store.py
@@ -3,8 +3,8 @@
 import abc
 
 from cactusridge.errors import NotFound, StoreUnavailable
-from cactusridge.platform.link import NOT_FOUND, PlatformLink
-from cactusridge.platform.table import Priority, WriteUnknown
+from cactusridge.store.link import NOT_FOUND, PlatformLink
+from cactusridge.store.table import Priority, WriteUnknown
 
 PUT_TRIES = 4
 
--- a/cactusridge/platform/replies.py
+++ b/cactusridge/store/replies.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel, ValidationError
 
 from cactusridge.errors import CactusridgeError
-from cactusridge.platform.table import Row
+from cactusridge.store.table import Row
 
 
 class UnreadableReply(CactusridgeError):
--- /dev/null
+++ b/cactusridge/store/table_follower.py
@@ -0,0 +1,89 @@
+"""Keeps an eye on one table: everything once, then what changes."""
+
+import abc
+import random
+
+import gevent
+
+from cactusridge import events, logs
+from cactusridge.clock import Clock
+from cactusridge.errors import StoreUnavailable
+from cactusridge.store.table import Row
+from cactusridge.store.watch import HistoryLost, Watch
+
+# A watch is answered at least this often, which tells a lost connection
+# from a table in which nothing changes.
+WAIT_S = 1.5
+# A watch may miss changes that the store made while it heard nothing;
+# everything is read again this often, at some rows a second.
+REREAD_S = 8
+# Pause after a failure, in seconds; half of it is random so that entries
+# do not return to the store in step.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 0.8
+
+
+class TableListener(abc.ABC):
+    """Who is told of a table's rows."""
+
+    @abc.abstractmethod
+    def put(self, row: Row) -> None:
+        """Take a row; without a value it was removed."""
+
+    @abc.abstractmethod
+    def keep_only(self, keys: set[str]) -> None:
+        """Forget every row whose key is not among ``keys``."""
+
+
+class TableFollower:
+    """Follows one table for as long as the process runs."""
+
+    def __init__(
+        self,
+        watch: Watch,
+        table: str,
+        prefixes: list[str],
+        listener: TableListener,
+        clock: Clock,
+    ) -> None:
+        """Tell ``listener`` of the rows of ``table`` below ``prefixes``."""
+        self.heard_at: float | None = None
+        self._watch = watch
+        self._table = table
+        self._prefixes = prefixes
+        self._listener = listener
+        self._clock = clock
+        self._rng = random.Random()  # noqa: S311
+        self._version: int | None = None
+        self._read_at = float(0)
+        self._pause_s = FIRST_PAUSE_S
+
+    def step(self) -> None:
+        """Read once; pause after a failure."""
+        try:
+            self._read()
+        except HistoryLost:
+            logs.emit(events.HISTORY_LOST, table=self._table)
+            self._version = None
+        except StoreUnavailable as exc:
+            logs.emit(events.WATCH_FAILED, table=self._table, error=str(exc))
+            self._rest()
+        else:
+            self.heard_at = self._clock.monotonic()
+            self._pause_s = FIRST_PAUSE_S
+
+    def _read(self) -> None:
+        now = self._clock.monotonic()
+        if self._version is None or now - self._read_at > REREAD_S:
+            found = self._watch.snapshot(self._prefixes)
+            self._read_at = now
+            self._listener.keep_only({row.key for row in found.rows})
+        else:
+            found = self._watch.changes(self._table, self._version, WAIT_S)
+        for row in found.rows:
+            self._listener.put(row)
+        self._version = found.version
+
+    def _rest(self) -> None:
+        gevent.sleep(self._pause_s * self._rng.uniform(0.5, 1))
+        self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
--- a/cactusridge/platform/writer.py
+++ b/cactusridge/store/writer.py
@@ -5,7 +5,7 @@
 import gevent
 
 from cactusridge.errors import OutcomeUnknown, StoreUnavailable
-from cactusridge.platform.table import (
+from cactusridge.store.table import (
     Condition,
     ConditionFailed,
     Priority,
--- a/standins/memory_table.py
+++ b/standins/memory_table.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from cactusridge.errors import StoreUnavailable
-from cactusridge.platform.table import (
+from cactusridge.store.table import (
     PAGE,
     Condition,
     ConditionFailed,
--- a/tests/memory_objects.py
+++ b/tests/memory_objects.py
@@ -1,8 +1,8 @@
 """An object store in memory, behind the same interface."""
 
 from cactusridge.errors import NotFound, StoreUnavailable
-from cactusridge.platform.object_store import ObjectStore
-from cactusridge.platform.table import Priority
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority
 
 
 class MemoryObjects(ObjectStore):
--- /dev/null
+++ b/tests/test_dispatch_decisions.py
@@ -0,0 +1,122 @@
+"""Placement, refusal and yielding, without a network."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch.loads import Load, LoadTable, WorkKind
+from cactusridge.dispatch.placement import (
+    Choice,
+    choose,
+    expected_wait_s,
+    retry_after_s,
+)
+from cactusridge.dispatch.replica import Replica, ReplicaState
+from cactusridge.dispatch.yielding import room, shares_to_yield
+from cactusridge.http.client import Address
+
+SLOTS = 8
+
+
+def replica(name: str, zone: str = 'a') -> Replica:
+    """Return a replica with eight slots."""
+    address = Address('127.0.0.1', 1)
+    return Replica(name, 's', address, zone, SLOTS, ReplicaState.ready)
+
+
+class TestPlacement(unittest.TestCase):
+    """Where an online request goes."""
+
+    @params(
+        # The least loaded; batch counts only between equal queues.
+        ({'x': Load(3, 0), 'y': Load(2, 0)}, 'y'),
+        ({'x': Load(2, 5), 'y': Load(3, 0)}, 'y'),
+        # Batch yields, online does not: a queue is worse than batch.
+        ({'x': Load(8, 0), 'y': Load(2, 6)}, 'y'),
+        ({'x': Load(9, 0), 'y': Load(8, 0)}, 'y'),
+    )
+    def test_least_loaded(self, loads, wanted):
+        """The replica with the least in front of the request wins."""
+        choices = [Choice(replica(name), load) for name, load in loads.items()]
+        best = choose(choices, 'a', random.Random(1))
+        self.assertEqual(wanted, best.replica.id)
+
+    def test_own_zone_between_equals(self):
+        """Only between equals does the availability zone decide."""
+        choices = [
+            Choice(replica('far', 'b'), Load(1)),
+            Choice(replica('near', 'a'), Load(1)),
+        ]
+        self.assertEqual(
+            'near',
+            choose(choices, 'a', random.Random(1)).replica.id,
+        )
+
+    @params(
+        (Load(7, 0), 0),
+        (Load(0, 8), 0),
+        (Load(8, 0), 0.1),
+        (Load(11, 3), 0.4),
+    )
+    def test_expected_wait(self, load, wanted):
+        """Each request beyond the slots waits for one more release."""
+        found = expected_wait_s(Choice(replica('x'), load), 0.8)
+        self.assertAlmostEqual(wanted, found)
+
+    def test_retry_after(self):
+        """A refused caller comes back when it could start in time."""
+        self.assertAlmostEqual(0.79, retry_after_s(1.0, 0.3))
+        self.assertAlmostEqual(0.05, retry_after_s(0.1, 0.3))
+
+
+class TestYielding(unittest.TestCase):
+    """How many batch requests each entry ends."""
+
+    @params(
+        ({'a': Load(0, 4), 'b': Load(0, 4)}, {'a': 0, 'b': 0}),
+        ({'a': Load(1, 4), 'b': Load(0, 4)}, {'a': 0, 'b': 1}),
+        ({'a': Load(2, 2), 'b': Load(0, 6)}, {'a': 0, 'b': 2}),
+        ({'a': Load(9, 0), 'b': Load(0, 2)}, {'a': 0, 'b': 2}),
+        ({'a': Load(12, 0)}, {'a': 0}),
+    )
+    def test_shares(self, loads, wanted):
+        """Every entry finds the same shares, and no more than needed."""
+        self.assertEqual(wanted, shares_to_yield(SLOTS, loads))
+
+    @params((Load(0, 0), 8), (Load(3, 5), 0), (Load(12, 0), 0))
+    def test_room(self, load, wanted):
+        """Batch fills the slots and never queues."""
+        self.assertEqual(wanted, room(SLOTS, load))
+
+    def test_burst_frees_as_many_as_come(self):
+        """A burst at full replicas: freed slots equal its requests."""
+        rng = random.Random(5)
+        for _ in range(200):
+            batch = [rng.randrange(0, 5) for _ in range(4)]
+            batch[0] = max(0, SLOTS - sum(batch[1:]))
+            burst = rng.randrange(0, SLOTS + 1)
+            loads = {
+                str(number): Load(burst if number == 1 else 0, count)
+                for number, count in enumerate(batch)
+            }
+            freed = sum(shares_to_yield(SLOTS, loads).values())
+            over = max(0, burst + sum(batch) - SLOTS)
+            self.assertEqual(min(over, sum(batch)), freed)
+
+
+class TestLoadTable(unittest.TestCase):
+    """Counts of this entry and of its peers."""
+
+    def test_adds_up_and_forgets(self):
+        """Own and peers' counts add up until a peer falls silent."""
+        clock = ManualClock()
+        table = LoadTable(clock)
+        table.heard('p', {'x': Load(2, 1)})
+        with table.running('x', WorkKind.online):
+            self.assertEqual(Load(3, 1), table.at('x'))
+            clock.advance(2)
+            self.assertEqual(Load(1, 0), table.at('x'))
+        self.assertEqual(Load(0, 0), table.at('x'))
+        self.assertEqual({}, table.all_own())
--- /dev/null
+++ b/tests/test_event_splitter.py
@@ -0,0 +1,33 @@
+"""Streams cut into whole events."""
+
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.dispatch.event_splitter import EventSplitter
+
+STREAM = b'id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda'
+
+
+class TestEventSplitter(unittest.TestCase):
+    """Whole events only, however the bytes are cut."""
+
+    @params(1, 2, 5, 7, 100)
+    def test_any_cut(self, size):
+        """The same events for every size of the pieces."""
+        splitter = EventSplitter()
+        found = []
+        for start in range(0, len(STREAM), size):
+            found.extend(splitter.feed(STREAM[start : start + size]))
+        self.assertEqual(['a', 'b\nc'], [event.payload for event in found])
+        self.assertEqual('2', splitter.last_id)
+        self.assertTrue(splitter.pending)
+
+    def test_restart(self):
+        """After a break the half event is gone and the id stands."""
+        splitter = EventSplitter()
+        splitter.feed(STREAM)
+        splitter.restart()
+        found = splitter.feed(b'id: 3\ndata: d\n\n')
+        self.assertEqual(['d'], [event.payload for event in found])
+        self.assertEqual('3', splitter.last_id)
--- a/tests/test_exactly_once.py
+++ b/tests/test_exactly_once.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from cactusridge.platform.table import (
+from cactusridge.store.table import (
     Condition,
     ConditionFailed,
     Priority,
--- /dev/null
+++ b/tests/test_job_ledger.py
@@ -0,0 +1,118 @@
+"""The ledger of batch jobs over a store with faults."""
+
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.errors import NotFound, StoreUnavailable
+from cactusridge.jobs.ledger import HoldLost, ItemEnd, JobLedger
+from cactusridge.jobs.model import (
+    ItemState,
+    JobHead,
+    JobItem,
+    JobState,
+    Result,
+)
+from standins.faults import FaultKind
+from standins.memory_table import MemoryTable
+
+JOB = 'job1'
+LONG = 'é' * 40_000
+
+
+def item(number: int) -> JobItem:
+    """Return an item."""
+    return JobItem(f'i{number}', f'/p/{number}', {'X-M': 'm'}, 'YQ==', 3)
+
+
+def end(index: int, output: str = 'out') -> ItemEnd:
+    """Return an item that is done."""
+    return ItemEnd(index, Result(f'i{index}', ItemState.completed, output))
+
+
+class LedgerCase(unittest.TestCase):
+    """A ledger with one job of three items."""
+
+    def setUp(self):
+        """Accept the job."""
+        self.table = MemoryTable()
+        self.ledger = JobLedger(self.table, ManualClock())
+        self.head = JobHead(JOB, 'h', '/p/', 3, 0, 'one', 'life1')
+        self.items = [item(number) for number in range(3)]
+        self.stored = self.ledger.accept(self.head, self.items)
+
+    def listed(self) -> list[str]:
+        """Return the ids of the results in order."""
+        return [result.id for result in self.ledger.results(JOB, 0)]
+
+
+class TestJobLedger(LedgerCase):
+    """Accepted once, listed once, by one holder at a time."""
+
+    def test_resend_finds_the_first(self):
+        """A job that is sent again, to another entry, is the same job."""
+        again = self.head._replace(holder='two', life='life2')
+        self.assertEqual('one', self.ledger.accept(again, self.items).holder)
+        self.assertEqual(self.items, self.ledger.items(JOB))
+
+    def test_unknown_job(self):
+        """What was never accepted is not found."""
+        with self.assertRaises(NotFound):
+            self.ledger.head('other')
+
+    @params(
+        (FaultKind.lose_answer,),
+        (FaultKind.cut,),
+        (FaultKind.cut, FaultKind.lose_answer),
+        (FaultKind.lose_answer, FaultKind.down),
+    )
+    def test_commit_with_lost_answers(self, *faults):
+        """Results stand once, whatever becomes of the answers."""
+        progress = self.ledger.progress(JOB)
+        self.table.faults.extend(faults)
+        progress = self.ledger.commit(JOB, progress, [end(1)], {})
+        self.ledger.commit(JOB, progress, [end(0), end(2)], {'1': 1})
+        self.assertEqual(['i1', 'i0', 'i2'], self.listed())
+
+    def test_store_down(self):
+        """A commit that was refused can be made later."""
+        progress = self.ledger.progress(JOB)
+        self.table.faults.append(FaultKind.down)
+        with self.assertRaises(StoreUnavailable):
+            self.ledger.commit(JOB, progress, [end(1)], {})
+        self.ledger.commit(JOB, progress, [end(1)], {})
+        self.assertEqual(['i1'], self.listed())
+
+    def test_old_holder_lists_nothing(self):
+        """After a take-over the holder before it is fenced off."""
+        old = self.ledger.progress(JOB)
+        self.ledger.take(self.stored, 'two', 'life2')
+        with self.assertRaises(HoldLost):
+            self.ledger.commit(JOB, old, [end(0)], {})
+        new = self.ledger.progress(JOB)
+        self.ledger.commit(JOB, new, [end(0)], {})
+        self.assertEqual(['i0'], self.listed())
+
+    def test_one_of_two_takes(self):
+        """Of two entries that take a job at once one gets it."""
+        self.ledger.take(self.stored, 'two', 'life2')
+        with self.assertRaises(HoldLost):
+            self.ledger.take(self.stored, 'three', 'life3')
+
+    @params((), (FaultKind.lose_answer,), (FaultKind.cut,))
+    def test_end(self, *faults):
+        """An end is final, repeated or not."""
+        self.table.faults.extend(faults)
+        self.assertEqual(JobState.ended, self.ledger.end(JOB).state)
+        self.assertEqual(JobState.ended, self.ledger.end(JOB).state)
+
+    def test_long_outputs_by_position(self):
+        """Outputs over a row's size come back whole from any position."""
+        progress = self.ledger.progress(JOB)
+        ends = [end(0, LONG), end(1, ''), end(2, LONG[:-1])]
+        self.ledger.commit(JOB, progress, ends, {})
+        for after in range(4):
+            found = self.ledger.results(JOB, after)
+            wanted = [each.result for each in ends[after:]]
+            self.assertEqual(wanted, found)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,13 +10,13 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.platform.host_list import HostState
 from cactusridge.routing.candidates import Candidate, PickRequest, load_of
 from cactusridge.routing.membership import Belief, Evidence, judge
 from cactusridge.routing.outliers import OutlierEjector, TrustAll
 from cactusridge.routing.pickers import PrefixPicker, RoundRobinPicker
 from cactusridge.routing.retry_budget import RetryBudget, RetryThrice
 from cactusridge.routing.subset import choose_subset
+from cactusridge.store.host_list import HostState
 
 PROBE_S = 0.5
 SLOTS = 8
--- a/tests/test_span_ledger.py
+++ b/tests/test_span_ledger.py
@@ -17,8 +17,8 @@
 from cactusridge.batch.jobs import Progress, cancel_key, progress_key
 from cactusridge.batch.span import ChunkResult, Span, done_key, span_of
 from cactusridge.clock import ManualClock
-from cactusridge.platform.table import Priority, Write
 from cactusridge.startup.models import BatchSettings
+from cactusridge.store.table import Priority, Write
 from standins.faults import FaultKind
 from standins.memory_table import MemoryTable
 
