Unfinished outputs are kept; peers say which jobs changed hands

Change: outputs that grew are stored each second and at a planned stop, and the next holder goes on from their last event; items start without the store while peers are heard, which tell of take-overs and ends.

--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -89,6 +89,11 @@
         """Drop a peer that said it stops."""
         self._peers.pop(peer, None)
 
+    def peers_heard(self) -> bool:
+        """Tell whether any peer has been heard lately."""
+        oldest = self._clock.monotonic() - PEER_SILENCE_S
+        return any(said.heard_at >= oldest for said in self._peers.values())
+
     def peers_at(self, replica_id: str) -> dict[str, Load]:
         """Return the counts at a replica of each peer that is heard."""
         oldest = self._clock.monotonic() - PEER_SILENCE_S
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -31,6 +31,10 @@
 ALL = 'all'
 CHANGED = 'some'
 VERSION = 'version'
+NEWS = 'news'
+# News is repeated this often, twice a second: longer than an entry may
+# be suspended or cut off and still act on what it knew.
+NEWS_REPEATS = 20
 Target = tuple[str, int]
 
 
@@ -53,6 +57,8 @@
         self._peers = peers
         self._version = version
         self._on_loads: Callable[[], None] | None = None
+        self._news: dict[str, tuple[int, int]] = {}
+        self._on_news: Callable[[str, int], None] | None = None
         self._on_version: Callable[[Target, int], None] | None = None
         self._dirty = Event()
         self._risen = Event()
@@ -69,6 +75,15 @@
         """Call ``listener`` with a peer and the version that it has."""
         self._on_version = listener
 
+    def on_news(self, listener: Callable[[str, int], None]) -> None:
+        """Call ``listener`` with what peers ``tell``."""
+        self._on_news = listener
+
+    def tell(self, subject: str, version: int) -> None:
+        """Let every peer know of a newer version of something."""
+        self._news[subject] = (version, NEWS_REPEATS)
+        self._send_raw(orjson.dumps({NEWS: {subject: version}}))
+
     def start(self) -> None:
         """Bind and begin to speak and to listen."""
         self._sock.bind(self._address)
@@ -103,6 +118,11 @@
 
     def _repeat(self) -> None:
         self._send(ALL, self._loads.all_own())
+        self._news = {
+            subject: (version, left - 1)
+            for subject, (version, left) in self._news.items()
+            if left > 1
+        }
 
     def _send(self, kind: str, loads: dict[str, Load]) -> None:
         said: dict[str, Any] = {
@@ -110,7 +130,12 @@
         }
         if kind == ALL:
             said[VERSION] = self._version()
-        raw = orjson.dumps(said)
+            said[NEWS] = {
+                subject: version for subject, (version, _) in self._news.items()
+            }
+        self._send_raw(orjson.dumps(said))
+
+    def _send_raw(self, raw: bytes) -> None:
         for target in self._peers():
             if target != self._address:
                 self._send_to(target, raw)
@@ -136,6 +161,9 @@
 
     def _take(self, raw: bytes, sender: Target) -> None:
         said = orjson.loads(raw)
+        for subject, version in said.get(NEWS, {}).items():
+            if self._on_news is not None:
+                self._on_news(subject, version)
         known = {} if ALL in said else self._counts.get(sender, {})
         changed = said.get(ALL) or said.get(CHANGED) or {}
         counts = {**known, **_counts(changed)}
--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -1,24 +1,40 @@
 """A job that this entry runs."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import gevent
 from gevent.event import Event
+from gevent.lock import RLock
 
 from cactusridge import events, logs, metrics
+from cactusridge.clock import Clock
 from cactusridge.errors import OutcomeUnknown, StoreUnavailable
 from cactusridge.jobs.item_run import ItemTask
-from cactusridge.jobs.ledger import MAX_COMMIT, ItemEnd, JobLedger
+from cactusridge.jobs.ledger import (
+    MAX_COMMIT,
+    MAX_PARTIAL_CHARS,
+    ItemEnd,
+    JobLedger,
+    Step,
+)
 from cactusridge.jobs.model import (
     ItemState,
     JobHead,
     JobItem,
+    Partial,
     Progress,
     Result,
 )
 
 RETRY_S = 0.3
+# How often unfinished outputs are stored, in seconds: what a holder that
+# is lost had done since has to be done again, against some kilobytes at
+# the store for each running item.
+CHECKPOINT_S = 1.0
+# Unfinished outputs in one transaction, so that with their 15,000
+# characters each they stay under a megabyte.
+MAX_PARTIALS = 12
 
 
 class HeldJob:
@@ -29,7 +45,9 @@
         head: JobHead,
         progress: Progress,
         items: Sequence[JobItem],
+        partials: Iterable[Partial],
         ledger: JobLedger,
+        clock: Clock,
     ) -> None:
         """Hold ``head``; the items in ``progress`` are done."""
         self.head = head
@@ -37,15 +55,21 @@
         self.listed = Event()
         self._progress = progress
         self._ledger = ledger
+        self._clock = clock
+        self._checkpoint_at = clock.monotonic() + CHECKPOINT_S
         self._ended: list[ItemEnd] = []
         self._failures = dict(progress.failures)
         self._wake = Event()
+        self._committing = RLock()
         done = set(progress.listed)
-        self.pending = {
+        self._tasks = {
             index: _task(index, item, progress)
             for index, item in enumerate(items)
             if index not in done
         }
+        for part in partials:
+            self._restore(part)
+        self.pending = dict(self._tasks)
 
     @property
     def finished(self) -> bool:
@@ -62,7 +86,9 @@
         """Have an item listed with its output."""
         output = task.output() if state == ItemState.completed else ''
         result = Result(task.item.id, state, output)
-        self._ended.append(ItemEnd(task.index, result))
+        checkpointed = task.stored_id is not None
+        self._tasks.pop(task.index, None)
+        self._ended.append(ItemEnd(task.index, result, checkpointed))
         self._wake.set()
         metrics.ITEMS.inc({'service': self.head.path, 'outcome': state})
         if state == ItemState.given_up:
@@ -78,40 +104,87 @@
         self.stopped = True
         self._wake.set()
 
+    def hand_over(self) -> None:
+        """Store everything that there is, then stop; raise HoldLost."""
+        with self._committing:
+            while self._commit_some(self._partials()):
+                gevent.sleep(0)
+        self.stop()
+
     def flush(self) -> None:
         """Commit until everything that has ended is listed."""
         while not (self.finished or self.stopped):
-            self._wake.wait()
+            self._wake.wait(CHECKPOINT_S)
             self._wake.clear()
-            self._commit_all()
+            with self._committing:
+                self._commit_all()
 
     def _commit_all(self) -> None:
-        """Commit what has ended; raise HoldLost."""
-        while self._dirty() and not self.stopped:
-            batch = self._ended[:MAX_COMMIT]
-            try:
-                self._progress = self._ledger.commit(
-                    self.head.id,
-                    self._progress,
-                    batch,
-                    dict(self._failures),
-                )
-            except (StoreUnavailable, OutcomeUnknown) as exc:
-                logs.emit(
-                    events.COMMIT_DELAYED,
-                    job=self.head.id,
-                    results=len(batch),
-                    error=str(exc),
-                )
-                gevent.sleep(RETRY_S)
-                continue
-            self._ended = self._ended[len(batch) :]
+        """Commit what has ended and, if it is due, what has gone on."""
+        now = self._clock.monotonic()
+        partials: list[Partial] = []
+        if now >= self._checkpoint_at:
+            self._checkpoint_at = now + CHECKPOINT_S
+            partials = self._partials()
+        while not self.stopped and self._commit_some(partials):
+            partials = []
+
+    def _commit_some(self, partials: list[Partial]) -> bool:
+        """Commit a transaction's worth; tell whether there was any."""
+        ended = self._ended[:MAX_COMMIT]
+        behind = self._failures != self._progress.failures
+        if not (ended or partials or behind):
+            return False
+        step = Step(ended, dict(self._failures), partials)
+        try:
+            self._progress = self._ledger.commit(
+                self.head.id,
+                self._progress,
+                step,
+            )
+        except (StoreUnavailable, OutcomeUnknown) as exc:
+            logs.emit(
+                events.COMMIT_DELAYED,
+                job=self.head.id,
+                results=len(ended),
+                error=str(exc),
+            )
+            gevent.sleep(RETRY_S)
+            return True
+        self._note_committed(step)
+        return True
+
+    def _note_committed(self, step: Step) -> None:
+        self._ended = self._ended[len(step.ended) :]
+        for part in step.partials:
+            task = self._tasks.get(part.index)
+            if task is not None:
+                task.stored_id = part.last_id
+        if step.ended:
             self.listed.set()
             self.listed.clear()
 
-    def _dirty(self) -> bool:
-        behind = self._failures != self._progress.failures
-        return bool(self._ended) or behind
+    def _partials(self) -> list[Partial]:
+        """Return outputs that have grown since they were last stored."""
+        grown = [
+            task
+            for task in self._tasks.values()
+            if task.last_id is not None and task.last_id != task.stored_id
+        ]
+        found = [
+            Partial(task.index, task.last_id or '', task.output())
+            for task in grown
+        ]
+        fitting = [
+            part for part in found if len(part.output) <= MAX_PARTIAL_CHARS
+        ]
+        return fitting[:MAX_PARTIALS]
+
+    def _restore(self, part: Partial) -> None:
+        task = self._tasks.get(part.index)
+        if task is not None:
+            task.restore(part.last_id, part.output)
+            task.stored_id = part.last_id
 
 
 def _task(index: int, item: JobItem, progress: Progress) -> ItemTask:
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -47,6 +47,13 @@
         self.failures = 0
         self.texts: list[str] = []
         self.last_id: str | None = None
+        # The event up to which the output is in the store.
+        self.stored_id: str | None = None
+
+    def restore(self, last_id: str, output: str) -> None:
+        """Go on from what an earlier holder had."""
+        self.texts = [output]
+        self.last_id = last_id
 
     def output(self) -> str:
         """Return the data of all events so far, a line each."""
--- a/cactusridge/jobs/keys.py
+++ b/cactusridge/jobs/keys.py
@@ -28,6 +28,11 @@
     return f'results/{shard_of(job_id)}/{job_id}.'
 
 
+def partial_key(job_id: str, index: int) -> str:
+    """Return the key of an item's unfinished output."""
+    return f'{partial_prefix(job_id)}{index:04}'
+
+
 def partial_prefix(job_id: str) -> str:
     """Return the prefix of the rows with unfinished outputs."""
     return f'partial/{shard_of(job_id)}/{job_id}.'
--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -7,7 +7,8 @@
 """
 
 import contextlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import gevent
@@ -23,6 +24,8 @@
 from cactusridge.identity import new_id
 from cactusridge.jobs.keys import (
     head_key,
+    partial_key,
+    partial_prefix,
     payload_prefix,
     progress_key,
     result_prefix,
@@ -32,6 +35,7 @@
     JobHead,
     JobItem,
     JobState,
+    Partial,
     Progress,
     Result,
     head_of,
@@ -61,6 +65,10 @@
 PAGE_RESULTS = 30
 
 
+# Characters of unfinished output that a row takes, whatever they are.
+MAX_PARTIAL_CHARS = 15_000
+
+
 class HoldLost(CactusridgeError):
     """Another entry holds the job now."""
 
@@ -69,10 +77,26 @@
 
 
 class ItemEnd(NamedTuple):
-    """An item that ended, by its index in the job."""
+    """An item that ended, by its index in the job.
+
+    ``checkpointed`` says that unfinished output of it is in the store.
+    """
 
     index: int
     result: Result
+    checkpointed: bool = False
+
+
+class Step(NamedTuple):
+    """What a holder commits at once.
+
+    ``ended`` is listed after what is listed already, ``failures`` are
+    all counts by item index, ``partials`` replace unfinished outputs.
+    """
+
+    ended: Sequence[ItemEnd] = ()
+    failures: Mapping[str, int] = MappingProxyType({})
+    partials: Sequence[Partial] = ()
 
 
 class JobLedger:
@@ -125,6 +149,16 @@
             raise NotFound(f'no job {job_id}')
         return [JobItem(*fields) for fields in wire.decode(text.encode())]
 
+    def partials(self, job_id: str) -> list[Partial]:
+        """Return the unfinished outputs of a job's items."""
+        prefix = partial_prefix(job_id)
+        rows = self._table.scan(prefix, Priority.commit)
+        return [
+            Partial(int(row.key.removeprefix(prefix)), **row.value)
+            for row in rows
+            if row.value is not None
+        ]
+
     def take(self, head: JobHead, holder: str, life: str) -> JobHead:
         """Become the holder; raise HoldLost if another was faster."""
         progress = self.progress(head.id)
@@ -152,16 +186,16 @@
         self,
         job_id: str,
         progress: Progress,
-        ended: Sequence[ItemEnd],
-        failures: dict[str, int],
+        step: Step,
     ) -> Progress:
-        """List results after those that are listed; raise HoldLost.
+        """Take ``step`` from ``progress``; raise HoldLost.
 
         Raises StoreUnavailable or OutcomeUnknown if it has to be tried
         again, with the same results in the same order.
         """
         write_id = new_id('w', self._clock)
-        listed = [*progress.listed, *(end.index for end in ended)]
+        failures = dict(step.failures)
+        listed = [*progress.listed, *(end.index for end in step.ended)]
         first = len(progress.listed)
         writes = [
             Write(
@@ -169,8 +203,20 @@
                 progress_value(listed, failures, write_id),
             ),
         ]
-        for position, end in enumerate(ended, first):
+        for position, end in enumerate(step.ended, first):
             writes.extend(_result_rows(job_id, position, end.result))
+        writes.extend(
+            Write(partial_key(job_id, end.index), None)
+            for end in step.ended
+            if end.checkpointed
+        )
+        writes.extend(
+            Write(
+                partial_key(job_id, part.index),
+                {'last_id': part.last_id, 'output': part.output},
+            )
+            for part in step.partials
+        )
         version = self._write(
             [Condition(progress_key(job_id), progress.version)],
             writes,
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -1,11 +1,12 @@
 """Which jobs this entry runs: accepted, taken over, ended, handed on."""
 
+from collections.abc import Callable
+
 import gevent
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
-from cactusridge.hashing import hash64, rendezvous
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.ledger import HoldLost, JobLedger
@@ -13,16 +14,13 @@
     JobHead,
     JobItem,
     JobState,
-    Progress,
 )
+from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import Session
 
 # How often orphaned jobs are looked for, in seconds.
 LOOK_S = 0.25
-# The entry that ranks first for a job takes it at once; each next one
-# waits this much longer, a write and its news at the others.
-RANK_DELAY_S = 0.4
 
 
 class JobManager:
@@ -35,15 +33,23 @@
         session: Session,
         scheduler: BatchScheduler,
         clock: Clock,
+        tell: Callable[[str, int], None],
+        peers_heard: Callable[[], bool],
     ) -> None:
-        """Run held jobs with ``scheduler`` while ``session`` lasts."""
+        """Run held jobs with ``scheduler`` while ``session`` lasts.
+
+        ``tell`` lets the peers know of a head by its job and version;
+        ``peers_heard`` says whether some are heard now.
+        """
         self.ledger = ledger
         self._session = session
         self._scheduler = scheduler
         self._clock = clock
+        self._tell_peers = tell
+        self._peers_heard = peers_heard
         self._heads = heads
         heads.on_change(self.changed)
-        self._orphaned_at: dict[str, float] = {}
+        self._orphans = Orphans(session, clock)
         self._taking: set[str] = set()
         self._stopping = False
 
@@ -53,9 +59,19 @@
         if held is None:
             return
         held.head = head
-        if head.state == JobState.ended or not self._is_mine(head):
+        if head.state == JobState.ended or not self._orphans.is_mine(head):
             self._drop(held)
 
+    def told(self, job_id: str, version: int) -> None:
+        """Give a job up when a peer knows of a newer head than this one.
+
+        The store's feed says so too, unless the store turns this entry
+        away: then the peer's word is what stops its items.
+        """
+        held = self.held(job_id)
+        if held is not None and version > held.head.version:
+            gevent.spawn(self._check_hold, held, version)
+
     def held(self, job_id: str) -> HeldJob | None:
         """Return a job that this entry runs."""
         return self._scheduler.jobs.get(job_id)
@@ -82,7 +98,7 @@
             holder=stored.holder,
         )
         self._heads.note(stored)
-        fresh = stored.state == JobState.open and self._is_mine(stored)
+        fresh = stored.state == JobState.open and self._orphans.is_mine(stored)
         if fresh and self.held(head.id) is None and not self._stopping:
             self._taking.add(head.id)
             gevent.spawn(self._begin, stored, items)
@@ -91,18 +107,23 @@
     def end(self, job_id: str) -> None:
         """End a job for good."""
         ended = self.ledger.end(job_id)
+        self._tell(ended)
         logs.emit(events.JOB_CANCELLED, job=job_id, version=ended.version)
         self._heads.note(ended)
 
     def look(self) -> None:
         """Take over jobs whose holders are gone."""
-        if self._session.may_dispatch() and not self._stopping:
+        if self._stopping:
+            return
+        if self._may_dispatch():
             self._scheduler.may_dispatch.set()
         else:
             self._scheduler.may_dispatch.clear()
+        if not self._session.may_dispatch():
             return
         for head in self._heads.every():
-            if self._is_orphan(head) and self._my_turn(head):
+            busy = head.id in self._taking or self.held(head.id) is not None
+            if not busy and self._orphans.due(head):
                 self._taking.add(head.id)
                 gevent.spawn(self._take, head)
 
@@ -111,35 +132,20 @@
         self._stopping = True
         self._scheduler.may_dispatch.clear()
         held = list(self._scheduler.jobs.values())
-        for job in held:
-            job.stop()
         self._scheduler.stop_all()
         gevent.joinall([gevent.spawn(self._release, job) for job in held])
 
-    def _is_mine(self, head: JobHead) -> bool:
-        me = self._session.me
-        return head.holder == me.name and head.life == me.life
-
-    def _is_orphan(self, head: JobHead) -> bool:
-        if head.state != JobState.open or head.id in self._taking:
-            return False
-        if head.id in self._scheduler.jobs:
-            return False
-        orphan = self._is_mine(head) or not (
-            head.holder and self._session.lives(head.holder, head.life)
-        )
-        if not orphan:
-            self._orphaned_at.pop(head.id, None)
-        return orphan
-
-    def _my_turn(self, head: JobHead) -> bool:
-        """Tell whether this entry waited as long as its rank asks."""
-        now = self._clock.monotonic()
-        since = self._orphaned_at.setdefault(head.id, now)
-        live = [member.name for member in self._session.members()]
-        ranked = rendezvous(live, hash64(head.id))
-        rank = ranked.index(self._session.me.name)
-        return now - since >= rank * RANK_DELAY_S
+    def _tell(self, head: JobHead) -> None:
+        self._tell_peers(head.id, head.version)
+
+    def _may_dispatch(self) -> bool:
+        """Tell whether items may start.
+
+        Without the store another entry may have taken or ended a job;
+        while the peers are heard they say so, and until then the store
+        is most likely away for all.
+        """
+        return self._session.may_dispatch() or self._peers_heard()
 
     def _take(self, head: JobHead) -> None:
         """Become the holder of an orphaned job and run it."""
@@ -155,6 +161,7 @@
             self._taking.discard(head.id)
             logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
             return
+        self._tell(taken)
         logs.emit(
             events.JOB_TAKEN,
             job=head.id,
@@ -164,6 +171,13 @@
         self._heads.note(taken)
         self._begin(taken, items)
 
+    def _check_hold(self, held: HeldJob, version: int) -> None:
+        """Read a job's head; without the store, believe the peer."""
+        self._refresh(held.head.id)
+        if held.head.version < version and not held.stopped:
+            logs.emit(events.HOLD_LOST, job=held.head.id)
+            self._drop(held)
+
     def _refresh(self, job_id: str) -> None:
         """Read a job's head anew; the follower may be behind."""
         try:
@@ -174,7 +188,7 @@
     def _begin(self, head: JobHead, items: list[JobItem]) -> None:
         """Run a job until it is done, ended or lost."""
         try:
-            held = HeldJob(head, self._progress(head), items, self.ledger)
+            held = self._restored(head, items)
         except CactusridgeError as exc:
             # The next look finds it orphaned, with this entry as holder.
             logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
@@ -182,15 +196,25 @@
         finally:
             self._taking.discard(head.id)
         newest = self._heads.get(head.id) or head
-        if newest.state != JobState.open or not self._is_mine(newest):
+        if newest.state != JobState.open or not self._orphans.is_mine(newest):
             return
         self._scheduler.jobs[head.id] = held
         metrics.SPANS_HELD.set({}, len(self._scheduler.jobs))
         self._scheduler.wake.set()
         self._flush(held)
 
-    def _progress(self, head: JobHead) -> Progress:
-        return self.ledger.progress(head.id)
+    def _restored(self, head: JobHead, items: list[JobItem]) -> HeldJob:
+        """Return a job as its holders before this one left it."""
+        progress = self.ledger.progress(head.id)
+        partials = self.ledger.partials(head.id)
+        return HeldJob(
+            head,
+            progress,
+            items,
+            partials,
+            self.ledger,
+            self._clock,
+        )
 
     def _flush(self, held: HeldJob) -> None:
         try:
@@ -220,6 +244,7 @@
 
     def _release(self, job: HeldJob) -> None:
         try:
+            job.hand_over()
             self.ledger.release(job.head)
         except CactusridgeError as exc:
             logs.emit(events.TAKE_FAILED, job=job.head.id, error=str(exc))
--- a/cactusridge/jobs/model.py
+++ b/cactusridge/jobs/model.py
@@ -72,6 +72,14 @@
     version: int = 0
 
 
+class Partial(NamedTuple):
+    """What there is of an item's output; it goes on after ``last_id``."""
+
+    index: int
+    last_id: str
+    output: str
+
+
 class Result(NamedTuple):
     """A result as callers read it."""
 
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -115,7 +115,10 @@
             self._session,
             self._scheduler,
             clock,
+            self._peers.tell,
+            loads.peers_heard,
         )
+        self._peers.on_news(self._manager.told)
         jobs = JobCalls(self._manager, self._heads, self._store_clock)
         self._app = CallerApp(
             self._holder,
--- a/tests/test_catalog_peers.py
+++ b/tests/test_catalog_peers.py
@@ -32,7 +32,7 @@
     def test_newer_is_fetched(self):
         """An entry that the store turns away gets version 7."""
         self.catalogs.heard(self.peer, 7)
-        wait_for(lambda: self.holder.catalog.version == 7)
+        wait_for('version 7', lambda: self.holder.catalog.version == 7)
 
     def test_older_is_not(self):
         """A peer that is behind is not asked."""
--- a/tests/test_job_ledger.py
+++ b/tests/test_job_ledger.py
@@ -6,12 +6,13 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.errors import NotFound, StoreUnavailable
-from cactusridge.jobs.ledger import HoldLost, ItemEnd, JobLedger
+from cactusridge.jobs.ledger import HoldLost, ItemEnd, JobLedger, Step
 from cactusridge.jobs.model import (
     ItemState,
     JobHead,
     JobItem,
     JobState,
+    Partial,
     Result,
 )
 from standins.faults import FaultKind
@@ -71,8 +72,8 @@
         """Results stand once, whatever becomes of the answers."""
         progress = self.ledger.progress(JOB)
         self.table.faults.extend(faults)
-        progress = self.ledger.commit(JOB, progress, [end(1)], {})
-        self.ledger.commit(JOB, progress, [end(0), end(2)], {'1': 1})
+        progress = self.ledger.commit(JOB, progress, Step([end(1)]))
+        self.ledger.commit(JOB, progress, Step([end(0), end(2)], {'1': 1}))
         self.assertEqual(['i1', 'i0', 'i2'], self.listed())
 
     def test_store_down(self):
@@ -80,8 +81,8 @@
         progress = self.ledger.progress(JOB)
         self.table.faults.append(FaultKind.down)
         with self.assertRaises(StoreUnavailable):
-            self.ledger.commit(JOB, progress, [end(1)], {})
-        self.ledger.commit(JOB, progress, [end(1)], {})
+            self.ledger.commit(JOB, progress, Step([end(1)]))
+        self.ledger.commit(JOB, progress, Step([end(1)]))
         self.assertEqual(['i1'], self.listed())
 
     def test_old_holder_lists_nothing(self):
@@ -89,9 +90,9 @@
         old = self.ledger.progress(JOB)
         self.ledger.take(self.stored, 'two', 'life2')
         with self.assertRaises(HoldLost):
-            self.ledger.commit(JOB, old, [end(0)], {})
+            self.ledger.commit(JOB, old, Step([end(0)]))
         new = self.ledger.progress(JOB)
-        self.ledger.commit(JOB, new, [end(0)], {})
+        self.ledger.commit(JOB, new, Step([end(0)]))
         self.assertEqual(['i0'], self.listed())
 
     def test_one_of_two_takes(self):
@@ -100,6 +101,18 @@
         with self.assertRaises(HoldLost):
             self.ledger.take(self.stored, 'three', 'life3')
 
+    def test_partials(self):
+        """Unfinished output outlives its holder and goes when it is done."""
+        progress = self.ledger.progress(JOB)
+        parts = [Partial(0, '7', 'a'), Partial(2, '3', 'b')]
+        progress = self.ledger.commit(JOB, progress, Step(partials=parts))
+        self.ledger.take(self.stored, 'two', 'life2')
+        self.assertEqual(parts, self.ledger.partials(JOB))
+        progress = self.ledger.progress(JOB)
+        done = end(0)._replace(checkpointed=True)
+        self.ledger.commit(JOB, progress, Step([done]))
+        self.assertEqual(parts[1:], self.ledger.partials(JOB))
+
     @params((), (FaultKind.lose_answer,), (FaultKind.cut,))
     def test_end(self, *faults):
         """An end is final, repeated or not."""
@@ -111,7 +124,7 @@
         """Outputs over a row's size come back whole from any position."""
         progress = self.ledger.progress(JOB)
         ends = [end(0, LONG), end(1, ''), end(2, LONG[:-1])]
-        self.ledger.commit(JOB, progress, ends, {})
+        self.ledger.commit(JOB, progress, Step(ends))
         for after in range(4):
             found = self.ledger.results(JOB, after)
             wanted = [each.result for each in ends[after:]]
