Stand-in of the machines' platform; SIGHUP, lapsed entries, lost submissions

Read, not seen: replicas that lapse in an outage were dropped at its end; a submission waited up to 6 s for a silent store; a failed renewal made all holders count as alive anew; a leaving entry renewed its row again. Change: SIGHUP reads the file and says what differs; lapsed replicas are kept 2.5 s after an outage; a submission is given up after 1.5 s without a promise; renewing and reading fail apart; no renewal after leaving.

--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/entry/dispatcher.py
@@ -27,7 +27,7 @@
     NoReplica,
 )
 from cactusridge.identity import new_id
-from cactusridge.orders import RunOrder
+from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.routing.candidates import PickRequest
 from cactusridge.routing.retry_budget import RetryPolicy
 from cactusridge.startup.models import EntrySettings
@@ -159,7 +159,7 @@
         )
         attempt = Attempt(order, replica, resp, callbacks)
         limit = gevent.Timeout(
-            max(0, dispatch.deadline_at - self._clock.monotonic()),
+            self._limit_s(dispatch),
             DeadlineExceeded(retry_after_s=MIN_RETRY_S),
         )
         try:
@@ -171,6 +171,17 @@
             raise
         return attempt
 
+    def _limit_s(self, dispatch: Dispatch) -> float | None:
+        """Return how long to wait for an answer; None: its sidecar says.
+
+        A batch item's time counts from the start of its run, which only
+        the sidecar sees; counted from here, an item that got its place
+        late would be charged an attempt for waiting.
+        """
+        if dispatch.work == WorkClass.batch:
+            return None
+        return max(0, dispatch.deadline_at - self._clock.monotonic())
+
     def _check_retry(
         self,
         dispatch: Dispatch,
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -84,9 +84,10 @@
         items: int,
         now_ms: int,
     ) -> JobHead:
-        """Return the head of a job that this entry would run."""
+        """Return the head of a job that this entry runs, if it stays."""
         me = self._session.me
-        return JobHead(job_id, host, path, items, now_ms, me.name, me.life)
+        name, life = ('', '') if self._stopping else (me.name, me.life)
+        return JobHead(job_id, host, path, items, now_ms, name, life)
 
     def accept(self, head: JobHead, items: list[JobItem]) -> JobHead:
         """Store a job and begin to run it; a resend finds the first."""
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -55,17 +55,23 @@
         self._clock = clock
         self._seen: dict[str, Seen] = {}
         self._read_at: float | None = None
+        self._left = False
 
     def step(self) -> None:
         """Renew and read once; the store may be away."""
+        if self._left:
+            return
         try:
             self._renew()
-            self._read()
         except (StoreUnavailable, WriteUnknown) as exc:
+            logs.emit(events.RENEWAL_FAILED, error=str(exc))
+        try:
+            self._read()
+        except StoreUnavailable as unread:
             # Nothing can be said of rows that could not be read: the
             # silence of the others is counted from the next reading.
             self._read_at = None
-            logs.emit(events.RENEWAL_FAILED, error=str(exc))
+            logs.emit(events.RENEWAL_FAILED, error=str(unread))
 
     def may_dispatch(self) -> bool:
         """Tell whether no other entry can have taken this one's jobs."""
@@ -100,6 +106,7 @@
 
     def leave(self) -> None:
         """Remove this entry's row, so that nobody waits for its lease."""
+        self._left = True
         write = Write(f'{PREFIX}{self.me.name}', None)
         self._table.transact([], [write], Priority.lease)
 
--- a/cactusridge/platform/__main__.py
+++ b/cactusridge/platform/__main__.py
@@ -13,6 +13,7 @@
 
 from cactusridge import descriptors, logs
 from cactusridge.exits import ExitStatus
+from cactusridge.platform.reload import ROLE, Reloader
 from cactusridge.platform.role import DirectEntry
 from cactusridge.serving import serve
 from cactusridge.startup.loader import BadStartSettings, load_file
@@ -23,8 +24,9 @@
 
 def run() -> ExitStatus:
     """Serve until the platform says to stop."""
+    path = os.environ[SETTINGS_VARIABLE]
     try:
-        cfg = load_file(os.environ[SETTINGS_VARIABLE], 'direct_entry')
+        cfg = load_file(path, ROLE)
     except BadStartSettings as exc:
         for mistake in exc.exceptions:
             sys.stderr.write(f'cactusridge: {mistake}\n')
@@ -35,6 +37,7 @@
     stop = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
+    gevent.signal_handler(signal.SIGHUP, Reloader(path, cfg).reload)
     return serve(cfg, DirectEntry(cfg), stop)
 
 
--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -10,7 +10,7 @@
 
 from cactusridge import wire
 from cactusridge.dispatch.catalog import Route
-from cactusridge.errors import BadRequest, NotFound
+from cactusridge.errors import BadRequest, NotFound, OutcomeUnknown
 from cactusridge.http.exchange import Reply, json_reply
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.manager import JobManager
@@ -26,6 +26,10 @@
 # A read that finds nothing is answered well before its caller's wait is
 # over, in seconds.
 LONG_POLL_MARGIN_S = 0.15
+# A submission whose fate is not known by then is given up without a
+# promise: its caller sends it again to another entry, which finds it if
+# it was stored. Two of the store's answers may be lost meanwhile.
+ACCEPT_S = 1.5
 STATES = MappingProxyType(
     {
         ItemState.completed: 'completed',
@@ -77,7 +81,9 @@
             len(items),
             self._store_clock.now_ms(),
         )
-        self._manager.accept(head, items)
+        unknown = OutcomeUnknown('the store did not say in time')
+        with gevent.Timeout(ACCEPT_S, unknown):
+            self._manager.accept(head, items)
         return json_reply({}, HTTPStatus.ACCEPTED)
 
     def _read(self, job_id: str, call: CallerRequest) -> Reply:
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -176,7 +176,7 @@
         )
 
     def _other_followers(self) -> list[TableFollower]:
-        discovered = discovery.Discovery(self._fleet)
+        discovered = discovery.Discovery(self._fleet, self._clock)
         return [
             self._follower(discovery.TABLE, [discovery.PREFIX], discovered),
             self._follower(JOBS, head_prefixes(), self._heads),
--- a/cactusridge/store/table_follower.py
+++ b/cactusridge/store/table_follower.py
@@ -14,6 +14,9 @@
 # A watch is answered at least this often, which tells a lost connection
 # from a table in which nothing changes.
 WAIT_S = 1.5
+# Silence for which the store counts as having been away: a watch that is
+# answered on time, and half a second.
+AWAY_S = 2.0
 # A watch may miss changes that the store made while it heard nothing;
 # everything is read again this often, at some rows a second.
 REREAD_S = 8
@@ -34,6 +37,9 @@
     def keep_only(self, keys: set[str]) -> None:
         """Forget every row whose key is not among ``keys``."""
 
+    def regained(self) -> None:
+        """Note that the store answers again after an outage."""
+
 
 class TableFollower:
     """Follows one table for as long as the process runs."""
@@ -80,12 +86,18 @@
 
     def _read(self) -> None:
         now = self._clock.monotonic()
+        was_away = self.silent_s() > AWAY_S
         if self._version is None or now - self._read_at > REREAD_S:
             found = self._watch.snapshot(self._prefixes)
             self._read_at = now
-            self._listener.keep_only({row.key for row in found.rows})
+            whole = True
         else:
             found = self._watch.changes(self._table, self._version, WAIT_S)
+            whole = False
+        if was_away:
+            self._listener.regained()
+        if whole:
+            self._listener.keep_only({row.key for row in found.rows})
         for row in found.rows:
             self._listener.put(row)
         self._version = found.version
--- /dev/null
+++ b/standins/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the machines' platform: its store and its replicas."""
--- /dev/null
+++ b/standins/machines/replica.py
@@ -0,0 +1,110 @@
+"""A replica of the machines: slots, streams, resumption, and faults."""
+
+from collections import Counter
+from collections.abc import Iterator
+from types import MappingProxyType
+from typing import Any
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
+
+STEP_S = 0.01
+STATUSES = MappingProxyType(
+    {
+        b'impossible': '422 Unprocessable',
+        b'failing': '500 Failed',
+        b'plain': '200 OK',
+    },
+)
+Start = Any
+
+
+class Cut(Exception):
+    """The replica breaks its answer off."""
+
+
+class MachineReplica:
+    """Runs requests; keeps what it ran for the tests to look at.
+
+    The body of a request is ``N`` or ``N EVENT_SECONDS``: so many events
+    come, one each so many seconds. ``cut_after`` breaks the next streams
+    off after so many events, in the middle of one.
+    """
+
+    def __init__(self, replica_id: str, slots: int) -> None:
+        """Run as the process ``replica_id``."""
+        self.id = replica_id
+        self.runs: Counter[str] = Counter()
+        self.seen: dict[str, dict[str, str]] = {}
+        self.targets: list[str] = []
+        self.cut_after: list[int] = []
+        self.spoil: list[str] = []
+        self.running = 0
+        self.most = 0
+        self.left = 0
+        self._slots = BoundedSemaphore(slots)
+
+    def __call__(self, environ: dict[str, Any], start: Start) -> Any:
+        """Serve one request, as WSGI has it."""
+        headers = dict(environ[HEADERS_KEY])
+        request_id = headers.get('X-Attempt-Id', '')
+        if headers.get('X-Expect-Instance') != self.id:
+            return self._refuse(start, '421 Misdirected Request')
+        if not request_id:
+            return self._refuse(start, '400 Bad Request')
+        body = environ['wsgi.input'].read()
+        self.runs[request_id] += 1
+        self.seen[request_id] = headers
+        self.targets.append(environ[TARGET_KEY])
+        answered = [
+            ('X-Attempt-Id', request_id),
+            ('X-Response-Signature', f'sig.{self.id}'),
+        ]
+        return self._answer(body, headers, answered, start)
+
+    def _answer(
+        self,
+        body: bytes,
+        headers: dict[str, str],
+        answered: list[tuple[str, str]],
+        start: Start,
+    ) -> Any:
+        status = STATUSES.get(body.partition(b' ')[0])
+        if status is not None:
+            start(status, answered)
+            return [body]
+        if self.spoil:
+            wrong = self.spoil.pop(0)
+            start('200 OK', [('X-Attempt-Id', wrong), answered[1]])
+            return [b'spoiled']
+        start('200 OK', [*answered, ('Content-Type', 'text/event-stream')])
+        return self._events(body, headers.get('Last-Event-Id', '0'))
+
+    def _end(self, whole: bool) -> None:
+        self.running -= 1
+        self.left += not whole
+        self._slots.release()
+
+    def _refuse(self, start: Start, status: str) -> list[bytes]:
+        start(status, [('X-Not-Executed', '1')])
+        return [b'']
+
+    def _events(self, body: bytes, last: str) -> Iterator[bytes]:
+        count, _, gap = body.decode().partition(' ')
+        cut_after = self.cut_after.pop(0) if self.cut_after else None
+        self._slots.acquire()
+        self.running += 1
+        self.most = max(self.most, self.running)
+        whole = False
+        try:
+            for number in range(int(last) + 1, int(count) + 1):
+                gevent.sleep(float(gap or STEP_S))
+                if number == cut_after:
+                    yield f'id: {number}\nda'.encode()
+                    raise Cut
+                yield f'id: {number}\ndata: e{number}\n\n'.encode()
+            whole = True
+        finally:
+            self._end(whole)
--- /dev/null
+++ b/standins/machines/site.py
@@ -0,0 +1,198 @@
+"""Entries as real processes before the stand-ins, in one test process."""
+
+import base64
+import contextlib
+import json
+import os
+from http.client import HTTPConnection
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+import yaml
+
+from cactusridge.http.client import Address
+from cactusridge.http.server import Server
+from standins.local_process import LocalProcess
+from standins.machines.replica import MachineReplica
+from standins.machines.store import MachineStore
+from standins.ports import Ports
+from standins.waiting import wait_for
+
+HOST = 'site.example'
+ROUTE_DEFAULTS = MappingProxyType(
+    {
+        'host': HOST,
+        'timeout_ms': 5000,
+        'target_latency_ms': 300,
+        'priority': 0,
+        'service': 'model',
+        'max_attempts': 2,
+    }
+)
+ROUTES = (
+    {'name': 'on', 'path_prefix': '/on/', 'kind': 'streaming'},
+    {
+        'name': 'again',
+        'path_prefix': '/again/',
+        'kind': 'streaming',
+        'resumable': True,
+    },
+    {'name': 'safe', 'path_prefix': '/safe/', 'kind': 'idempotent'},
+    {
+        'name': 'lots',
+        'path_prefix': '/lots/',
+        'kind': 'batch',
+        'result_due_ms': 18000,
+        'max_wait_s': 60,
+    },
+)
+
+
+class MachineSite:
+    """A store, replicas of one service and some entries."""
+
+    def __init__(self, folder: Path, replicas: int, slots: int) -> None:
+        """Make everything but the entries."""
+        self.folder = folder
+        self.store = MachineStore()
+        self.replicas = [
+            MachineReplica(f'i-{number}', slots) for number in range(replicas)
+        ]
+        self.entries: dict[str, LocalProcess] = {}
+        self.addresses: dict[str, Address] = {}
+        self._slots = slots
+        self._ports = Ports()
+        self._servers: list[Server] = []
+        self._version = 0
+
+    def start(self) -> None:
+        """Serve the store and the replicas; write the configuration."""
+        self._store_address = self._serve(self.store.app)
+        for replica in self.replicas:
+            address = self._serve(replica)
+            self.register(replica, address)
+        self.configure(ROUTES)
+
+    def register(self, replica: MachineReplica, address: Address) -> None:
+        """Put a replica on the list of the platform."""
+        entry = {
+            'service': 'model',
+            'address': str(address),
+            'zone': 'z',
+            'slots': self._slots,
+            'state': 'ready',
+        }
+        self.store.put(('servers', '', replica.id), entry)
+
+    def configure(self, routes: Any) -> None:
+        """Put a new version of the configuration in force."""
+        self._version += 1
+        message = {
+            'version': self._version,
+            'routes': [{**ROUTE_DEFAULTS, **route} for route in routes],
+            'services': [],
+            'limits': {'max_body_bytes': 1 << 20, 'max_header_bytes': 8000},
+        }
+        self.store.put(('op', '', 'config'), message)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry, or start it again, and wait until it is ready."""
+        path = self.folder / f'{name}.yaml'
+        if name not in self.addresses:
+            path.write_text(yaml.safe_dump(self._settings(name)))
+        os.environ['CACTUSRIDGE_CONFIG'] = str(path)
+        self.entries[name] = LocalProcess(
+            name,
+            ['cactusridge.platform'],
+            self.folder,
+        )
+        wait_for(f'{name} is ready', lambda: self._is_ready(name))
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Return status, headers and body of one call to an entry."""
+        conn = HTTPConnection(*self.addresses[name], timeout=20)
+        sent = {'Host': HOST, **(headers or {})}
+        with contextlib.closing(conn):
+            conn.request(method, target, body, sent)
+            resp = conn.getresponse()
+            return resp.status, dict(resp.getheaders()), resp.read()
+
+    def submit(self, name: str, job_id: str, bodies: list[str]) -> int:
+        """Submit a job with an item for each of ``bodies``."""
+        items = [
+            {
+                'id': f'{job_id}-{number}',
+                'path': f'/lots/{number}',
+                'headers': {'X-Model': 'm'},
+                'body': base64.b64encode(body.encode()).decode(),
+                'tokens': 1,
+            }
+            for number, body in enumerate(bodies)
+        ]
+        raw = json.dumps({'items': items}).encode()
+        sent = {'X-Attempt-Id': job_id, 'Content-Type': 'application/json'}
+        return self.call(name, 'POST', '/lots/x', raw, sent)[0]
+
+    def results(self, name: str, job_id: str) -> list[dict[str, str]]:
+        """Return every result of a job that is listed now."""
+        found: list[dict[str, str]] = []
+        while True:
+            target = f'/api/lots/{job_id}?after={len(found)}'
+            status, _, raw = self.call(name, 'GET', target)
+            page = json.loads(raw)['results'] if status == 200 else []
+            if not page:
+                return found
+            found.extend(page)
+
+    def stop(self) -> None:
+        """End the processes and servers that this site started."""
+        for process in self.entries.values():
+            if process.process.poll() is None:
+                process.kill()
+        for server in self._servers:
+            server.stop(timeout=0)
+        self._ports.close()
+
+    def _serve(self, app: Any) -> Address:
+        address = self._ports.give()
+        server = Server(address, app, 30)
+        server.start()
+        self._servers.append(server)
+        return address
+
+    def _settings(self, name: str) -> dict[str, Any]:
+        self.addresses[name] = self._ports.give()
+        return {
+            'role': 'direct_entry',
+            'name': name,
+            'zone': 'z',
+            'listen': str(self.addresses[name]),
+            'readiness_listen': str(self._ports.give()),
+            'peer_listen': str(self._ports.give()),
+            'metrics_listen': str(self._ports.give()),
+            'readiness_delay_s': 0.3,
+            'drain_timeout_s': 6,
+            'store': {
+                'address': str(self._store_address),
+                'timeout_s': 1,
+                'calls_per_s': 500,
+                'max_pause_s': 0.3,
+            },
+        }
+
+    def _is_ready(self, name: str) -> bool:
+        settings = yaml.safe_load((self.folder / f'{name}.yaml').read_text())
+        host, _, port = settings['readiness_listen'].partition(':')
+        conn = HTTPConnection(host, int(port), timeout=2)
+        with contextlib.closing(conn), contextlib.suppress(OSError):
+            conn.request('GET', '/')
+            return conn.getresponse().status == 200
+        return False
--- /dev/null
+++ b/tests/machine_case.py
@@ -0,0 +1,49 @@
+"""A test case over entries before the machines' stand-ins."""
+
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from standins.machines.site import MachineSite
+from standins.waiting import wait_for
+
+JOB_WAIT_S = 40
+
+
+class MachineCase(unittest.TestCase):
+    """Starts a site with two replicas and entries for each test."""
+
+    replicas = 2
+    slots = 4
+    entries: tuple[str, ...] = ('one', 'two')
+
+    def setUp(self):
+        """Start the site."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.site = MachineSite(Path(folder.name), self.replicas, self.slots)
+        self.addCleanup(self.site.stop)
+        self.site.start()
+        for name in self.entries:
+            self.site.start_entry(name)
+
+    def tearDown(self):
+        """Say what an entry said last when its test failed."""
+        outcome = self._outcome
+        if outcome is not None and not outcome.success:
+            for process in self.site.entries.values():
+                sys.stderr.write(f'{process.tail()}\n')
+
+    def runs(self, request_id: str) -> int:
+        """Return how often replicas ran a request."""
+        return sum(each.runs[request_id] for each in self.site.replicas)
+
+    def wait_done(self, entry: str, job: str, count: int) -> list[str]:
+        """Wait until all items are listed; return their ids in order."""
+        wait_for(
+            f'{count} results of {job}',
+            lambda: len(self.site.results(entry, job)) == count,
+            JOB_WAIT_S,
+        )
+        return [each['id'] for each in self.site.results(entry, job)]
