A log line for each decision, bounded and never waited for

Cause: only failures were logged; a reader that stops would have stopped an entry (blocking writes).

--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -94,6 +94,12 @@
         oldest = self._clock.monotonic() - PEER_SILENCE_S
         return any(said.heard_at >= oldest for said in self._peers.values())
 
+    def age_s(self) -> float:
+        """Return the age of the oldest counts of peers that are heard."""
+        now = self._clock.monotonic()
+        ages = (now - said.heard_at for said in self._peers.values())
+        return max((age for age in ages if age < PEER_SILENCE_S), default=0)
+
     def peers_at(self, replica_id: str) -> dict[str, Load]:
         """Return the counts at a replica of each peer that is heard."""
         oldest = self._clock.monotonic() - PEER_SILENCE_S
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -2,15 +2,15 @@
 
 import random
 from collections.abc import Iterator
-from typing import NamedTuple
 
-from cactusridge import events, logs, metrics
+from cactusridge import metrics
 from cactusridge.clock import Clock
-from cactusridge.dispatch.caller import CallerWatch
 from cactusridge.dispatch.catalog import Route, RouteKind
 from cactusridge.dispatch.event_splitter import EventSplitter
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.loads import WorkKind
+from cactusridge.dispatch.online_call import Answer, OnlineCall, Progress
+from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.placement import (
     QUEUE_SHARE,
     Choice,
@@ -28,7 +28,6 @@
 )
 from cactusridge.dispatch.upstream import (
     ConnectFailed,
-    HeaderList,
     UpstreamHead,
     UpstreamRequest,
     UpstreamSilent,
@@ -59,34 +58,6 @@
 STREAM_SILENCE_S = 1.2
 
 
-class OnlineCall(NamedTuple):
-    """A caller's request; ``deadline_at`` is on the dispatcher's clock."""
-
-    req: UpstreamRequest
-    route: Route
-    arrived_at: float
-    deadline_at: float
-    caller: CallerWatch
-
-
-class Answer(NamedTuple):
-    """What the caller gets; ``body`` raises when it cannot be whole."""
-
-    status: int
-    headers: HeaderList
-    body: list[bytes] | Iterator[bytes]
-
-
-class Progress:
-    """What has been tried for one call."""
-
-    def __init__(self) -> None:
-        """Start with nothing tried."""
-        self.tried: list[str] = []
-        self.may_have_run = 0
-        self.turned_away = 0
-
-
 class OnlineDispatcher:
     """Sends each call to a replica, and to another where that is safe."""
 
@@ -102,6 +73,7 @@
         self._runner = runner
         self._zone = zone
         self._clock = clock
+        self._log = OnlineLog(runner.loads, clock)
         self._rng = random.Random()  # noqa: S311
 
     def answer(self, call: OnlineCall) -> Answer:
@@ -111,7 +83,7 @@
             return self._answer(call, progress)
         except CactusridgeError as exc:
             exc.not_run = progress.may_have_run == 0
-            self._log_failure(call, progress, exc)
+            self._log.failure(call, progress, exc)
             raise
 
     def _answer(self, call: OnlineCall, progress: Progress) -> Answer:
@@ -146,10 +118,13 @@
         head = self._head(call, run, progress)
         if self._wants_another(call, head, progress):
             raise UpstreamFailed(f'{run.replica.id} answered {head.status}')
+        self._log.answered(call, run.replica)
         if call.route.kind == RouteKind.stream and is_success(head.status):
             body = self._stream(call, run, progress)
             return Answer(head.status, head.headers, body)
+        begun_at = call.arrived_at
         whole = self._whole(call, run)
+        self._note_hold(run.replica, begun_at)
         run.close()
         return Answer(head.status, head.headers, [whole])
 
@@ -168,6 +143,7 @@
             progress.may_have_run += 1
             raise
         call.caller.call_when_gone(run.exchange.abort)
+        self._log.placed(call, progress, replica, req)
         return run
 
     def _head(
@@ -214,15 +190,22 @@
         while True:
             if failure is not None:
                 run = self._resume(call, progress, splitter, failure)
+            begun_at = self._clock.monotonic()
             try:
                 yield from self._events(call, run, splitter, progress)
             except CactusridgeError as exc:
                 failure = exc
+                self._log.broken(call, run, splitter, exc)
             else:
+                self._note_hold(run.replica, begun_at)
                 return
             finally:
                 run.close()
 
+    def _note_hold(self, replica: Replica, begun_at: float) -> None:
+        held_s = self._clock.monotonic() - begun_at
+        self._runner.hold(replica.service).ended(held_s)
+
     def _events(
         self,
         call: OnlineCall,
@@ -359,22 +342,3 @@
             return route.shares[0].service
         weights = [share.weight for share in route.shares]
         return self._rng.choices(route.shares, weights)[0].service
-
-    def _log_failure(
-        self,
-        call: OnlineCall,
-        progress: Progress,
-        exc: CactusridgeError,
-    ) -> None:
-        now = self._clock.monotonic()
-        logs.emit(
-            events.REQUEST_FAILED,
-            request=call.req.id,
-            route=call.route.name,
-            cause=exc.code,
-            error=str(exc),
-            tried=progress.tried,
-            may_have_run=progress.may_have_run,
-            took_s=round(now - call.arrived_at, 4),
-            left_s=round(call.deadline_at - now, 4),
-        )
--- /dev/null
+++ b/cactusridge/dispatch/online_log.py
@@ -0,0 +1,92 @@
+"""What is logged of an online request: each decision with its inputs."""
+
+from cactusridge import events, logs, metrics
+from cactusridge.clock import Clock
+from cactusridge.dispatch.event_splitter import EventSplitter
+from cactusridge.dispatch.loads import LoadTable
+from cactusridge.dispatch.online_call import OnlineCall, Progress
+from cactusridge.dispatch.replica import Replica
+from cactusridge.dispatch.run import Run
+from cactusridge.dispatch.upstream import UpstreamRequest
+from cactusridge.errors import CactusridgeError
+
+
+class OnlineLog:
+    """Writes the events of online requests."""
+
+    def __init__(self, loads: LoadTable, clock: Clock) -> None:
+        """Tell the counts in ``loads`` and times by ``clock``."""
+        self._loads = loads
+        self._clock = clock
+
+    def placed(
+        self,
+        call: OnlineCall,
+        progress: Progress,
+        replica: Replica,
+        req: UpstreamRequest,
+    ) -> None:
+        """Tell where a request goes and what decided it."""
+        load = self._loads.at(replica.id)
+        logs.emit(
+            events.REQUEST_PLACED,
+            request=req.id,
+            route=call.route.name,
+            replica=replica.id,
+            attempt=len(progress.tried),
+            after_event=req.resume_after,
+            online=load.online,
+            batch=load.batch,
+            loads_age_s=round(self._loads.age_s(), 3),
+            left_s=round(call.deadline_at - self._clock.monotonic(), 3),
+        )
+
+    def answered(self, call: OnlineCall, replica: Replica) -> None:
+        """Tell that an answer has begun."""
+        took_s = self._clock.monotonic() - call.arrived_at
+        metrics.TTFT.observe({'service': replica.service}, took_s)
+        logs.emit(
+            events.REQUEST_ANSWERED,
+            request=call.req.id,
+            replica=replica.id,
+            first_byte_s=round(took_s, 4),
+        )
+
+    def broken(
+        self,
+        call: OnlineCall,
+        run: Run,
+        splitter: EventSplitter,
+        exc: CactusridgeError,
+    ) -> None:
+        """Tell where a stream broke."""
+        logs.emit(
+            events.STREAM_BROKEN,
+            request=call.req.id,
+            replica=run.replica.id,
+            after_event=splitter.last_id,
+            resumable=call.route.resumable,
+            caller_gone=call.caller.gone,
+            cause=exc.code,
+            error=str(exc),
+        )
+
+    def failure(
+        self,
+        call: OnlineCall,
+        progress: Progress,
+        exc: CactusridgeError,
+    ) -> None:
+        """Tell why a caller gets no answer."""
+        now = self._clock.monotonic()
+        logs.emit(
+            events.REQUEST_FAILED,
+            request=call.req.id,
+            route=call.route.name,
+            cause=exc.code,
+            error=str(exc),
+            tried=progress.tried,
+            may_have_run=progress.may_have_run,
+            took_s=round(now - call.arrived_at, 4),
+            left_s=round(call.deadline_at - now, 4),
+        )
--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -161,6 +161,13 @@
             if task is not None:
                 task.stored_id = part.last_id
         if step.ended:
+            logs.emit(
+                events.RESULTS_LISTED,
+                job=self.head.id,
+                items=[end.result.id for end in step.ended],
+                listed=len(self._progress.listed),
+                version=self._progress.version,
+            )
             self.listed.set()
             self.listed.clear()
 
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -188,6 +188,17 @@
             self._ended(running, waiting.route)
 
         greenlet.link(ended)
+        load = self.loads.at(replica.id)
+        logs.emit(
+            events.ITEM_STARTED,
+            job=job.head.id,
+            item=task.item.id,
+            replica=replica.id,
+            after_event=task.last_id,
+            online=load.online,
+            batch=load.batch,
+            loads_age_s=round(self.loads.age_s(), 3),
+        )
         # Counts the item in the load at once: the next choice sees it.
         greenlet.start()
         gevent.sleep(0)
@@ -196,6 +207,14 @@
         self._running.remove(running)
         job, task = running.job, running.task
         end = running.greenlet.value
+        logs.emit(
+            events.ITEM_RUN_ENDED,
+            job=job.head.id,
+            item=task.item.id,
+            replica=running.replica.id,
+            outcome=end.value if isinstance(end, RunEnd) else 'yielded',
+            events=len(task.texts),
+        )
         if end == RunEnd.completed:
             self._end(job, task, ItemState.completed)
         elif end == RunEnd.impossible:
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -121,12 +121,17 @@
         rows = self._table.scan(PREFIX, Priority.lease)
         now = self._clock.monotonic()
         anew = self._read_at is None
+        known = set(self._seen)
         self._seen = {
             row.key.removeprefix(PREFIX): self._note(row, now, anew)
             for row in rows
             if row.value is not None
         }
         self._read_at = now
+        for name in set(self._seen) - known:
+            logs.emit(events.MEMBER_FOUND, member=name)
+        for gone in known - set(self._seen):
+            logs.emit(events.MEMBER_GONE, member=gone)
 
     def _note(self, row: Row, now: float, anew: bool) -> Seen:
         known = self._seen.get(row.key.removeprefix(PREFIX))
--- a/cactusridge/logs.py
+++ b/cactusridge/logs.py
@@ -1,14 +1,24 @@
 """Logs through structlog: every line is an event of the catalogue."""
 
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import structlog
 
 from cactusridge.events import Event
 
 
-def configure(style: str, stream: TextIO = sys.stderr) -> None:
+class Stream(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Let lines go out."""
+
+
+def configure(style: str, stream: Stream = sys.stderr) -> None:
     """Write logs to ``stream`` as ``json`` or for a ``console``."""
     renderer: Any = structlog.processors.JSONRenderer()
     if style == 'console':
--- a/cactusridge/platform/__main__.py
+++ b/cactusridge/platform/__main__.py
@@ -13,6 +13,7 @@
 
 from cactusridge import descriptors, logs
 from cactusridge.exits import ExitStatus
+from cactusridge.log_stream import LogStream
 from cactusridge.platform.reload import ROLE, Reloader
 from cactusridge.platform.role import DirectEntry
 from cactusridge.serving import serve
@@ -20,6 +21,8 @@
 
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE = 'CACTUSRIDGE_CONFIG'
+# What a process waits at its end for a reader of its log, in seconds.
+LOG_END_S = 0.2
 
 
 def run() -> ExitStatus:
@@ -31,14 +34,17 @@
         for mistake in exc.exceptions:
             sys.stderr.write(f'cactusridge: {mistake}\n')
         return ExitStatus.bad_settings
-    logs.configure(cfg.log.style, sys.stdout)
+    stream = LogStream(sys.stdout.fileno())
+    logs.configure(cfg.log.style, stream)
     logs.bind(host=cfg.name)
     descriptors.allow_many()
     stop = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
     gevent.signal_handler(signal.SIGHUP, Reloader(path, cfg).reload)
-    return serve(cfg, DirectEntry(cfg), stop)
+    status = serve(cfg, DirectEntry(cfg), stop)
+    stream.finish(LOG_END_S)
+    return status
 
 
 if __name__ == '__main__':
--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -7,7 +7,8 @@
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route, RouteKind
-from cactusridge.dispatch.online import OnlineCall, OnlineDispatcher
+from cactusridge.dispatch.online import OnlineDispatcher
+from cactusridge.dispatch.online_call import OnlineCall
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import (
     CactusridgeError,
