Large jobs in objects, old jobs removed, an accepted job is never refused

Cause (read, then a red test): a job that was stored and whose head could not be read back was answered 503, which promises that it will not run; a payload over a transaction's megabyte could never be stored; rows of old jobs stayed for ever.

--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -7,13 +7,13 @@
 """
 
 import contextlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import gevent
 
-from cactusridge import events, logs, wire
+from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import (
     CactusridgeError,
@@ -26,12 +26,10 @@
     head_key,
     partial_key,
     partial_prefix,
-    payload_prefix,
     progress_key,
     result_prefix,
 )
 from cactusridge.jobs.model import (
-    ItemState,
     JobHead,
     JobItem,
     JobState,
@@ -41,21 +39,26 @@
     head_of,
     head_value,
 )
+from cactusridge.jobs.payloads import Payloads
+from cactusridge.jobs.result_rows import (
+    results_in,
+    rows_of,
+    start_after,
+    without_last,
+)
+from cactusridge.store.object_store import ObjectStore
 from cactusridge.store.table import (
     ABSENT,
     Condition,
     ConditionFailed,
     Priority,
-    Row,
     Table,
     Write,
     WriteUnknown,
+    scan_all,
 )
 from cactusridge.store.writer import insert_once
 
-# Characters of JSON text in one row; the store's rows hold 65,536 bytes,
-# and a character may take four.
-PIECE_CHARS = 16_000
 # Results in one transaction; of at most some 23 KB each they stay well
 # under a transaction's megabyte and hundred rows.
 MAX_COMMIT = 20
@@ -63,6 +66,8 @@
 PAUSE_S = 0.15
 # Results in one answer to a reader.
 PAGE_RESULTS = 30
+# Rows removed in one transaction; the store takes a hundred.
+MAX_REMOVED = 90
 
 
 # Characters of unfinished output that a row takes, whatever they are.
@@ -102,9 +107,15 @@
 class JobLedger:
     """Accepts, takes, commits, ends and reads jobs."""
 
-    def __init__(self, table: Table, clock: Clock) -> None:
-        """Keep everything in ``table``."""
+    def __init__(
+        self,
+        table: Table,
+        objects: ObjectStore,
+        clock: Clock,
+    ) -> None:
+        """Keep everything in ``table``, large payloads in ``objects``."""
         self._table = table
+        self._payloads = Payloads(table, objects)
         self._clock = clock
 
     def accept(
@@ -121,11 +132,15 @@
         writes = [
             Write(head_key(head.id), head_value(head)),
             Write(progress_key(head.id), progress_value([], {}, write_id)),
-            *_pieces(payload_prefix(head.id), _packed_items(items)),
+            *self._payloads.prepare(head.id, items, write_id),
         ]
         condition = Condition(head_key(head.id), ABSENT)
         insert_once(self._table, [condition], writes)
-        return self.head(head.id)
+        try:
+            return self.head(head.id)
+        except StoreUnavailable as exc:
+            # It is stored: nothing may be said that means it is not.
+            raise OutcomeUnknown(str(exc), retry_after_s=1) from exc
 
     def head(self, job_id: str) -> JobHead:
         """Return a job's head; raise NotFound, StoreUnavailable."""
@@ -143,11 +158,7 @@
 
     def items(self, job_id: str) -> list[JobItem]:
         """Return the items of a job; raise NotFound."""
-        rows = self._table.scan(payload_prefix(job_id), Priority.commit)
-        text = ''.join(row.value['text'] for row in rows if row.value)
-        if not text:
-            raise NotFound(f'no job {job_id}')
-        return [JobItem(*fields) for fields in wire.decode(text.encode())]
+        return self._payloads.read(job_id)
 
     def partials(self, job_id: str) -> list[Partial]:
         """Return the unfinished outputs of a job's items."""
@@ -204,7 +215,7 @@
             ),
         ]
         for position, end in enumerate(step.ended, first):
-            writes.extend(_result_rows(job_id, position, end.result))
+            writes.extend(rows_of(job_id, position, end.result))
         writes.extend(
             Write(partial_key(job_id, end.index), None)
             for end in step.ended
@@ -241,12 +252,34 @@
 
     def results(self, job_id: str, after: int) -> list[Result]:
         """Return results from position ``after`` on, one if there is one."""
-        prefix = result_prefix(job_id)
-        start = f'{prefix}{after - 1:06}~' if after else ''
-        rows = self._table.scan(prefix, Priority.report, start, PAGE_RESULTS)
+        start = start_after(job_id, after)
+        rows = self._table.scan(
+            result_prefix(job_id),
+            Priority.report,
+            start,
+            PAGE_RESULTS,
+        )
         if len(rows) == PAGE_RESULTS:
-            rows = _without_last_result(rows)
-        return list(_results(rows))
+            rows = without_last(rows)
+        return list(results_in(rows))
+
+    def remove(self, head: JobHead) -> None:
+        """Remove a job that nobody may read any more, its head last."""
+        writes = self._payloads.drop(head.id)
+        for prefix in (result_prefix(head.id), partial_prefix(head.id)):
+            rows = scan_all(self._table, prefix, Priority.report)
+            writes.extend(Write(row.key, None) for row in rows)
+        for start in range(0, len(writes), MAX_REMOVED):
+            part = writes[start : start + MAX_REMOVED]
+            self._table.transact([], part, Priority.report)
+        self._write(
+            [Condition(head_key(head.id), head.version)],
+            [
+                Write(head_key(head.id), None),
+                Write(progress_key(head.id), None),
+            ],
+            None,
+        )
 
     def _put_head(self, head: JobHead) -> JobHead:
         """Write a head over the version that it was read with."""
@@ -328,57 +361,3 @@
 ) -> dict[str, Any]:
     """Return progress as its row's value."""
     return {'listed': listed, 'failures': failures, 'write_id': write_id}
-
-
-def _packed_items(items: Sequence[JobItem]) -> str:
-    return wire.encode([list(item) for item in items]).decode()
-
-
-def _cut(text: str) -> list[str]:
-    """Return ``text`` in pieces that fit a row, one at least."""
-    starts = range(0, max(1, len(text)), PIECE_CHARS)
-    return [text[start : start + PIECE_CHARS] for start in starts]
-
-
-def _pieces(prefix: str, text: str) -> list[Write]:
-    return [
-        Write(f'{prefix}{number:04}', {'text': piece})
-        for number, piece in enumerate(_cut(text))
-    ]
-
-
-def _result_rows(
-    job_id: str,
-    position: int,
-    result: Result,
-) -> Iterable[Write]:
-    """Yield the rows of a result; all but the first only go on its output."""
-    first, *others = _cut(result.output)
-    key = f'{result_prefix(job_id)}{position:06}'
-    yield Write(
-        key,
-        {'id': result.id, 'state': result.state, 'output': first},
-    )
-    for number, piece in enumerate(others):
-        yield Write(f'{key}.{number:04}', {'more': piece})
-
-
-def _without_last_result(rows: list[Row]) -> list[Row]:
-    """Drop the last result, whose rows may not all be on the page."""
-    firsts = [
-        number for number, row in enumerate(rows) if 'id' in (row.value or {})
-    ]
-    return rows[: firsts[-1]] if len(firsts) > 1 else rows
-
-
-def _results(rows: Iterable[Row]) -> Iterable[Result]:
-    """Yield the results in rows that are sorted by key."""
-    found: list[dict[str, Any]] = []
-    for row in rows:
-        raw = row.value or {}
-        if 'id' in raw:
-            found.append({**raw})
-        elif found:
-            found[-1]['output'] += raw.get('more', '')
-    for fields in found:
-        yield Result(fields['id'], ItemState(fields['state']), fields['output'])
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -23,6 +23,10 @@
 LOOK_S = 0.25
 
 
+def tell_nobody(subject: str, version: int) -> None:
+    """Tell nobody: the peers are not there yet."""
+
+
 class JobManager:
     """Holds some of the jobs and looks after those that nobody holds."""
 
@@ -32,27 +36,30 @@
         heads: JobHeads,
         session: Session,
         scheduler: BatchScheduler,
+        orphans: Orphans,
         clock: Clock,
-        tell: Callable[[str, int], None],
         peers_heard: Callable[[], bool],
     ) -> None:
         """Run held jobs with ``scheduler`` while ``session`` lasts.
 
-        ``tell`` lets the peers know of a head by its job and version;
-        ``peers_heard`` says whether some are heard now.
+        ``peers_heard`` says whether some peers are heard now.
         """
         self.ledger = ledger
         self._session = session
         self._scheduler = scheduler
         self._clock = clock
-        self._tell_peers = tell
+        self._orphans = orphans
+        self._tell_peers: Callable[[str, int], None] = tell_nobody
         self._peers_heard = peers_heard
         self._heads = heads
         heads.on_change(self.changed)
-        self._orphans = Orphans(session, clock)
         self._taking: set[str] = set()
         self._stopping = False
 
+    def tell_through(self, tell: Callable[[str, int], None]) -> None:
+        """Let peers know of a head, by job and version, with ``tell``."""
+        self._tell_peers = tell
+
     def changed(self, head: JobHead) -> None:
         """Stop a held job when its newer head says so."""
         held = self._scheduler.jobs.get(head.id)
@@ -108,7 +115,7 @@
     def end(self, job_id: str) -> None:
         """End a job for good."""
         ended = self.ledger.end(job_id)
-        self._tell(ended)
+        self._tell_peers(ended.id, ended.version)
         logs.emit(events.JOB_CANCELLED, job=job_id, version=ended.version)
         self._heads.note(ended)
 
@@ -136,9 +143,6 @@
         self._scheduler.stop_all()
         gevent.joinall([gevent.spawn(self._release, job) for job in held])
 
-    def _tell(self, head: JobHead) -> None:
-        self._tell_peers(head.id, head.version)
-
     def _may_dispatch(self) -> bool:
         """Tell whether items may start.
 
@@ -162,7 +166,7 @@
             self._taking.discard(head.id)
             logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
             return
-        self._tell(taken)
+        self._tell_peers(taken.id, taken.version)
         logs.emit(
             events.JOB_TAKEN,
             job=head.id,
--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -35,14 +35,15 @@
             return False
         now = self._clock.monotonic()
         since = self._since.setdefault(head.id, now)
-        return now - since >= self._rank(head) * RANK_DELAY_S
+        return now - since >= self.rank(head) * RANK_DELAY_S
+
+    def rank(self, head: JobHead) -> int:
+        """Return this entry's place among those that may see to a job."""
+        live = [member.name for member in self._session.members()]
+        ranked = rendezvous(live, hash64(head.id))
+        return ranked.index(self._session.me.name)
 
     def _is_orphan(self, head: JobHead) -> bool:
         if self.is_mine(head) or not head.holder:
             return True
         return not self._session.lives(head.holder, head.life)
-
-    def _rank(self, head: JobHead) -> int:
-        live = [member.name for member in self._session.members()]
-        ranked = rendezvous(live, hash64(head.id))
-        return ranked.index(self._session.me.name)
--- /dev/null
+++ b/cactusridge/platform/job_parts.py
@@ -0,0 +1,85 @@
+"""The parts of an entry that run batch jobs."""
+
+import gevent
+
+from cactusridge.background import keep_doing, keep_doing_every
+from cactusridge.clock import Clock
+from cactusridge.dispatch.fleet_view import FleetView
+from cactusridge.dispatch.peers import PeerExchange
+from cactusridge.dispatch.run import Runner
+from cactusridge.jobs.heads import JobHeads
+from cactusridge.jobs.janitor import LOOK_S as JANITOR_S
+from cactusridge.jobs.janitor import Janitor
+from cactusridge.jobs.ledger import JobLedger
+from cactusridge.jobs.manager import LOOK_S, JobManager
+from cactusridge.jobs.orphans import Orphans
+from cactusridge.jobs.scheduler import BatchScheduler
+from cactusridge.jobs.session import RENEW_S, Session, ignore_store_errors
+from cactusridge.platform.job_calls import JobCalls
+from cactusridge.platform.operator import CatalogHolder
+from cactusridge.platform.store_access import StoreAccess
+from cactusridge.startup.models import DirectEntrySettings
+
+
+class JobParts:
+    """Session, ledger, scheduler, manager and janitor of one entry."""
+
+    def __init__(
+        self,
+        cfg: DirectEntrySettings,
+        store: StoreAccess,
+        holder: CatalogHolder,
+        fleet: FleetView,
+        runner: Runner,
+        clock: Clock,
+    ) -> None:
+        """Build them over ``store``; nothing runs yet."""
+        address = cfg.peer_address
+        self.heads = JobHeads()
+        self.session = Session(store.rows, clock, cfg.name, address, cfg.zone)
+        self.scheduler = BatchScheduler(
+            str(address),
+            fleet,
+            runner,
+            clock,
+            store.clock,
+            holder.current,
+        )
+        runner.loads.on_change(self.scheduler.loads_changed)
+        ledger = JobLedger(store.rows, store.objects, clock)
+        orphans = Orphans(self.session, clock)
+        self.manager = JobManager(
+            ledger,
+            self.heads,
+            self.session,
+            self.scheduler,
+            orphans,
+            clock,
+            runner.loads.peers_heard,
+        )
+        self._janitor = Janitor(
+            ledger,
+            self.heads,
+            orphans,
+            store.clock,
+            cfg.keep_jobs_s,
+        )
+        self.calls = JobCalls(self.manager, self.heads, store.clock)
+
+    def speak_through(self, peers: PeerExchange) -> None:
+        """Tell and hear of jobs that change hands."""
+        peers.on_loads(self.scheduler.loads_changed)
+        peers.on_news(self.manager.told)
+        self.manager.tell_through(peers.tell)
+
+    def start(self) -> None:
+        """Start the greenlets."""
+        gevent.spawn(keep_doing_every, RENEW_S, self.session.step)
+        gevent.spawn(keep_doing_every, LOOK_S, self.manager.look)
+        gevent.spawn(keep_doing, self.scheduler.step)
+        gevent.spawn(keep_doing_every, JANITOR_S, self._janitor.look)
+
+    def finish(self) -> None:
+        """Hand the jobs on and leave the list of entries."""
+        self.manager.stop()
+        ignore_store_errors(self.session.leave)
--- /dev/null
+++ b/cactusridge/platform/objects.py
@@ -0,0 +1,71 @@
+"""The platform's raw objects as the product's object store."""
+
+from http import HTTPStatus
+from urllib.parse import urlencode
+
+from cactusridge import wire
+from cactusridge.errors import BadRequest, NotFound, StoreUnavailable
+from cactusridge.store.link import PlatformLink
+from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.table import Priority
+
+RETRY_S = 0.5
+
+
+class PlatformObjects(ObjectStore):
+    """Objects by name; each is written once."""
+
+    def __init__(self, link: PlatformLink) -> None:
+        """Send every call over ``link``."""
+        self._link = link
+
+    def put(self, name: str, body: bytes, priority: Priority) -> None:
+        """Store ``body``; repeating it with the same body is harmless."""
+        answer = self._link.ask('PUT', _path('put', name), body, priority)
+        if answer.status != HTTPStatus.OK:
+            raise _failure(answer.status)
+
+    def get(
+        self,
+        name: str,
+        start: int = 0,
+        end: int | None = None,
+        priority: Priority = Priority.commit,
+    ) -> bytes:
+        """Return an object or a part of it."""
+        answer = self._link.ask('GET', _path('get', name), b'', priority)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            raise NotFound(f'no object {name}')
+        if answer.status != HTTPStatus.OK:
+            raise _failure(answer.status)
+        return answer.body[start:end]
+
+    def drop(self, name: str, priority: Priority) -> None:
+        """Remove an object; repeating it is harmless."""
+        self._link.ask('DELETE', _path('drop', name), b'', priority)
+
+    def names(self, prefix: str, after: str = '') -> list[str]:
+        """Return a page of sorted names below ``prefix``."""
+        asked = urlencode({'path_prefix': prefix, 'after': after})
+        path = f'/api/blob-list?{asked}'
+        answer = self._link.ask('GET', path, b'', Priority.report)
+        if answer.status != HTTPStatus.OK:
+            raise _failure(answer.status)
+        try:
+            return list(wire.decode(answer.body)['names'])
+        except (BadRequest, LookupError, TypeError) as exc:
+            raise StoreUnavailable(
+                f'unreadable: {exc!r}',
+                retry_after_s=RETRY_S,
+            ) from exc
+
+
+def _path(call: str, name: str) -> str:
+    return f'/api/blob-{call}/{name}'
+
+
+def _failure(status: int) -> StoreUnavailable:
+    return StoreUnavailable(
+        f'the object store answered {status}',
+        retry_after_s=RETRY_S,
+    )
--- a/cactusridge/platform/operator.py
+++ b/cactusridge/platform/operator.py
@@ -32,6 +32,10 @@
         """Whether any version is known."""
         return self.catalog.version > 0
 
+    def current(self) -> Catalog:
+        """Return the catalog in force."""
+        return self.catalog
+
     def put(self, row: Row) -> None:
         """Take the operator's row if it is newer."""
         if row.key == KEY and row.value is not None:
--- /dev/null
+++ b/cactusridge/platform/store_access.py
@@ -0,0 +1,60 @@
+"""This process's ways to the platform's store."""
+
+import random
+
+from cactusridge.clock import Clock
+from cactusridge.http.client import Address, parse_address
+from cactusridge.platform.objects import PlatformObjects
+from cactusridge.platform.rows import PlatformRows
+from cactusridge.startup.models import StoreSettings
+from cactusridge.store.link import PlatformLink
+from cactusridge.store.store_clock import StoreClock
+from cactusridge.store.table_follower import (
+    WAIT_S,
+    TableFollower,
+    TableListener,
+)
+
+
+class StoreAccess:
+    """Rows, objects and the store's clock over links of one process.
+
+    Watches have a link of their own: they wait on purpose, and their
+    silence has to be told from that of a call.
+    """
+
+    def __init__(self, cfg: StoreSettings, clock: Clock) -> None:
+        """Reach the store as ``cfg`` says."""
+        self._cfg = cfg
+        self._host_clock = clock
+        address = parse_address(cfg.address)
+        link = self._link(address, cfg.timeout_s)
+        feeds = self._link(address, cfg.timeout_s + WAIT_S)
+        self.clock = StoreClock(clock)
+        self.rows = PlatformRows(link, feeds, self.clock)
+        self.objects = PlatformObjects(link)
+
+    def follower(
+        self,
+        table: str,
+        prefixes: list[str],
+        listener: TableListener,
+    ) -> TableFollower:
+        """Return a follower of a table that is not started yet."""
+        return TableFollower(
+            self.rows,
+            table,
+            prefixes,
+            listener,
+            self._host_clock,
+        )
+
+    def _link(self, address: Address, timeout_s: float) -> PlatformLink:
+        return PlatformLink(
+            address,
+            timeout_s,
+            self._cfg.calls_per_s,
+            self._host_clock,
+            random.Random(),  # noqa: S311
+            self._cfg.max_pause_s,
+        )
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -125,6 +125,13 @@
     metrics_listen: AddressText
     store: StoreSettings
     grace_s: PositiveSeconds = 8
+    # Results can be read for this long after a job's submission.
+    keep_jobs_s: PositiveSeconds = 120
+
+    @property
+    def peer_address(self) -> Address:
+        """Return where peers reach this entry, by datagram and by HTTP."""
+        return parse_address(self.peer_listen)
 
 
 class UpstreamSettings(Model):
--- a/cactusridge/store/object_store.py
+++ b/cactusridge/store/object_store.py
@@ -26,6 +26,10 @@
     ) -> bytes:
         """Return bytes ``start`` to ``end`` (exclusive) of an object."""
 
+    @abc.abstractmethod
+    def drop(self, name: str, priority: Priority) -> None:
+        """Remove an object; repeating it is harmless."""
+
     @abc.abstractmethod
     def names(self, prefix: str, after: str = '') -> list[str]:
         """Return a page of sorted names below ``prefix``."""
@@ -74,6 +78,10 @@
             )
         return answer
 
+    def drop(self, name: str, priority: Priority) -> None:
+        """Remove an object; repeating it is harmless."""
+        self.link.ask('DELETE', f'/objects/{name}', b'', priority)
+
     def names(self, prefix: str, after: str = '') -> list[str]:
         """Return a page of sorted names below ``prefix``."""
         path = f'/object-names?prefix={prefix}&after={after}'
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -17,7 +17,7 @@
 from standins.machines.replica import MachineReplica
 from standins.machines.store import MachineStore
 from standins.ports import Ports
-from standins.waiting import wait_for
+from standins.waiting import NotReady, wait_for
 
 HOST = 'site.example'
 ROUTE_DEFAULTS = MappingProxyType(
@@ -121,10 +121,22 @@
         conn = HTTPConnection(*self.addresses[name], timeout=20)
         sent = {'Host': HOST, **(headers or {})}
         with contextlib.closing(conn):
-            conn.request(method, target, body, sent)
+            self._send(name, conn, (method, target, body, sent))
             resp = conn.getresponse()
             return resp.status, dict(resp.getheaders()), resp.read()
 
+    def _send(
+        self,
+        name: str,
+        conn: HTTPConnection,
+        request: tuple[Any, ...],
+    ) -> None:
+        """Send a request; say what the entry said last if it is gone."""
+        try:
+            conn.request(*request)
+        except ConnectionRefusedError as exc:
+            raise NotReady(self.entries[name].tail()) from exc
+
     def submit(self, name: str, job_id: str, bodies: list[str]) -> int:
         """Submit a job with an item for each of ``bodies``."""
         items = [
--- a/standins/memory_table.py
+++ b/standins/memory_table.py
@@ -27,6 +27,7 @@
         self.store = TableStore()
         self.faults: deque[FaultKind] = deque()
         self.reads = 0
+        self.fail_reads = 0
         self.writes = 0
 
     def transact(
@@ -53,6 +54,9 @@
     def read(self, keys: Sequence[str], priority: Priority) -> list[Row]:
         """Return the rows at ``keys``."""
         self.reads += 1
+        if self.fail_reads:
+            self.fail_reads -= 1
+            raise StoreUnavailable(retry_after_s=0)
         return [Row(*self.store.row(key)) for key in keys]
 
     def scan(
--- a/tests/memory_objects.py
+++ b/tests/memory_objects.py
@@ -34,6 +34,10 @@
             raise NotFound(name)
         return self.stored[name][start:end]
 
+    def drop(self, name: str, priority: Priority) -> None:
+        """Remove an object."""
+        self.stored.pop(name, None)
+
     def names(self, prefix: str, after: str = '') -> list[str]:
         """Return names below ``prefix``."""
         return sorted(
