An entry is ready only when callers can connect

Cause (two failures of test_machine_path, tail of the entry's log): the WSGI server's name lookup let the readiness server answer before the callers' one listened. Change: no lookup; readiness after listening. Red before: test_serving. Measured: tests only.

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -96,6 +96,15 @@
         self.active = 0
         self.draining = False
 
+    def update_environ(self) -> None:
+        """Name this server by its address, without a name lookup.
+
+        The library looks its name up, for which other greenlets run in
+        the middle of a start, seconds long where no names are served.
+        """
+        self.environ['SERVER_NAME'] = str(self.address[0])
+        self.environ.setdefault('SERVER_PORT', str(self.address[1]))
+
     def drain(self, bound_s: float) -> bool:
         """Stop accepting, wait for requests in work; tell if all ended."""
         self.draining = True
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -114,11 +114,14 @@
         self._jobs.start()
         trim = self._upstream.connections.trim
         gevent.spawn(keep_doing_every, TRIM_S, trim)
-        self._serve_at(self._cfg.readiness_listen, '/.*', self._readiness)
         self._serve_at(self._cfg.metrics_listen, '/metrics', metrics.serve)
         serve_catalog = self._catalogs.serve
         self._serve_at(self._cfg.peer_listen, CATALOG_PATH, serve_catalog)
 
+    def listening(self) -> None:
+        """Answer the platform's question whether callers may come."""
+        self._serve_at(self._cfg.readiness_listen, '/.*', self._readiness)
+
     def begin_drain(self) -> None:
         """Fail readiness."""
         self._draining = True
--- a/cactusridge/serving.py
+++ b/cactusridge/serving.py
@@ -22,6 +22,9 @@
     def start(self) -> None:
         """Start the greenlets."""
 
+    def listening(self) -> None:
+        """Note that callers can connect; until then nobody is ready."""
+
     @abc.abstractmethod
     def begin_drain(self) -> None:
         """Fail readiness."""
@@ -36,6 +39,7 @@
     role.start()
     server = Server(cfg.address, role.application(), cfg.idle_timeout_s)
     server.start()
+    role.listening()
     logs.emit(events.LISTENING)
     stop.wait()
     return drain(cfg, role, server)
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -125,18 +125,6 @@
             resp = conn.getresponse()
             return resp.status, dict(resp.getheaders()), resp.read()
 
-    def _send(
-        self,
-        name: str,
-        conn: HTTPConnection,
-        request: tuple[Any, ...],
-    ) -> None:
-        """Send a request; say what the entry said last if it is gone."""
-        try:
-            conn.request(*request)
-        except ConnectionRefusedError as exc:
-            raise NotReady(self.entries[name].tail()) from exc
-
     def submit(self, name: str, job_id: str, bodies: list[str]) -> int:
         """Submit a job with an item for each of ``bodies``."""
         items = [
@@ -173,6 +161,18 @@
             server.stop(timeout=0)
         self._ports.close()
 
+    def _send(
+        self,
+        name: str,
+        conn: HTTPConnection,
+        request: tuple[Any, ...],
+    ) -> None:
+        """Send a request; say what the entry said last if it is gone."""
+        try:
+            conn.request(*request)
+        except ConnectionRefusedError as exc:
+            raise NotReady(self.entries[name].tail()) from exc
+
     def _serve(self, app: Any) -> Address:
         address = self._ports.give()
         server = Server(address, app, 30)
