Refuse a body whose length is stated twice; failures on the machines tested

Cause (a new test, red): with Content-Length and chunks the WSGI library drops the length before we see it, so the request was served. Change: the server refuses it with 400.

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -36,6 +36,17 @@
         environ[HEADERS_KEY] = list(self.headers.items())
         return environ
 
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Return the headers; raise for a body whose end is in doubt.
+
+        The library would drop the length and go by the chunks; whoever
+        stands before us may have done the opposite.
+        """
+        message = super().MessageClass(*args)
+        if 'transfer-encoding' in message and 'content-length' in message:
+            raise ValueError('the length of the body is stated twice')
+        return message
+
     def handle_one_request(self) -> Any:
         """Serve one request; refuse an unreadable one as all others are."""
         outcome = super().handle_one_request()
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -152,6 +152,11 @@
                 return found
             found.extend(page)
 
+    def replica_address(self, number: int) -> Address:
+        """Return where a replica listens."""
+        # The store's server comes first.
+        return Address(*self._servers[number + 1].address)
+
     def stop(self) -> None:
         """End the processes and servers that this site started."""
         for process in self.entries.values():
--- /dev/null
+++ b/tests/test_machine_failures.py
@@ -0,0 +1,166 @@
+"""Failures on the machines: callers, replicas and entries that leave."""
+
+import signal
+import socket
+
+import gevent
+from nose2.tools import params
+
+from standins.machines.site import HOST
+from standins.waiting import wait_for
+from tests.machine_case import MachineCase
+
+LONG = b'400 0.05'
+HEAD = (
+    f'POST /on/ HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: raw\r\n'
+    'X-Request-Deadline: 4000\r\n'
+)
+
+
+def sent(request_id: str) -> dict[str, str]:
+    """Return the headers of a request."""
+    return {'X-Attempt-Id': request_id, 'X-Request-Deadline': '4000'}
+
+
+class TestCallers(MachineCase):
+    """Callers that leave, and requests that can be read two ways."""
+
+    entries = ('one',)
+
+    def test_caller_leaves(self):
+        """A replica stops soon after the caller has gone."""
+        with socket.create_connection(self.site.addresses['one']) as caller:
+            text = f'{HEAD}Content-Length: {len(LONG)}\r\n\r\n'
+            caller.sendall(text.encode() + LONG)
+            wait_for('it runs', lambda: self.runs('raw'))
+        wait_for(
+            'the replica stops',
+            lambda: not any(each.running for each in self.site.replicas),
+            2,
+        )
+        self.assertEqual(1, self.runs('raw'))
+
+    @params(
+        'Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1',
+        'Content-Length: 1\r\nContent-Length: 2\r\n\r\n1',
+        'Transfer-Encoding: gzip\r\n\r\n1',
+    )
+    def test_two_lengths(self, rest):
+        """A body whose end is in doubt is refused and runs nowhere."""
+        with socket.create_connection(self.site.addresses['one']) as caller:
+            caller.settimeout(5)
+            caller.sendall(f'{HEAD}{rest}'.encode())
+            first_line = caller.recv(1024).partition(b'\r\n')[0]
+        self.assertIn(b' 400 ', first_line)
+        self.assertEqual(0, self.runs('raw'))
+
+
+class TestReplicas(MachineCase):
+    """Replicas that leave and addresses that change hands."""
+
+    entries = ('one',)
+
+    def check_served(self, request_id: str) -> None:
+        """Send a request that has to be served."""
+        call = ('one', 'POST', '/on/', b'1', sent(request_id))
+        self.assertEqual(200, self.site.call(*call)[0])
+
+    def test_draining_gets_nothing(self):
+        """A replica that drains gets no new request within the bound."""
+        entry = {
+            'service': 'model',
+            'address': str(self.site.replica_address(0)),
+            'zone': 'z',
+            'slots': self.slots,
+            'state': 'draining',
+        }
+        self.site.store.put(('servers', '', 'i-0'), entry)
+        gevent.sleep(0.5)
+        for number in range(8):
+            found = self.site.call(
+                'one', 'POST', '/on/', b'1', sent(f'{number}')
+            )
+            self.assertEqual(200, found[0])
+        self.assertEqual([], self.site.replicas[0].targets)
+
+    def test_address_of_another(self):
+        """A request is not run by whoever has the address now."""
+        self.site.replicas[0].id = 'i-other'
+        for number in range(8):
+            found = self.site.call(
+                'one', 'POST', '/on/', b'1', sent(f'{number}')
+            )
+            self.assertEqual(200, found[0])
+        self.assertEqual([], self.site.replicas[0].targets)
+
+    def test_lapsed_in_an_outage(self):
+        """Entries that lapsed while the store was away stay in use."""
+        self.site.store.down = True
+        gevent.sleep(2.5)
+        for replica in self.site.replicas:
+            self.site.store.remove(('servers', '', replica.id))
+        self.site.store.down = False
+        gevent.sleep(1)
+        found = self.site.call('one', 'POST', '/on/', b'1', sent('r1'))
+        self.assertEqual(200, found[0])
+        wait_for(
+            'the replicas are taken for gone',
+            lambda: (
+                self.site.call('one', 'POST', '/on/', b'1', sent('r2'))[0]
+                == 503
+            ),
+            6,
+        )
+
+
+class TestEntries(MachineCase):
+    """Entries that stop, are killed, or lose the store."""
+
+    def test_stop_cuts_no_stream(self):
+        """A planned stop ends after the streams that it has."""
+        call = gevent.spawn(
+            self.site.call,
+            'one',
+            'POST',
+            '/on/',
+            b'20 0.1',
+            sent('r3'),
+        )
+        wait_for('it runs', lambda: self.runs('r3'))
+        process = self.site.entries['one']
+        process.send(signal.SIGTERM)
+        status, _, body = call.get()
+        self.assertEqual((200, 20), (status, body.count(b'data:')))
+        self.assertEqual(0, process.wait())
+
+    def test_all_killed(self):
+        """After the loss of every entry jobs go on, each item once."""
+        self.site.submit('one', 'j1', ['40 0.05'] * 3)
+        self.site.submit('two', 'j2', ['40 0.05'] * 3)
+        gevent.sleep(1.3)
+        for process in self.site.entries.values():
+            process.kill()
+        for name in ('one', 'two'):
+            self.site.start_entry(name)
+        for job in ('j1', 'j2'):
+            listed = self.wait_done('two', job, 3)
+            self.assertEqual(3, len(set(listed)))
+
+    def test_ended_while_the_store_turns_away(self):
+        """The peer's word ends a job whose holder cannot ask the store."""
+        self.site.submit('one', 'j3', ['400 0.05'] * 4)
+        wait_for(
+            'the items run',
+            lambda: sum(each.running for each in self.site.replicas) == 4,
+        )
+        entry = self.site.entries['one']
+        entry.send(signal.SIGSTOP)
+        ended = self.site.call('two', 'DELETE', '/api/lots/j3')
+        self.site.store.down = True
+        entry.send(signal.SIGCONT)
+        self.assertEqual(200, ended[0])
+        wait_for(
+            'all items stop',
+            lambda: not any(each.running for each in self.site.replicas),
+            3,
+        )
