--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -35,6 +35,8 @@
         self.addresses: dict[str, Address] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.http = Clients(CONNECT_S, SILENCE_S)
+        # The version of the last change that ``seed`` made.
+        self._seeded = 0
         self._ports = Ports()
 
     def start(self) -> None:
@@ -127,6 +129,7 @@
             )
             if status != 200:
                 raise NotReady(f'{path}: {reply}')
+            self._seeded = reply['version']
 
     def wait_ready(self) -> None:
         """Wait until every entry serves and knows every sidecar."""
@@ -237,4 +240,7 @@
             for told in reply['sidecars'].values()
             if told['state'] == 'serving'
         ]
-        return len(serving) == len(self.named('sidecar'))
+        own = reply['entries'][str(self.addresses[name])]
+        # An entry may be ready by settings older than the last seeded.
+        current = own['version'] >= self._seeded
+        return current and len(serving) == len(self.named('sidecar'))
