A connection that the kernel gives up fails its replica

Cause: ETIMEDOUT, from TCP_USER_TIMEOUT or keepalive, raises the same class as a wait that is over, so it counted as silence: the replica stayed in choice, and a request that could go elsewhere was told that it had waited.

Ruled out: a wait that ended early (the request failed after 52 ms of 5 s).

Change: the two are told apart by the error number; what the kernel gave up is an unknown outcome, or a cut body, and the replica is ejected.

--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -1,5 +1,7 @@
 """Requests to replicas over HTTP/1.1, as the platform has them."""
 
+import errno
+
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
@@ -131,9 +133,9 @@
         self._sock.settimeout(max(wait_s, 0))
         try:
             return self._sock.recv(BLOCK)
-        except (TimeoutError, BlockingIOError) as exc:
-            raise UpstreamSilent(f'nothing for {wait_s:.3f} s') from exc
-        except OSError:
+        except OSError as exc:
+            if _is_wait_over(exc):
+                raise UpstreamSilent(f'nothing for {wait_s:.3f} s') from exc
             self._broken = True
             raise
 
@@ -191,6 +193,16 @@
         return exchange
 
 
+def _is_wait_over(exc: OSError) -> bool:
+    """Tell a wait that is over from a connection that the kernel gave up.
+
+    Both raise TimeoutError; only the kernel's bears an error number.
+    """
+    if isinstance(exc, TimeoutError):
+        return exc.errno != errno.ETIMEDOUT
+    return isinstance(exc, BlockingIOError)
+
+
 def request_bytes(
     replica: Replica,
     req: UpstreamRequest,
