Entries that lapse in the store go on telling and hearing counts

Cause: an entry that the store turns away took its peers for gone after 3.2 s, since it read no newer rows, and stopped telling them its counts; its own row lapsed, so the peers stopped telling it theirs. It placed requests at replicas that looked free (loads_age_s 0, online 1 of 8) and were full.

Ruled out: slow replicas (the same ones answered the other entries' next requests as soon as slots were free).

Change: rows that cannot be read end nobody; counts go also to every peer that was heard in the last 1.6 s, listed or not.

Tests: test_session, test_peers, one red each before.

--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -106,10 +106,16 @@
         """Drop a peer that said it stops."""
         self._peers.pop(peer, None)
 
+    def heard_lately(self) -> Iterator[str]:
+        """Yield the peers that have been heard lately."""
+        oldest = self._clock.monotonic() - PEER_SILENCE_S
+        for peer, said in self._peers.items():
+            if said.heard_at >= oldest:
+                yield peer
+
     def peers_heard(self) -> bool:
         """Tell whether any peer has been heard lately."""
-        oldest = self._clock.monotonic() - PEER_SILENCE_S
-        return any(said.heard_at >= oldest for said in self._peers.values())
+        return any(self.heard_lately())
 
     def age_s(self) -> float:
         """Return the age of the oldest counts of peers that are heard."""
@@ -119,11 +125,10 @@
 
     def peers_at(self, replica_id: str) -> dict[str, Load]:
         """Return the counts at a replica of each peer that is heard."""
-        oldest = self._clock.monotonic() - PEER_SILENCE_S
         return {
-            peer: said.loads[replica_id]
-            for peer, said in self._peers.items()
-            if said.heard_at >= oldest and replica_id in said.loads
+            peer: self._peers[peer].loads[replica_id]
+            for peer in self.heard_lately()
+            if replica_id in self._peers[peer].loads
         }
 
     def at(self, replica_id: str) -> Load:
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -98,7 +98,7 @@
 
     def _take_turn(self) -> None:
         """Wait for this entry's turn; tell what has changed, or all."""
-        targets = len(list(self._peers()))
+        targets = len(self._targets())
         period_s = max(MIN_PERIOD_S, targets * PERIOD_PER_PEER_S)
         self._loads.period_s = period_s
         gevent.sleep(period_s)
@@ -157,9 +157,17 @@
         self._send_raw(orjson.dumps(said))
 
     def _send_raw(self, raw: bytes) -> None:
-        for target in self._peers():
-            if target != self._address:
-                self._send_to(target, raw)
+        for target in self._targets():
+            self._send_to(target, raw)
+
+    def _targets(self) -> set[Target]:
+        """Return whom to tell: the listed peers and those that are heard.
+
+        An entry that cannot renew its row goes on sending requests to the
+        replicas; unheard, these wait behind what it does not know of.
+        """
+        heard = {parse_address(peer) for peer in self._loads.heard_lately()}
+        return (heard | set(self._peers())) - {self._address}
 
     def _send_to(self, target: Target, raw: bytes) -> None:
         try:
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -81,12 +81,14 @@
         return held_s < LEASE_S - MARGIN_S
 
     def members(self) -> list[Member]:
-        """Return the entries that live, this one among them."""
-        now = self._clock.monotonic()
+        """Return the entries that live, this one among them.
+
+        While the rows cannot be read these are the ones read last.
+        """
         others = [
             seen.member
             for seen in self._seen.values()
-            if seen.member.name != self.me.name and now - seen.seen_at < LEASE_S
+            if seen.member.name != self.me.name and not self._is_silent(seen)
         ]
         return [self.me, *others]
 
@@ -102,7 +104,7 @@
         seen = self._seen.get(name)
         if seen is None or seen.member.life != life:
             return False
-        return self._clock.monotonic() - seen.seen_at < LEASE_S
+        return not self._is_silent(seen)
 
     def leave(self) -> None:
         """Remove this entry's row, so that nobody waits for its lease."""
@@ -110,6 +112,12 @@
         write = Write(f'{PREFIX}{self.me.name}', None)
         self._table.transact([], [write], Priority.lease)
 
+    def _is_silent(self, seen: Seen) -> bool:
+        """Tell whether a row that can be read has not been renewed."""
+        if self._read_at is None:
+            return False
+        return self._clock.monotonic() - seen.seen_at >= LEASE_S
+
     def _renew(self) -> None:
         sent_at = self._clock.monotonic()
         raw = {**self.me._asdict(), 'beat': secrets.token_hex(4)}
--- a/standins/memory_table.py
+++ b/standins/memory_table.py
@@ -53,10 +53,7 @@
 
     def read(self, keys: Sequence[str], priority: Priority) -> list[Row]:
         """Return the rows at ``keys``."""
-        self.reads += 1
-        if self.fail_reads:
-            self.fail_reads -= 1
-            raise StoreUnavailable(retry_after_s=0)
+        self._count_read()
         return [Row(*self.store.row(key)) for key in keys]
 
     def scan(
@@ -67,6 +64,12 @@
         limit: int = PAGE,
     ) -> list[Row]:
         """Return a page of rows below ``prefix``."""
-        self.reads += 1
+        self._count_read()
         found = self.store.scan(prefix, after, limit)
         return [Row(*row) for row in itertools.islice(found, limit)]
+
+    def _count_read(self) -> None:
+        self.reads += 1
+        if self.fail_reads:
+            self.fail_reads -= 1
+            raise StoreUnavailable(retry_after_s=0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,9 +16,12 @@
 from cactusridge.dispatch.placement import FEW, Choice, consider
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
-from standins.waiting import free_port, wait_for
+from standins.ports import Ports
+from standins.waiting import wait_for
 
 SLOTS = 8
+# Several repeats of all counts, in seconds.
+HEARD_S = 5
 BATCH = WorkKind.batch
 
 
@@ -45,10 +48,16 @@
 
     def setUp(self):
         """Start two of them."""
-        addresses = [('127.0.0.1', free_port()) for _ in range(2)]
+        self.ports = Ports()
+        self.addCleanup(self.ports.close)
+        addresses = self.addresses()
         self.one = Peer(addresses[0], addresses)
         self.two = Peer(addresses[1], addresses)
 
+    def addresses(self):
+        """Return two addresses that nobody else gets."""
+        return [self.ports.give() for _ in range(2)]
+
     def test_counts_come_and_go(self):
         """A request is counted at the peer while it lasts."""
         with self.one.loads.running('x', BATCH):
@@ -60,6 +69,18 @@
         self.one.exchange.tell('job', 7)
         wait_for('the news', lambda: 'job' in self.two.heard)
 
+    def test_unlisted_peer_is_answered(self):
+        """An entry that is heard is told the counts, listed or not."""
+        addresses = self.addresses()
+        listed_nowhere = Peer(addresses[0], addresses)
+        knows_nobody = Peer(addresses[1], [])
+        with knows_nobody.loads.running('x', BATCH):
+            wait_for(
+                'it counts',
+                lambda: listed_nowhere.loads.at('x') == Load(0, 1),
+                HEARD_S,
+            )
+
     def test_full_replica_in_a_large_fleet(self):
         """Who has batch at a full replica is told at once, without turns."""
         with self.two.loads.running('x', BATCH):
--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,41 @@
+"""Which entries are taken to live while the store is away."""
+
+import unittest
+
+from cactusridge.clock import ManualClock
+from cactusridge.jobs.session import LEASE_S, Session
+from standins.memory_table import MemoryTable
+
+
+class TestSession(unittest.TestCase):
+    """Two entries over one table."""
+
+    def setUp(self):
+        """Let both read each other."""
+        self.table = MemoryTable()
+        self.clock = ManualClock()
+        self.one = self.session('one')
+        other = self.session('two')
+        for each in (self.one, other, self.one):
+            each.step()
+
+    def session(self, name):
+        """Return the session of an entry."""
+        return Session(self.table, self.clock, name, ('127.0.0.1', 1), 'z')
+
+    def names(self):
+        """Return whom the first takes to live."""
+        return [member.name for member in self.one.members()]
+
+    def test_unread_rows_end_nobody(self):
+        """Who cannot read the rows goes on with those it has read."""
+        self.clock.advance(LEASE_S * 2)
+        self.table.fail_reads = 1
+        self.one.step()
+        self.assertEqual(['one', 'two'], self.names())
+
+    def test_silent_entry_ends(self):
+        """Who does not renew its row, which can be read, is gone."""
+        self.clock.advance(LEASE_S * 2)
+        self.one.step()
+        self.assertEqual(['one'], self.names())
