--- a/standins/waiting.py
+++ b/standins/waiting.py
@@ -1,6 +1,5 @@
 """Waiting for things to happen, with a generous bound."""
 
-import socket
 import time
 from typing import Any
 
@@ -12,13 +11,6 @@
     """Something did not come up or did not happen in time."""
 
 
-def free_port() -> int:
-    """Return a TCP port that is free now, as the system gives it."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
-
-
 def wait_for(what: str, happened: Any, bound_s: float = WAIT_S) -> Any:
     """Return what ``happened`` returns once it is true."""
     deadline = time.monotonic() + bound_s
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -16,10 +16,11 @@
 from standins.model import EngineSpeed
 from standins.plain import PlainStandIn
 from standins.platform import PlatformStandIn
+from standins.ports import Ports
 from standins.waiting import wait_for
 from tests.refusals import Refusals
 from tests.rig_calls import RigCalls
-from tests.served import Served, loopback, serve
+from tests.served import Served, serve
 
 SECRET = 'internal-secret-of-tests'
 BATCH = {
@@ -35,19 +36,30 @@
 class Rig(RigCalls):
     """Platform, engines, sidecars and entries; links may be disturbed."""
 
-    def __init__(self, sidecars: int = 2, entries: int = 2) -> None:
-        """Start everything and wait until it is ready."""
+    def __init__(
+        self,
+        sidecars: int = 2,
+        entries: int = 2,
+        read_timeout_s: float = 2,
+    ) -> None:
+        """Start everything and wait until it is ready.
+
+        Sidecars give up an upstream's answer after ``read_timeout_s``
+        without a byte; a whole answer comes at its end.
+        """
+        self.read_timeout_s = read_timeout_s
         self.http = Clients(2, 30)
+        self._ports = Ports()
         self.platform = PlatformStandIn(100_000, 100_000)
         self.platform.host_lag_s = 0
-        self.store = serve(self.platform, self.platform, loopback())
+        self.store = serve(self.platform, self.platform, self._ports.give())
         self.engines: list[Served] = []
         self.sidecars: list[Served] = []
         self.entries: list[Served] = []
         self.forwarders: list[Forwarder] = []
         self.refusals = Refusals()
         plain = PlainStandIn()
-        self.plain = serve(plain, plain, loopback())
+        self.plain = serve(plain, plain, self._ports.give())
         self.hosts: dict[str, dict[str, Any]] = {}
         for _ in range(sidecars):
             self.add_sidecar()
@@ -60,7 +72,7 @@
         """Start an engine and its sidecar; list the sidecar."""
         checks = options.pop('checks_fencing', False)
         engine = EngineStandIn('yazman', EngineSpeed(), checks)
-        self.engines.append(serve(engine, engine, loopback()))
+        self.engines.append(serve(engine, engine, self._ports.give()))
         return self.start_sidecar(self.engines[-1].address, **options)
 
     def start_sidecar(self, engine: Address, **options: Any) -> Served:
@@ -68,7 +80,7 @@
         to_engine = self.forward(engine)
         plain = self.forward(self.plain.address)
         cfg = SidecarSettings(
-            listen=str(loopback()),
+            listen=str(self._ports.give()),
             zone='a',
             internal_secret=SECRET,
             heartbeat_s=0.1,
@@ -76,12 +88,12 @@
                 {
                     'service': YAZMAN,
                     'address': str(to_engine),
-                    'read_timeout_s': 2,
+                    'read_timeout_s': self.read_timeout_s,
                 },
                 {
                     'service': DEFTER,
                     'address': str(plain),
-                    'read_timeout_s': 2,
+                    'read_timeout_s': self.read_timeout_s,
                 },
             ],
             **options,
@@ -96,7 +108,7 @@
     def add_entry(self, **options: Any) -> Served:
         """Start an entry; list it."""
         cfg = EntrySettings(
-            listen=str(loopback()),
+            listen=str(self._ports.give()),
             zone='a',
             internal_secret=SECRET,
             admin_token_sha256=token_hash('admin'),
@@ -210,4 +222,5 @@
         self.store.server.stop(timeout=0)
         for forwarder in self.forwarders:
             forwarder.stop()
+        self._ports.close()
         gevent.sleep(0)
--- a/tests/rig_case.py
+++ b/tests/rig_case.py
@@ -53,10 +53,11 @@
 
     sidecars = 2
     entries = 2
+    read_timeout_s = 2
 
     def setUp(self) -> None:
         """Start the rig."""
-        self.rig = Rig(self.sidecars, self.entries)
+        self.rig = Rig(self.sidecars, self.entries, self.read_timeout_s)
         self.addCleanup(self.rig.close)
         self.addCleanup(self.check_refusals)
 
--- a/tests/served.py
+++ b/tests/served.py
@@ -6,7 +6,6 @@
 from cactusridge.errors import BadRequest
 from cactusridge.http.client import Address
 from cactusridge.http.server import Server
-from standins.waiting import free_port
 
 IDLE_S = 60
 
@@ -41,8 +40,3 @@
     except (BadRequest, KeyError, TypeError):
         # It was no request at all; no upstream can have seen it.
         return raw.decode()
-
-
-def loopback() -> Address:
-    """Return a free address."""
-    return Address('127.0.0.1', free_port())
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -59,13 +59,20 @@
         ]
         self.assertGreater(max(begun), 3)
 
+
+class TestWaiting(RigCase):
+    """Items wait behind online requests that fill every slot."""
+
+    # A whole answer takes 2 s of engine time and waits for a slot as long.
+    read_timeout_s = 20
+
     def test_waiting_is_no_attempt(self):
         """An item that waits behind online requests is not counted."""
         self.rig.update(YAZMAN, item_timeout_s=0.4, max_item_attempts=1)
         self.rig.wait_ready()
         online = [
             gevent.spawn(self.rig.chat, f'busy {n}', n % 2, max_tokens=250)
-            for n in range(16)
+            for n in range(32)
         ]
         engines = [engine.subject.batch for engine in self.rig.engines]
         wait_for('busy', lambda: sum(len(e.running) for e in engines) > 12)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -11,8 +11,9 @@
 from cactusridge.http.app import App, route
 from cactusridge.http.client import Clients
 from cactusridge.http.exchange import SOCKET_KEY, Reply, Req, json_reply
+from standins.ports import Ports
 from standins.waiting import wait_for
-from tests.served import loopback, serve
+from tests.served import serve
 
 MEGABYTE = 1 << 20
 BLOB = 64 * MEGABYTE
@@ -44,7 +45,9 @@
         """Serve one route."""
         routes = [route('GET', '/', no_delay), route('GET', '/blob', blob)]
         app = App(routes, 1024, 5)
-        self.served = serve(None, app, loopback())
+        ports = Ports()
+        self.addCleanup(ports.close)
+        self.served = serve(None, app, ports.give())
         self.addCleanup(self.served.server.stop, 0)
         self.clients = Clients(1, 5)
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -9,7 +9,7 @@
 from cactusridge.http.server import Server
 from cactusridge.serving import Role, serve
 from cactusridge.startup.models import CommonSettings
-from standins.waiting import free_port
+from standins.ports import Ports
 
 
 class CuriousRole(Role):
@@ -44,14 +44,16 @@
 
     def test_listening_means_connectable(self):
         """Callers can connect when the role is told so."""
-        port = free_port()
+        ports = Ports()
+        self.addCleanup(ports.close)
+        address = ports.give()
         cfg = CommonSettings(
-            listen=f'127.0.0.1:{port}',
+            listen=str(address),
             zone='z',
             internal_secret='x' * 16,
             readiness_delay_s=0,
         )
-        role = CuriousRole(('127.0.0.1', port))
+        role = CuriousRole(address)
         stop = Event()
         stop.set()
         with gevent.Timeout(10):
