Jobs are refused at once by an entry that has lost the store

Cause: an entry that the store turns away tried to store each submission for 1.5 s and answered 502; the 202 of the resend came too late for all items of the job.

Ruled out: the run of the items (they were done 12 s after, of 18 s).

Change: while the store counts as lost a submission is refused with 503 and not tried; entries tell each other whether they have the store, which decides between coming back at once (another entry takes it) and in 1 s.

--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -8,11 +8,11 @@
 60 on a calm day with nine entries), in a large one only if the replica is
 full, and to those with batch requests there, since they may have to make
 room. All counts go out every half second, which also says that the entry
-lives and which configuration it has.
+lives, which configuration it has and whether the store answers it.
 """
 
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 import orjson
@@ -34,7 +34,7 @@
 MAX_DATAGRAM = 65_507
 ALL = 'all'
 CHANGED = 'some'
-VERSION = 'version'
+WORD = 'word'
 NEWS = 'news'
 # News is repeated this often, twice a second: longer than an entry may
 # be suspended or cut off and still act on what it knew.
@@ -42,6 +42,17 @@
 Target = tuple[str, int]
 
 
+class Word(NamedTuple):
+    """What an entry tells of itself.
+
+    ``version`` is that of the configuration in force there,
+    ``has_store`` whether the store answers it.
+    """
+
+    version: int
+    has_store: bool
+
+
 class PeerExchange:
     """Sends this entry's counts to its peers and takes theirs."""
 
@@ -50,23 +61,23 @@
         address: Target,
         loads: LoadTable,
         peers: Callable[[], Iterable[Target]],
-        version: Callable[[], int],
+        word: Callable[[], Word],
         slots: Callable[[str], int],
     ) -> None:
         """Speak at ``address`` to what ``peers`` returns.
 
-        ``version`` is that of the configuration in force here, ``slots``
-        tells how many requests a replica works on at once.
+        ``word`` returns what is told of this entry, ``slots`` how many
+        requests a replica works on at once.
         """
         self._address = address
         self._loads = loads
         self._peers = peers
-        self._version = version
+        self._word = word
         self._slots = slots
         self._on_loads: Callable[[], None] | None = None
         self._news: dict[str, tuple[int, int]] = {}
         self._on_news: Callable[[str, int], None] | None = None
-        self._on_version: Callable[[Target, int], None] | None = None
+        self._on_word: Callable[[Target, Word], None] | None = None
         self._silent_s = float(0)
         self._told: dict[str, Load] = {}
         self._counts: dict[Target, dict[str, Load]] = {}
@@ -77,9 +88,9 @@
         """Call ``listener`` when a peer's counts have come."""
         self._on_loads = listener
 
-    def on_version(self, listener: Callable[[Target, int], None]) -> None:
-        """Call ``listener`` with a peer and the version that it has."""
-        self._on_version = listener
+    def on_word(self, listener: Callable[[Target, Word], None]) -> None:
+        """Call ``listener`` with a peer and its word of itself."""
+        self._on_word = listener
 
     def on_news(self, listener: Callable[[str, int], None]) -> None:
         """Call ``listener`` with what peers ``tell``."""
@@ -150,7 +161,7 @@
             kind: {key: list(load) for key, load in loads.items()},
         }
         if kind == ALL:
-            said[VERSION] = self._version()
+            said[WORD] = list(self._word())
             said[NEWS] = {
                 subject: version for subject, (version, _) in self._news.items()
             }
@@ -200,8 +211,8 @@
         self._loads.heard(f'{sender[0]}:{sender[1]}', counts)
         if self._on_loads is not None:
             self._on_loads()
-        if VERSION in said and self._on_version is not None:
-            self._on_version(sender, said[VERSION])
+        if WORD in said and self._on_word is not None:
+            self._on_word(sender, Word(*said[WORD]))
 
 
 def _counts(raw: dict[str, list[int]]) -> dict[str, Load]:
--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -13,6 +13,7 @@
 from cactusridge.errors import BadRequest, NotFound, OutcomeUnknown
 from cactusridge.http.exchange import Reply, json_reply
 from cactusridge.jobs.heads import JobHeads
+from cactusridge.jobs.intake import Intake
 from cactusridge.jobs.manager import JobManager
 from cactusridge.jobs.model import ItemState, JobItem, JobState, Result
 from cactusridge.platform import names
@@ -46,11 +47,13 @@
         manager: JobManager,
         heads: JobHeads,
         store_clock: StoreClock,
+        intake: Intake,
     ) -> None:
-        """Keep jobs with ``manager``."""
+        """Keep jobs with ``manager`` where ``intake`` lets them in."""
         self._manager = manager
         self._heads = heads
         self._store_clock = store_clock
+        self._intake = intake
 
     def handles(self, call: CallerRequest) -> bool:
         """Tell whether a request is about a job that exists already."""
@@ -74,6 +77,7 @@
         """Accept a job; once the reply is out it is the system's."""
         job_id = _checked_id(call.id)
         items = parse_items(call.body())
+        self._intake.check(job_id)
         head = self._manager.new_head(
             job_id,
             call.host,
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -8,6 +8,7 @@
 from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.dispatch.run import Runner
 from cactusridge.jobs.heads import JobHeads
+from cactusridge.jobs.intake import Intake
 from cactusridge.jobs.janitor import LOOK_S as JANITOR_S
 from cactusridge.jobs.janitor import Janitor
 from cactusridge.jobs.ledger import JobLedger
@@ -64,7 +65,13 @@
             store.clock,
             cfg.keep_jobs_s,
         )
-        self.calls = JobCalls(self.manager, self.heads, store.clock)
+        self.intake = Intake(lambda: store.lost, clock)
+        self.calls = JobCalls(
+            self.manager,
+            self.heads,
+            store.clock,
+            self.intake,
+        )
 
     def speak_through(self, peers: PeerExchange) -> None:
         """Tell and hear of jobs that change hands."""
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -10,7 +10,7 @@
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online import OnlineDispatcher
-from cactusridge.dispatch.peers import PeerExchange, Target
+from cactusridge.dispatch.peers import PeerExchange, Target, Word
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
 from cactusridge.http.app import App, route
@@ -74,10 +74,10 @@
             cfg.peer_address,
             loads,
             self._peer_targets,
-            self._catalogs.version,
+            self._word,
             self._fleet.slots,
         )
-        self._peers.on_version(self._catalogs.heard)
+        self._peers.on_word(self._heard)
         self._jobs.speak_through(self._peers)
         self._catalog_follower = self._store.follower(
             operator.TABLE,
@@ -136,6 +136,13 @@
         members = self._jobs.session.members()
         return [(member.host, member.port) for member in members]
 
+    def _word(self) -> Word:
+        return Word(self._catalogs.version(), not self._store.lost)
+
+    def _heard(self, peer: Target, word: Word) -> None:
+        self._catalogs.heard(peer, word.version)
+        self._jobs.intake.heard(word.has_store)
+
     def _serve_at(self, listen: str, pattern: str, handler: object) -> None:
         app = App([route('GET', pattern, handler)], INNER_BODY, INNER_TIMEOUT_S)
         address = parse_address(listen)
--- a/cactusridge/platform/store_access.py
+++ b/cactusridge/platform/store_access.py
@@ -28,11 +28,16 @@
         self._cfg = cfg
         self._host_clock = clock
         address = parse_address(cfg.address)
-        link = self._link(address, cfg.timeout_s)
+        self._calls = self._link(address, cfg.timeout_s)
         feeds = self._link(address, cfg.timeout_s + WAIT_S)
         self.clock = StoreClock(clock)
-        self.rows = PlatformRows(link, feeds, self.clock)
-        self.objects = PlatformObjects(link)
+        self.rows = PlatformRows(self._calls, feeds, self.clock)
+        self.objects = PlatformObjects(self._calls)
+
+    @property
+    def lost(self) -> bool:
+        """Whether the store has stopped answering this process."""
+        return self._calls.breaker.open
 
     def follower(
         self,
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,44 @@
+"""When a job is refused without asking the store."""
+
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.errors import StoreUnavailable
+from cactusridge.jobs.intake import (
+    ELSEWHERE_RETRY_S,
+    LOST_RETRY_S,
+    WORD_AGE_S,
+    Intake,
+)
+
+
+class TestIntake(unittest.TestCase):
+    """What a caller is told while this entry counts the store as lost."""
+
+    def setUp(self):
+        """Start with the store lost and no word of a peer."""
+        self.lost = True
+        self.clock = ManualClock()
+        self.intake = Intake(lambda: self.lost, self.clock)
+
+    def test_open_while_the_store_answers(self):
+        """With the store there is nothing to refuse."""
+        self.lost = False
+        self.intake.check('job')
+
+    @params(
+        # Peers that have the store, how long ago they said so, and when
+        # the caller is to come back.
+        (True, 0, ELSEWHERE_RETRY_S),
+        (True, WORD_AGE_S * 2, LOST_RETRY_S),
+        (False, 0, LOST_RETRY_S),
+    )
+    def test_refused_at_once(self, has_store, age_s, retry_s):
+        """Soon if another entry can take the job, else later."""
+        self.intake.heard(has_store)
+        self.clock.advance(age_s)
+        with self.assertRaises(StoreUnavailable) as caught:
+            self.intake.check('job')
+        self.assertEqual(retry_s, caught.exception.retry_after_s)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,7 +12,7 @@
     LoadTable,
     WorkKind,
 )
-from cactusridge.dispatch.peers import PeerExchange
+from cactusridge.dispatch.peers import PeerExchange, Word
 from cactusridge.dispatch.placement import FEW, Choice, consider
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
@@ -36,7 +36,7 @@
             address,
             self.loads,
             lambda: addresses,
-            lambda: 3,
+            lambda: Word(3, True),
             lambda replica_id: SLOTS,
         )
         self.exchange.on_news(lambda subject, _: self.heard.append(subject))
