Silent and closed connections: retries go out anew, a closed pool is a break

A repeatable request whose kept connection is silent went to the next replica on another kept connection; if whatever silenced one silenced both, its attempts were used up: 504 instead of 200. 2.

Ruled out: a time-out of the store's own (the 500 names the closed pool).

Change: every attempt after one that may have run goes out on a new connection; a pool that is closed under a request counts as a reset.

The stand-in site gets a link before the store for each entry, and before each replica.

--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -139,7 +139,15 @@
         progress.tried.append(replica.id)
         left_s = call.deadline_at - self._clock.monotonic()
         try:
-            run = self._runner.open(replica, req, WorkKind.online, left_s)
+            run = self._runner.open(
+                replica,
+                req,
+                WorkKind.online,
+                left_s,
+                # Whatever silenced one kept connection may have silenced
+                # those to other replicas; this is the last attempt.
+                fresh=progress.may_have_run > 0,
+            )
         except OutcomeUnknown:
             progress.may_have_run += 1
             raise
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -117,12 +117,16 @@
         req: UpstreamRequest,
         kind: WorkKind,
         left_s: float,
+        fresh: bool = False,
     ) -> Run:
-        """Send a request; raise ConnectFailed or OutcomeUnknown."""
+        """Send a request; raise ConnectFailed or OutcomeUnknown.
+
+        A ``fresh`` one goes out on a new connection.
+        """
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.loads.running(replica.id, kind))
             try:
-                exchange = self._upstream.send(replica, req, left_s)
+                exchange = self._upstream.send(replica, req, left_s, fresh)
             except CactusridgeError:
                 self.health.failed(replica.id)
                 raise
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -93,8 +93,10 @@
         replica: Replica,
         req: UpstreamRequest,
         left_s: float,
+        fresh: bool = False,
     ) -> Exchange:
         """Send ``req`` with ``left_s`` seconds left; raise ConnectFailed.
 
-        Raises OutcomeUnknown when the connection broke while sending.
+        A ``fresh`` one goes out on a new connection. Raises
+        OutcomeUnknown when the connection broke while sending.
         """
--- a/cactusridge/http/client.py
+++ b/cactusridge/http/client.py
@@ -52,7 +52,14 @@
     ) -> HTTPSocketPoolResponse:
         """Return the reply as soon as its headers are there."""
         client = self._client(address)
-        return client.request(method, path, body, dict(headers or {}))
+        try:
+            return client.request(method, path, body, dict(headers or {}))
+        except RuntimeError as exc:
+            if self._clients.get(address) is client:
+                raise
+            # The library says so when its pool is closed under a request
+            # that waits for a connection, or for a second one.
+            raise ConnectionResetError('dropped meanwhile') from exc
 
     def drop(self, address: Address) -> None:
         """Close the idle connections to ``address``; new ones replace them."""
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -69,7 +69,16 @@
             if idle.until > self._clock.monotonic() and _is_quiet(idle.sock):
                 return idle.sock
             idle.sock.close()
-        return self._connect(address)
+        return self.connect(address)
+
+    def connect(self, address: Address) -> socket.socket:
+        """Return a new connection; raise ConnectFailed."""
+        try:
+            sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
+        except OSError as exc:
+            raise ConnectFailed(f'{address}: {exc!r}') from exc
+        guard_silence(sock)
+        return sock
 
     def give_back(
         self,
@@ -99,14 +108,6 @@
             if not kept:
                 self._idle.pop(replica_id)
 
-    def _connect(self, address: Address) -> socket.socket:
-        try:
-            sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
-        except OSError as exc:
-            raise ConnectFailed(f'{address}: {exc!r}') from exc
-        guard_silence(sock)
-        return sock
-
 
 def _is_quiet(sock: socket.socket) -> bool:
     """Tell whether neither bytes nor an end have come on an idle socket."""
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -180,10 +180,14 @@
         replica: Replica,
         req: UpstreamRequest,
         left_s: float,
+        fresh: bool = False,
     ) -> Exchange:
         """Send ``req`` to ``replica``, which alone may run it."""
         raw = request_bytes(replica, req, left_s)
-        sock = self.connections.take(replica.id, replica.address)
+        if fresh:
+            sock = self.connections.connect(replica.address)
+        else:
+            sock = self.connections.take(replica.id, replica.address)
         exchange = HttpExchange(replica, req, sock, self.connections)
         try:
             exchange.start(raw)
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -13,6 +13,7 @@
 
 from cactusridge.http.client import Address
 from cactusridge.http.server import Server
+from standins.forwarder import Forwarder
 from standins.local_process import LocalProcess
 from standins.machines.replica import MachineReplica
 from standins.machines.store import MachineStore
@@ -64,14 +65,18 @@
         self._slots = slots
         self._ports = Ports()
         self._servers: list[Server] = []
+        # The way from each entry to the store, and to each replica.
+        self.store_links: dict[str, Forwarder] = {}
+        self.replica_links: list[Forwarder] = []
         self._version = 0
 
     def start(self) -> None:
         """Serve the store and the replicas; write the configuration."""
         self._store_address = self._serve(self.store.app)
         for replica in self.replicas:
-            address = self._serve(replica)
-            self.register(replica, address)
+            link = Forwarder(self._serve(replica))
+            self.replica_links.append(link)
+            self.register(replica, link.start())
         self.configure(ROUTES)
 
     def register(self, replica: MachineReplica, address: Address) -> None:
@@ -154,14 +159,15 @@
 
     def replica_address(self, number: int) -> Address:
         """Return where a replica listens."""
-        # The store's server comes first.
-        return Address(*self._servers[number + 1].address)
+        return self.replica_links[number].address
 
     def stop(self) -> None:
         """End the processes and servers that this site started."""
         for process in self.entries.values():
             if process.process.poll() is None:
                 process.kill()
+        for link in (*self.store_links.values(), *self.replica_links):
+            link.stop()
         for server in self._servers:
             server.stop(timeout=0)
         self._ports.close()
@@ -187,6 +193,8 @@
 
     def _settings(self, name: str) -> dict[str, Any]:
         self.addresses[name] = self._ports.give()
+        link = Forwarder(self._store_address)
+        self.store_links[name] = link
         return {
             'role': 'direct_entry',
             'name': name,
@@ -198,7 +206,7 @@
             'readiness_delay_s': 0.3,
             'drain_timeout_s': 6,
             'store': {
-                'address': str(self._store_address),
+                'address': str(link.start()),
                 'timeout_s': 1,
                 'calls_per_s': 500,
                 'max_pause_s': 0.3,
