A store that answers fast is given up after a quarter of a second

Change: the wait follows the slowest answer of late (8 times it), at least 0.25 s and at most the time-out; a silence doubles the next one, so that a slow store is met within three calls. Feeds keep their fixed wait. Items whose last run broke or fell silent go out on a new connection, as online retries do.

--- a/cactusridge/entry/building.py
+++ b/cactusridge/entry/building.py
@@ -24,6 +24,7 @@
 from cactusridge.store.http_table import HttpTable
 from cactusridge.store.link import PlatformLink
 from cactusridge.store.object_store import HttpObjectStore
+from cactusridge.store.reply_timeout import ReplyTimeout
 
 NAME_BYTES = 4
 
@@ -70,7 +71,7 @@
 def _link(cfg: EntrySettings, clock: Clock) -> PlatformLink:
     return PlatformLink(
         parse_address(cfg.store.address),
-        cfg.store.timeout_s,
+        ReplyTimeout(cfg.store.least_s, cfg.store.timeout_s),
         cfg.store.calls_per_s,
         clock,
         random.Random(),  # noqa: S311
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -45,6 +45,9 @@
         self.item = item
         self.body = body
         self.failures = 0
+        # The last run broke or fell silent: the next one goes out on a
+        # new connection.
+        self.interrupted = False
         self.texts: list[str] = []
         self.last_id: str | None = None
         # The event up to which the output is in the store.
@@ -70,12 +73,18 @@
 
     def go(self, replica: Replica) -> RunEnd:
         """Run from the last event on; never raises a typed failure."""
+        end = self._run(replica)
+        self.task.interrupted = end == RunEnd.interrupted
+        return end
+
+    def _run(self, replica: Replica) -> RunEnd:
         try:
             run = self.runner.open(
                 replica,
                 self._request(),
                 WorkKind.batch,
                 RUN_LIMIT_S,
+                fresh=self.task.interrupted,
             )
         except CactusridgeError:
             return RunEnd.interrupted
--- a/cactusridge/platform/store_access.py
+++ b/cactusridge/platform/store_access.py
@@ -8,6 +8,7 @@
 from cactusridge.platform.rows import PlatformRows
 from cactusridge.startup.models import StoreSettings
 from cactusridge.store.link import PlatformLink
+from cactusridge.store.reply_timeout import ReplyTimeout
 from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table_follower import (
     WAIT_S,
@@ -28,8 +29,10 @@
         self._cfg = cfg
         self._host_clock = clock
         address = parse_address(cfg.address)
-        self._calls = self._link(address, cfg.timeout_s)
-        feeds = self._link(address, cfg.timeout_s + WAIT_S)
+        calls = ReplyTimeout(cfg.least_s, cfg.timeout_s)
+        self._calls = self._link(address, calls)
+        wait_s = cfg.timeout_s + WAIT_S
+        feeds = self._link(address, ReplyTimeout(wait_s, wait_s))
         self.clock = StoreClock(clock)
         self.rows = PlatformRows(self._calls, feeds, self.clock)
         self.objects = PlatformObjects(self._calls)
@@ -54,10 +57,10 @@
             self._host_clock,
         )
 
-    def _link(self, address: Address, timeout_s: float) -> PlatformLink:
+    def _link(self, address: Address, timeout: ReplyTimeout) -> PlatformLink:
         return PlatformLink(
             address,
-            timeout_s,
+            timeout,
             self._cfg.calls_per_s,
             self._host_clock,
             random.Random(),  # noqa: S311
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -52,12 +52,20 @@
 
     address: AddressText
     timeout_s: PositiveSeconds = 2
+    # A store that answers fast is given up after this time already; not
+    # set, every call waits for timeout_s.
+    least_timeout_s: PositiveSeconds | None = None
     calls_per_s: float = Field(default=100, gt=0)
     # The longest pause between calls while the store is away. What it
     # is back with has to be in force soon after; an entry asks up to
     # four times in each pause.
     max_pause_s: PositiveSeconds = 4
 
+    @property
+    def least_s(self) -> float:
+        """The shortest wait for an answer, in seconds."""
+        return self.least_timeout_s or self.timeout_s
+
 
 class BatchSettings(Model):
     """How this entry drives batch work."""
--- a/cactusridge/store/link.py
+++ b/cactusridge/store/link.py
@@ -12,6 +12,7 @@
 from cactusridge.http.client import Address, Clients
 from cactusridge.store.breaker import MAX_PAUSE_S, Breaker
 from cactusridge.store.budget import StoreBudget
+from cactusridge.store.reply_timeout import ReplyTimeout
 from cactusridge.store.table import Priority, WriteUnknown
 
 SERVER_FAULT = 500
@@ -35,18 +36,19 @@
     def __init__(
         self,
         address: Address,
-        timeout_s: float,
+        timeout: ReplyTimeout,
         calls_per_s: float,
         clock: Clock,
         rng: random.Random,
         max_pause_s: float = MAX_PAUSE_S,
     ) -> None:
-        """Bound each call by ``timeout_s`` and ``calls_per_s`` on average."""
+        """Bound each call by ``timeout`` and ``calls_per_s`` on average."""
         self.address = address
-        self.timeout_s = timeout_s
+        self._timeout = timeout
+        self._clock = clock
         self.breaker = Breaker(clock, rng, max_pause_s)
         self.budget = StoreBudget(clock, calls_per_s)
-        self._clients = Clients(CONNECT_TIMEOUT_S, timeout_s)
+        self._clients = Clients(CONNECT_TIMEOUT_S, timeout.most_s)
 
     def call(
         self,
@@ -104,7 +106,8 @@
 
     def _exchange(self, *parts: Any) -> PlatformAnswer:
         method, path, body, headers = parts
-        limit = gevent.Timeout(self.timeout_s)
+        limit = gevent.Timeout(self._timeout.seconds)
+        sent_at = self._clock.monotonic()
         try:
             with (
                 limit,
@@ -117,7 +120,9 @@
                 ) as resp,
             ):
                 tag = resp.get('etag') or ''
-                return PlatformAnswer(resp.status_code, resp.read(), tag)
+                raw = resp.read()
+                self._timeout.answered(self._clock.monotonic() - sent_at)
+                return PlatformAnswer(resp.status_code, raw, tag)
         except ConnectionRefusedError as exc:
             self._failed()
             raise StoreUnavailable(retry_after_s=1) from exc
@@ -126,6 +131,7 @@
         except gevent.Timeout as exc:
             if exc is not limit:
                 raise
+            self._timeout.silent()
             raise WriteUnknown('no answer in time') from exc
 
     def _failed(self) -> None:
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -208,6 +208,7 @@
             'store': {
                 'address': str(link.start()),
                 'timeout_s': 1,
+                'least_timeout_s': 0.25,
                 'calls_per_s': 500,
                 'max_pause_s': 0.3,
             },
