Batch items that can be on time start before those that are late

Ruled out: idle slots (items started with 7 of 8 slots taken in 146 of 159 runs), and work lost at yields (the 20 to 29% of events made twice all come from the last seconds before all entries are killed, while the store was down and could take no checkpoint).

Change: jobs/urgency.py ranks what will soon be given up, then what can still be on time (work left as learnt from earlier runs, jobs/pace.py), then what is late. The naive order stands beside it.

Measured: tests/test_urgency.py plays 200 items: on time 88 by due time and 156 with a quarter of the slots lost, 32 and 92 with half lost, 200 and 200 with none.

--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -58,6 +58,11 @@
         self.texts = [output]
         self.last_id = last_id
 
+    @property
+    def events(self) -> int:
+        """How many events of output there are; they are counted from 1."""
+        return int(self.last_id or 0)
+
     def output(self) -> str:
         """Return the data of all events so far, a line each."""
         return '\n'.join(self.texts)
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -37,6 +37,8 @@
     task: ItemTask
     replica: Replica
     greenlet: gevent.Greenlet
+    started_at: float
+    events_before: int
 
 
 class BatchScheduler:
@@ -173,7 +175,8 @@
         job, task = waiting.job, waiting.task
         run = ItemRun(task, job.head.host, self._runner, self._clock)
         greenlet = gevent.Greenlet(run.go, replica)
-        running = Running(job, task, replica, greenlet)
+        now = self._clock.monotonic()
+        running = Running(job, task, replica, greenlet, now, task.events)
         self._running.append(running)
 
         def ended(_: gevent.Greenlet) -> None:  # noqa: WPS430
@@ -203,8 +206,9 @@
             item=task.item.id,
             replica=running.replica.id,
             outcome=end.value if isinstance(end, RunEnd) else 'yielded',
-            events=len(task.texts),
+            events=task.events,
         )
+        self._learn(running, route)
         if end == RunEnd.completed:
             self._line.end(job, task, ItemState.completed)
         elif end == RunEnd.impossible:
@@ -217,6 +221,15 @@
             job.pending[task.index] = task
         self.wake.set()
 
+    def _learn(self, running: Running, route: Route) -> None:
+        """Note how long a run took, and an item that is done."""
+        pace = self._line.pace(route)
+        events_now = running.task.events
+        took_s = self._clock.monotonic() - running.started_at
+        pace.ran(events_now - running.events_before, took_s)
+        if running.greenlet.value == RunEnd.completed:
+            pace.completed(events_now)
+
     def _failed(self, job: HeldJob, task: ItemTask, route: Route) -> None:
         job.note_failure(task)
         if task.failures >= route.attempts:
@@ -235,7 +248,7 @@
                 job=each.job.head.id,
                 item=each.task.item.id,
                 replica=replica.id,
-                events=len(each.task.texts),
+                events=each.task.events,
                 online=self.loads.at(replica.id).online,
             )
             each.greenlet.kill(block=False)
--- a/cactusridge/jobs/waiting_line.py
+++ b/cactusridge/jobs/waiting_line.py
@@ -8,6 +8,8 @@
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemTask
 from cactusridge.jobs.model import ItemState
+from cactusridge.jobs.pace import Pace
+from cactusridge.jobs.urgency import ItemTimes, OnTimeFirst, Standing
 from cactusridge.store.store_clock import MS, StoreClock
 
 # Pause of an item whose run was interrupted, in seconds: a replica that
@@ -21,7 +23,7 @@
 class Waiting(NamedTuple):
     """An item that could start, with what decides its place in the line."""
 
-    due_ms: float
+    rank: tuple[Standing, float]
     index: int
     job: HeldJob
     task: ItemTask
@@ -41,11 +43,17 @@
         self._clock = clock
         self._store_clock = store_clock
         self._catalog = catalog
+        self._urgency = OnTimeFirst()
+        self._paces: dict[str, Pace] = {}
         self._not_before: dict[str, float] = {}
 
     def urgent_first(self, jobs: Iterable[HeldJob]) -> list[Waiting]:
-        """Return the items of ``jobs`` that may start, the first due first."""
-        return sorted(self._waiting(list(jobs)), key=_urgency)
+        """Return the items of ``jobs`` that may start, in their order."""
+        return sorted(self._waiting(list(jobs)), key=_place)
+
+    def pace(self, route: Route) -> Pace:
+        """Return what is known of how long items of a route take."""
+        return self._paces.setdefault(route.name, Pace())
 
     def pause(self, task: ItemTask) -> None:
         """Keep an item from starting for a moment."""
@@ -84,9 +92,14 @@
         if age_s > route.give_up_s + GIVE_UP_MARGIN_S:
             self.end(job, task, ItemState.given_up)
             return None
-        due_ms = job.head.created_ms + route.due_s * MS
-        return Waiting(due_ms, task.index, job, task, route)
+        times = ItemTimes(
+            route.due_s - age_s,
+            route.give_up_s - age_s,
+            self.pace(route).left_s(task.events),
+        )
+        rank = self._urgency.rank(times)
+        return Waiting(rank, task.index, job, task, route)
 
 
-def _urgency(waiting: Waiting) -> tuple[float, int]:
-    return waiting.due_ms, waiting.index
+def _place(waiting: Waiting) -> tuple[tuple[Standing, float], int]:
+    return waiting.rank, waiting.index
--- /dev/null
+++ b/tests/test_urgency.py
@@ -0,0 +1,139 @@
+"""The order of waiting items, played against more than the slots can do."""
+
+import unittest
+from typing import NamedTuple
+
+from nose2.tools import params
+
+from cactusridge.jobs.pace import Pace
+from cactusridge.jobs.urgency import (
+    DueFirst,
+    ItemTimes,
+    OnTimeFirst,
+    Standing,
+    Urgency,
+)
+
+RUN_S = 5.4
+DUE_S = 18
+GIVE_UP_S = 60
+SLOTS = 16
+JOB_ITEMS = 10
+# A job every three seconds is a ninth more than sixteen slots can do.
+JOB_EVERY_S = 3.0
+JOBS = 20
+STEP_S = 0.1
+
+
+class Done(NamedTuple):
+    """An item that was run: submitted and ended, in seconds."""
+
+    submitted_at: float
+    ended_at: float
+
+    @property
+    def on_time(self):
+        """Whether it was done when it was due."""
+        return self.ended_at <= self.submitted_at + DUE_S
+
+
+class Overload:
+    """Jobs that come in, and slots that some replicas are lost from."""
+
+    def __init__(self, urgency: Urgency, lost_share: float) -> None:
+        """Start items by ``urgency`` in what slots are left."""
+        self.done: list[Done] = []
+        self._urgency = urgency
+        self._slots = round(SLOTS * (1 - lost_share))
+        self._waiting: list[float] = []
+
+    def play(self) -> list[Done]:
+        """Submit all jobs; return every item as it was done."""
+        steps = 0
+        while len(self.done) < JOBS * JOB_ITEMS:
+            now = steps * STEP_S
+            steps += 1
+            self._submit(now)
+            running = sum(each.ended_at > now for each in self.done)
+            for _ in range(min(self._slots - running, len(self._waiting))):
+                self._start(now)
+        return self.done
+
+    def _submit(self, now: float) -> None:
+        number, rest = divmod(round(now / STEP_S), round(JOB_EVERY_S / STEP_S))
+        if not rest and number < JOBS:
+            self._waiting.extend([now] * JOB_ITEMS)
+
+    def _start(self, now: float) -> None:
+        def rank(submitted_at: float) -> tuple[Standing, float]:
+            age_s = now - submitted_at
+            times = ItemTimes(DUE_S - age_s, GIVE_UP_S - age_s, RUN_S)
+            return self._urgency.rank(times)
+
+        first = min(self._waiting, key=rank)
+        self._waiting.remove(first)
+        self.done.append(Done(first, now + RUN_S))
+
+
+def on_time(urgency: Urgency, lost_share: float) -> int:
+    """Return how many items were done when they were due."""
+    done = Overload(urgency, lost_share).play()
+    return sum(each.on_time for each in done)
+
+
+class TestUrgency(unittest.TestCase):
+    """Who starts first."""
+
+    @params(
+        (ItemTimes(18, 60, 5), Standing.on_time),
+        (ItemTimes(4, 46, 5), Standing.late),
+        (ItemTimes(4, 46, 3), Standing.on_time),
+        (ItemTimes(-30, 7, 1), Standing.expiring),
+        (ItemTimes(-30, 9, 5), Standing.expiring),
+        (ItemTimes(-30, 12, 5), Standing.late),
+    )
+    def test_standing(self, times, wanted):
+        """By what can still be met, and by what must be."""
+        self.assertEqual(wanted, OnTimeFirst().rank(times)[0])
+
+    @params((0.25, 1.5), (0.5, 2.0))
+    def test_more_on_time(self, lost_share, times_more):
+        """With slots lost, far more is on time than by due time alone."""
+        naive = on_time(DueFirst(), lost_share)
+        ours = on_time(OnTimeFirst(), lost_share)
+        self.assertGreater(ours, times_more * naive)
+
+    def test_no_worse_with_all_slots(self):
+        """Where nearly all can be on time, both orders do the same."""
+        self.assertGreaterEqual(
+            on_time(OnTimeFirst(), 0),
+            on_time(DueFirst(), 0),
+        )
+
+    @params(0.25, 0.5)
+    def test_none_waits_too_long(self, lost_share):
+        """Everything is done before it might be given up, or nearly."""
+        done = Overload(OnTimeFirst(), lost_share).play()
+        naive = Overload(DueFirst(), lost_share).play()
+        self.assertLessEqual(
+            max(each.ended_at - each.submitted_at for each in done),
+            max(
+                GIVE_UP_S,
+                *(each.ended_at - each.submitted_at for each in naive),
+            ),
+        )
+
+
+class TestPace(unittest.TestCase):
+    """What is left of an item."""
+
+    def test_learns(self):
+        """Nothing before the first item, then its time, less what is done."""
+        pace = Pace()
+        self.assertEqual(0, pace.left_s(0))
+        pace.ran(100, 2.0)
+        pace.ran(100, 2.0)
+        pace.completed(200)
+        self.assertAlmostEqual(4.0, pace.left_s(0))
+        self.assertAlmostEqual(1.0, pace.left_s(150))
+        self.assertEqual(0, pace.left_s(300))
