--- a/tests/test_machine_links.py
+++ b/tests/test_machine_links.py
@@ -17,6 +17,8 @@
 LOST_S = 6
 # Far under the second that a call of the store may take.
 AT_ONCE_S = 0.5
+IN_A_ROW = 6
+BETWEEN_S = 0.2
 NEW_ROUTE = {'name': 'new', 'path_prefix': '/new/', 'kind': 'idempotent'}
 
 
@@ -34,7 +36,16 @@
         wait_for('it is told at once', self.refused_at_once, LOST_S)
 
     def refused_at_once(self):
-        """Tell whether a job is refused without asking the store."""
+        """Tell whether jobs are refused without asking the store.
+
+        Several in a row, since a store that counts as lost is asked
+        again in between.
+        """
+        return all(self.refused_soon() for _ in range(IN_A_ROW))
+
+    def refused_soon(self):
+        """Tell whether one job is refused without asking the store."""
+        gevent.sleep(BETWEEN_S)
         began = time.monotonic()
         status = self.site.submit('one', f'j{time.monotonic_ns()}', ['2'])
         return status == 503 and time.monotonic() - began < AT_ONCE_S
@@ -71,6 +82,32 @@
         return self.site.call(*call)[0] == 200
 
 
+class TestEndedElsewhere(MachineCase):
+    """A job ends while the store turns its holder away."""
+
+    def test_peers_word_stops_it(self):
+        """Another entry's word ends all items, and none starts again."""
+        self.site.submit('one', 'j1', ['400 0.05'] * 4)
+        wait_for('the items run', lambda: self.running() == 4)
+        link = self.site.store_links['one']
+        link.refusing = True
+        link.cut()
+        ended = self.site.call('two', 'DELETE', '/api/lots/j1')
+        self.assertEqual(200, ended[0])
+        wait_for('all items stop', lambda: not self.running(), 3)
+        started = self.started()
+        gevent.sleep(LEASE_S)
+        self.assertEqual(started, self.started())
+
+    def running(self):
+        """Return how many requests replicas work on."""
+        return sum(each.running for each in self.site.replicas)
+
+    def started(self):
+        """Return how many requests replicas have had."""
+        return sum(sum(each.runs.values()) for each in self.site.replicas)
+
+
 class TestSilence(MachineCase):
     """Open connections fall silent while new ones work."""
 
