Only a replica's own failures take it out of choice

Read from the log: 504 of a replica whose caller had left it 0.4 s; silence of 0.3 s behind a queue, after which the request queued again elsewhere; and 500 of batch items, which fail wherever they run.

Ruled out: slow replicas (the same ones answered others within 40 ms), and a lost store (no store_lost before second 12).

Change: 504 and batch's 500 say nothing of a replica, an online 500 counts from the second in a row, what breaks or is wrong still ejects at once. Behind a queue silence has three times as long.

Measured: tests/test_verdicts.py, 2 of 6 red before.

--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -18,6 +18,7 @@
     consider,
     expected_wait_s,
     retry_after_s,
+    silence_s,
 )
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import (
@@ -50,10 +51,6 @@
 # A wait for a replica to appear, in seconds; a caller that comes back
 # then finds the list of replicas read once more.
 NO_REPLICA_RETRY_S = 0.3
-# Silence after which a request that may be repeated goes elsewhere: the
-# wait up to which its answer is on time, but not less than this many
-# seconds, ten times the longest way between availability zones.
-MIN_SILENCE_S = 0.2
 # Of a stream that has begun: many times its longest usual pause between
 # events, under the two seconds after which callers give it up.
 STREAM_SILENCE_S = 1.2
@@ -163,18 +160,22 @@
     ) -> UpstreamHead:
         """Return the head; until it is known not to have run, it may have."""
         progress.may_have_run += 1
-        silence_s = None
+        limit_s = None
         if self._may_go_again(call, progress):
-            silence_s = max(MIN_SILENCE_S, call.route.aim_s)
+            limit_s = silence_s(
+                self._runner.loads.at(run.replica.id),
+                run.replica.slots,
+                call.route.aim_s,
+            )
         try:
-            return run.head(self._wait_s(call, silence_s))
+            return run.head(self._wait_s(call, limit_s))
         except NotRun:
             progress.may_have_run -= 1
             raise
         except UpstreamSilent:
             # At the deadline it may just be long work; only a wait that
             # was cut short to go elsewhere speaks against the replica.
-            if silence_s is not None:
+            if limit_s is not None:
                 run.failed()
             raise
 
@@ -222,15 +223,15 @@
         splitter: EventSplitter,
         progress: Progress,
     ) -> Iterator[bytes]:
-        silence_s = None
+        limit_s = None
         if self._may_go_again(call, progress):
-            silence_s = STREAM_SILENCE_S
-        received = run.read(self._wait_s(call, silence_s))
+            limit_s = STREAM_SILENCE_S
+        received = run.read(self._wait_s(call, limit_s))
         while received:
             whole = b''.join(event.raw for event in splitter.feed(received))
             if whole:
                 yield whole
-            received = run.read(self._wait_s(call, silence_s))
+            received = run.read(self._wait_s(call, limit_s))
         if splitter.pending:
             run.failed()
             raise TruncatedReply('the stream ended within an event')
@@ -315,12 +316,12 @@
             raise DeadlineExceeded
         raise Overloaded('no replica took it in time')
 
-    def _wait_s(self, call: OnlineCall, silence_s: float | None) -> float:
+    def _wait_s(self, call: OnlineCall, limit_s: float | None) -> float:
         """Return how long to wait for bytes; raise when time is up."""
         left_s = call.deadline_at - self._clock.monotonic()
         if left_s <= 0:
             raise DeadlineExceeded
-        return left_s if silence_s is None else min(left_s, silence_s)
+        return left_s if limit_s is None else min(left_s, limit_s)
 
     def _choose(self, call: OnlineCall, progress: Progress) -> Replica:
         service = self._service(call.route)
--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -21,6 +21,13 @@
 # the estimate, which is one slot's release.
 QUEUE_SHARE = 0.7
 MIN_RETRY_S = 0.05
+# Silence after which a request that may be repeated goes elsewhere: the
+# wait up to which its answer is on time, but not less than this many
+# seconds, ten times the longest way between availability zones.
+MIN_SILENCE_S = 0.2
+# And this many times longer behind a queue, which explains the silence:
+# to go elsewhere would be to queue again, with the first place lost.
+QUEUED_SILENCE = 3
 # Replicas compared when the counts of other entries are not fresh.
 FEW = 3
 
@@ -95,6 +102,15 @@
     return choices[min(ranked)[-1]]
 
 
+def silence_s(load: Load, slots: int, aim_s: float) -> float:
+    """Return how long a replica's silence is no reason to go elsewhere.
+
+    ``load`` counts the request itself.
+    """
+    usual_s = max(MIN_SILENCE_S, aim_s)
+    return usual_s * QUEUED_SILENCE if load.online > slots else usual_s
+
+
 def retry_after_s(wait_s: float, aim_s: float) -> float:
     """Return when a refused request has a chance to start in time."""
     return max(MIN_RETRY_S, wait_s - QUEUE_SHARE * aim_s)
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -18,6 +18,8 @@
 from cactusridge.routing.outliers import OutlierDetector
 
 SERVER_FAULT = 500
+# A replica answers so when the time handed on is over.
+TIME_OVER = 504
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 
@@ -39,12 +41,14 @@
     def __init__(
         self,
         replica: Replica,
+        kind: WorkKind,
         exchange: Exchange,
         runner: 'Runner',
         stack: contextlib.ExitStack,
     ) -> None:
         """Read from ``exchange``; ``stack`` is what closing undoes."""
         self.replica = replica
+        self._kind = kind
         self.exchange = exchange
         self._runner = runner
         self._stack = stack
@@ -65,10 +69,7 @@
         if is_success(head.status) and not head.genuine:
             self.failed()
             raise CrossedReply(f'{self.replica.id} did not sign its answer')
-        if head.status >= SERVER_FAULT:
-            self.failed()
-        else:
-            self._runner.health.succeeded(self.replica.id, 0)
+        self._judge(head.status)
         return head
 
     def read(self, wait_s: float) -> bytes:
@@ -82,13 +83,24 @@
             raise
 
     def failed(self) -> None:
-        """Note that the replica failed this request."""
-        self._runner.health.failed(self.replica.id)
+        """Note that the replica failed, whatever was asked of it."""
+        self._runner.health.failed(self.replica.id, certain=True)
 
     def close(self) -> None:
         """End the request; its replica stops if it is still at work."""
         self._stack.close()
 
+    def _judge(self, status: int) -> None:
+        """Note what a status says of the replica.
+
+        Requests with little time left, and batch items that fail
+        wherever they run, would take good replicas out of choice.
+        """
+        if status < SERVER_FAULT:
+            self._runner.health.succeeded(self.replica.id, 0)
+        elif status != TIME_OVER and self._kind == WorkKind.online:
+            self._runner.health.failed(self.replica.id)
+
 
 class Runner:
     """Opens runs and keeps what they teach of replicas and services."""
@@ -128,9 +140,9 @@
             try:
                 exchange = self._upstream.send(replica, req, left_s, fresh)
             except CactusridgeError:
-                self.health.failed(replica.id)
+                self.health.failed(replica.id, certain=True)
                 raise
             metrics.ATTEMPTS.inc({'service': replica.service})
             stack.callback(exchange.close)
-            return Run(replica, exchange, self, stack.pop_all())
+            return Run(replica, kind, exchange, self, stack.pop_all())
         raise AssertionError('unreachable')
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -32,10 +32,11 @@
 # The largest body of a call between our own processes, in bytes.
 INNER_BODY = 65_536
 INNER_TIMEOUT_S = 2.0
-# One failure takes a replica out of choice for this long, in seconds,
-# doubled by each that follows: a replica that is gone is missed by the
-# list of replicas for seconds, one that broke off once is soon back.
-EJECT_FAILURES = 1
+# A replica that broke off or fell silent is out of choice for this long,
+# in seconds, doubled by each failure that follows: one that is gone is
+# missed by the list of replicas for seconds, one that broke off once is
+# soon back. An answer of 500 may be the request's fault: two in a row.
+EJECT_FAILURES = 2
 EJECT_FIRST_S = 0.4
 EJECT_MOST_S = 4.0
 TRIM_S = 1.0
--- a/cactusridge/routing/outliers.py
+++ b/cactusridge/routing/outliers.py
@@ -43,8 +43,8 @@
         """
 
     @abc.abstractmethod
-    def failed(self, key: str) -> None:
-        """Note a failure of the replica ``key``."""
+    def failed(self, key: str, certain: bool = False) -> None:
+        """Note a failure; ``certain`` if no request can have caused it."""
 
     @abc.abstractmethod
     def allowed(self, keys: Iterable[str]) -> set[str]:
@@ -57,7 +57,7 @@
     def succeeded(self, key: str, pace_s: float) -> None:
         """Pass over the answer."""
 
-    def failed(self, key: str) -> None:
+    def failed(self, key: str, certain: bool = False) -> None:
         """Pass over the failure."""
 
     def allowed(self, keys: Iterable[str]) -> set[str]:
@@ -112,11 +112,11 @@
         if health.samples >= MIN_SAMPLES and self._is_slow(key):
             self._eject(key)
 
-    def failed(self, key: str) -> None:
-        """Note a failure; a trial that fails ejects at once."""
+    def failed(self, key: str, certain: bool = False) -> None:
+        """Note a failure; a certain one, or a failed trial, ejects at once."""
         old = self._health.get(key, self._unknown())
         self._keep(key, old._replace(failures=old.failures + 1))
-        if old.failures + 1 >= self._failures or old.trials:
+        if certain or old.trials or old.failures + 1 >= self._failures:
             self._eject(key)
 
     def allowed(self, keys: Iterable[str]) -> set[str]:
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -12,6 +12,7 @@
     choose,
     expected_wait_s,
     retry_after_s,
+    silence_s,
 )
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.dispatch.yielding import room, shares_to_yield
@@ -65,6 +66,11 @@
         found = expected_wait_s(Choice(replica('x'), load), 0.8)
         self.assertAlmostEqual(wanted, found)
 
+    @params((Load(8, 0), 0.3), (Load(2, 9), 0.3), (Load(9, 0), 0.9))
+    def test_silence(self, load, wanted):
+        """Behind a queue of online requests silence is no failure yet."""
+        self.assertAlmostEqual(wanted, silence_s(load, SLOTS, 0.3))
+
     def test_retry_after(self):
         """A refused caller comes back when it could start in time."""
         self.assertAlmostEqual(0.79, retry_after_s(1.0, 0.3))
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,74 @@
+"""What an answer says of the replica that gave it."""
+
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch.loads import LoadTable, WorkKind
+from cactusridge.dispatch.replica import Replica, ReplicaState
+from cactusridge.dispatch.run import Runner
+from cactusridge.dispatch.upstream import (
+    Exchange,
+    Upstream,
+    UpstreamHead,
+    UpstreamRequest,
+)
+from cactusridge.http.client import Address
+from cactusridge.routing.outliers import OutlierEjector
+
+FAILURES = 2
+REQUEST = UpstreamRequest('r', 'POST', '/', [], b'')
+ADDRESS = Address('127.0.0.1', 1)
+KEYS = ('a', 'b', 'c')
+
+
+class Answering(Upstream, Exchange):
+    """Answers every request with one status."""
+
+    def __init__(self, status):
+        """Answer ``status``, genuinely."""
+        self._head = UpstreamHead(status, [], False, False, True)
+
+    def send(self, replica, req, left_s, fresh=False):
+        """Take the request."""
+        return self
+
+    def head(self, wait_s):
+        """Return the head."""
+        return self._head
+
+    def read(self, wait_s):
+        """Return the end of the body."""
+        return b''
+
+    def close(self):
+        """Nothing to do."""
+
+    def abort(self):
+        """Nothing to do."""
+
+
+class TestVerdicts(unittest.TestCase):
+    """Which answers take a replica out of choice."""
+
+    @params(
+        (500, WorkKind.online, 1, False),
+        (500, WorkKind.online, FAILURES, True),
+        (500, WorkKind.batch, 10, False),
+        (504, WorkKind.online, 10, False),
+        (200, WorkKind.online, 10, False),
+        (422, WorkKind.batch, 10, False),
+    )
+    def test_statuses(self, status, kind, times, out):
+        """Only its own failures, seen by online requests in a row."""
+        clock = ManualClock()
+        health = OutlierEjector(clock, FAILURES)
+        loads = LoadTable(clock)
+        runner = Runner(Answering(status), loads, health, clock)
+        replica = Replica('a', 's', ADDRESS, 'z', 8, ReplicaState.ready)
+        for _ in range(times):
+            run = runner.open(replica, REQUEST, kind, 1)
+            run.head(1)
+            run.close()
+        self.assertEqual(out, 'a' not in health.allowed(KEYS))
