--- /dev/null
+++ b/cactusridge/dispatch/streams.py
@@ -0,0 +1,116 @@
+"""Streams passed on event by event, and gone on with elsewhere."""
+
+from collections.abc import Iterator
+
+from cactusridge.clock import Clock
+from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.event_splitter import EventSplitter
+from cactusridge.dispatch.online_call import OnlineCall, Progress
+from cactusridge.dispatch.online_log import OnlineLog
+from cactusridge.dispatch.run import Run, is_success
+from cactusridge.dispatch.upstream import UpstreamRequest
+from cactusridge.errors import (
+    CactusridgeError,
+    TruncatedReply,
+    UpstreamFailed,
+)
+
+# Of a stream that has begun: many times its longest usual pause between
+# events, under the two seconds after which callers give it up.
+STREAM_SILENCE_S = 1.2
+
+
+class Streams:
+    """Passes streams on to their callers."""
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        clock: Clock,
+        log: OnlineLog,
+    ) -> None:
+        """Go on with broken streams through ``attempts``."""
+        self._attempts = attempts
+        self._clock = clock
+        self._log = log
+
+    def passed_on(
+        self,
+        call: OnlineCall,
+        run: Run,
+        progress: Progress,
+    ) -> Iterator[bytes]:
+        """Yield whole events; go on elsewhere where that is allowed."""
+        splitter = EventSplitter(call.req.resume_after)
+        failure: CactusridgeError | None = None
+        while True:
+            if failure is not None:
+                run = self._resume(call, progress, splitter, failure)
+            begun_at = self._clock.monotonic()
+            try:
+                yield from self._events(call, run, splitter, progress)
+            except CactusridgeError as exc:
+                failure = exc
+                self._log.broken(call, run, splitter, exc)
+            else:
+                self._attempts.note_hold(run.replica, begun_at)
+                return
+            finally:
+                run.close()
+
+    def _events(
+        self,
+        call: OnlineCall,
+        run: Run,
+        splitter: EventSplitter,
+        progress: Progress,
+    ) -> Iterator[bytes]:
+        limit_s = None
+        if self._attempts.may_go_again(call, progress):
+            limit_s = STREAM_SILENCE_S
+        received = run.read(self._attempts.wait_s(call, limit_s))
+        while received:
+            whole = b''.join(event.raw for event in splitter.feed(received))
+            if whole:
+                yield whole
+            received = run.read(self._attempts.wait_s(call, limit_s))
+        if splitter.pending:
+            run.failed()
+            raise TruncatedReply('the stream ended within an event')
+
+    def _resume(
+        self,
+        call: OnlineCall,
+        progress: Progress,
+        splitter: EventSplitter,
+        exc: CactusridgeError,
+    ) -> Run:
+        """Return a run that goes on after the last whole event."""
+        splitter.restart()
+        req = call.req._replace(resume_after=splitter.last_id)
+        while True:
+            self._attempts.check_retry(call, progress, exc)
+            self._attempts.check_time(call, progress)
+            try:
+                return self._run_on(call, req, progress)
+            except CactusridgeError as failure:
+                exc = failure
+
+    def _run_on(
+        self,
+        call: OnlineCall,
+        req: UpstreamRequest,
+        progress: Progress,
+    ) -> Run:
+        """Return a run whose answer has begun well."""
+        replica = self._attempts.choose(call, progress)
+        run = self._attempts.open(call, replica, progress, req)
+        try:
+            head = self._attempts.head(call, run, progress)
+        except BaseException:
+            run.close()
+            raise
+        if not is_success(head.status):
+            run.close()
+            raise UpstreamFailed(f'{replica.id} answered {head.status}')
+        return run
