Ten entries share a replica's batch, and tell each other of claims

Cause: in a fleet of 31 entries all with waiting items rush to each slot that comes free, on counts 0.17 s old.

Change: dispatch/batch_sharing.py: by hash ten entries run batch at one replica, more where there are few replicas, all in a small fleet; in large fleets claims and batch starts are told to those at once and wait 15 ms.

--- a/cactusridge/dispatch/claims.py
+++ b/cactusridge/dispatch/claims.py
@@ -18,6 +18,13 @@
 # entries (1.4 ms) and two turns of a busy event loop (2 ms each). An
 # item runs for seconds.
 CLAIM_S = 0.006
+# In large fleets, whose entries may have a fifth of the processor.
+FAR_CLAIM_S = 0.015
+
+
+def claim_wait_s(fresh: bool) -> float:
+    """Return how long a claim waits, by whether counts are told at once."""
+    return CLAIM_S if fresh else FAR_CLAIM_S
 
 
 def claims_kept(
--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -64,14 +64,14 @@
         # How often peers tell their counts, in seconds.
         self.period_s = float(0)
         self._listeners: list[Callable[[], None]] = []
-        self._on_rise: Callable[[str], None] | None = None
+        self._on_rise: Callable[[str, WorkKind], None] | None = None
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after every change of this entry's counts."""
         self._listeners.append(listener)
 
-    def on_rise(self, listener: Callable[[str], None]) -> None:
-        """Call ``listener`` with a replica that gets one request more."""
+    def on_rise(self, listener: Callable[[str, WorkKind], None]) -> None:
+        """Call ``listener`` with a replica that gets one more, and of what."""
         self._on_rise = listener
 
     @property
@@ -86,7 +86,7 @@
         counts[replica_id] += 1
         self._tell()
         if self._on_rise is not None:
-            self._on_rise(replica_id)
+            self._on_rise(replica_id, kind)
         try:
             yield
         finally:
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -5,13 +5,15 @@
 there are, so that what an entry has to read does not grow with the fleet.
 One request more at a replica is told at once: in a small fleet to all
 (without it the slowest hundredth of first tokens took 200 ms instead of
-60 on a calm day with nine entries), in a large one only if the replica is
-full, and to those with batch requests there, since they may have to make
-room. All counts go out every half second, which also says that the entry
-lives, which configuration it has and whether the store answers it.
+60 on a calm day with nine entries), in a large one to those concerned: an
+online request at a full replica to the entries with batch requests there,
+since they may have to make room; a batch request, or the claim to start
+one, to the entries that run batch there. All counts go out every half
+second, which also says that the entry lives, which configuration it has and
+whether the store answers it.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from typing import Any, NamedTuple
 
 import gevent
@@ -20,7 +22,7 @@
 
 from cactusridge import events, logs
 from cactusridge.background import keep_doing
-from cactusridge.dispatch.loads import NO_LOAD, Load, LoadTable
+from cactusridge.dispatch.loads import NO_LOAD, Load, LoadTable, WorkKind
 from cactusridge.http.client import parse_address
 
 # All counts are repeated this often, in seconds.
@@ -63,17 +65,20 @@
         peers: Callable[[], Iterable[Target]],
         word: Callable[[], Word],
         slots: Callable[[str], int],
+        sharers: Callable[[str], Set[str]],
     ) -> None:
         """Speak at ``address`` to what ``peers`` returns.
 
         ``word`` returns what is told of this entry, ``slots`` how many
-        requests a replica works on at once.
+        requests a replica works on at once, ``sharers`` the names of the
+        entries that run batch there.
         """
         self._address = address
         self._loads = loads
         self._peers = peers
         self._word = word
         self._slots = slots
+        self._sharers = sharers
         self._on_loads: Callable[[], None] | None = None
         self._news: dict[str, tuple[int, int]] = {}
         self._on_news: Callable[[str, int], None] | None = None
@@ -131,21 +136,26 @@
         if changed:
             self._send(CHANGED, changed)
 
-    def _risen(self, replica_id: str) -> None:
-        """Tell of one more request at a replica at once."""
-        own = self._loads.own(replica_id)
+    def _risen(self, replica_id: str, kind: WorkKind) -> None:
+        """Tell of one more request or claim at a replica at once."""
         if self._loads.fresh:
+            own = self._loads.own(replica_id)
             self._told[replica_id] = own
             self._send(CHANGED, {replica_id: own})
+        elif kind != WorkKind.online:
+            self._tell_some(self._sharers(replica_id), replica_id)
         elif self._loads.at(replica_id).total > self._slots(replica_id):
-            self._tell_batch_holders(replica_id, own)
-
-    def _tell_batch_holders(self, replica_id: str, own: Load) -> None:
-        """Tell those who may have to make room at a full replica."""
-        raw = orjson.dumps({CHANGED: {replica_id: list(own)}})
-        for peer, there in self._loads.peers_at(replica_id).items():
-            if there.batch:
-                self._send_to(parse_address(peer), raw)
+            # Those who may have to make room.
+            there = self._loads.peers_at(replica_id)
+            holders = {peer for peer, load in there.items() if load.batch}
+            self._tell_some(holders, replica_id)
+
+    def _tell_some(self, names: Set[str], replica_id: str) -> None:
+        own = list(self._loads.own(replica_id))
+        raw = orjson.dumps({CHANGED: {replica_id: own}})
+        targets = {parse_address(name) for name in names} - {self._address}
+        for target in targets:
+            self._send_to(target, raw)
 
     def _repeat(self) -> None:
         self._told = self._loads.all_own()
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -10,8 +10,9 @@
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
+from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import Catalog, Route
-from cactusridge.dispatch.claims import CLAIM_S, claims_kept
+from cactusridge.dispatch.claims import claim_wait_s, claims_kept
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.loads import Load, LoadTable, WorkKind
 from cactusridge.dispatch.replica import Replica
@@ -52,12 +53,14 @@
         clock: Clock,
         store_clock: StoreClock,
         catalog: Callable[[], Catalog],
+        sharing: BatchSharing,
     ) -> None:
         """Run items as the entry ``name`` by the ``catalog`` in force."""
         self.wake = Event()
         self.may_dispatch = Event()
         self.jobs: dict[str, HeldJob] = {}
         self._name = name
+        self._sharing = sharing
         self._fleet = fleet
         self._runner = runner
         self._clock = clock
@@ -126,7 +129,9 @@
             if share.weight
             for replica in self._fleet.ready(share.service)
         }
-        allowed = self._runner.health.allowed(ready)
+        mine = {key for key in ready if self._name in self._sharing.of(key)}
+        # Without any of its own an entry uses all; yielding sorts it out.
+        allowed = self._runner.health.allowed(mine or ready)
         free = [
             (
                 room(ready[key].slots, self.loads.at(key)),
@@ -153,7 +158,7 @@
         claim: contextlib.ExitStack,
     ) -> None:
         """Start an item if its claim is kept, else let it wait on."""
-        gevent.sleep(CLAIM_S)
+        gevent.sleep(claim_wait_s(self.loads.fresh))
         loads = self._loads_at(replica)
         kept = claims_kept(replica.slots, replica.id, loads)[self._name]
         claim.close()
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -4,9 +4,11 @@
 
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import Clock
+from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.dispatch.run import Runner
+from cactusridge.http.client import Address
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.intake import Intake
 from cactusridge.jobs.janitor import LOOK_S as JANITOR_S
@@ -38,6 +40,7 @@
         address = cfg.peer_address
         self.heads = JobHeads()
         self.session = Session(store.rows, clock, cfg.name, address, cfg.zone)
+        self.sharing = BatchSharing(fleet, self._entries, clock)
         self.scheduler = BatchScheduler(
             str(address),
             fleet,
@@ -45,6 +48,7 @@
             clock,
             store.clock,
             holder.current,
+            self.sharing,
         )
         runner.loads.on_change(self.scheduler.loads_changed)
         ledger = JobLedger(store.rows, store.objects, clock)
@@ -90,3 +94,10 @@
         """Hand the jobs on and leave the list of entries."""
         self.manager.stop()
         ignore_store_errors(self.session.leave)
+
+    def _entries(self) -> tuple[str, ...]:
+        """Return the names of the entries that live, in one order."""
+        members = self.session.members()
+        return tuple(
+            sorted(str(Address(each.host, each.port)) for each in members),
+        )
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -77,6 +77,7 @@
             self._peer_targets,
             self._word,
             self._fleet.slots,
+            self._jobs.sharing.of,
         )
         self._peers.on_word(self._heard)
         self._jobs.speak_through(self._peers)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -30,6 +30,7 @@
 
     def __init__(self, address, addresses):
         """Speak at ``address`` to all in ``addresses``."""
+        self.address = address
         self.loads = LoadTable(SystemClock())
         self.heard: list[str] = []
         self.exchange = PeerExchange(
@@ -38,6 +39,7 @@
             lambda: addresses,
             lambda: Word(3, True),
             lambda replica_id: SLOTS,
+            lambda replica_id: {str(each) for each in addresses},
         )
         self.exchange.on_news(lambda subject, _: self.heard.append(subject))
         self.exchange.start()
@@ -81,6 +83,15 @@
                 HEARD_S,
             )
 
+    @params(WorkKind.claim, BATCH)
+    def test_batch_in_a_large_fleet(self, kind):
+        """Those that run batch at a replica are told at once of more."""
+        self.one.loads.period_s = FRESH_S * 2
+        told = []
+        self.one.exchange._send_to = lambda peer, _: told.append(peer)
+        with self.one.loads.running('x', kind):
+            self.assertEqual([self.two.address], told)
+
     def test_full_replica_in_a_large_fleet(self):
         """Who has batch at a full replica is told at once, without turns."""
         with self.two.loads.running('x', BATCH):
