Split the ledger: writes whose outcome has to be found out

No decision changed; the two counts that shared the name TRIES are told apart.

Measured: test_job_ledger, test_machine_path, test_machine_links and test_boundary green.

--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -11,17 +11,14 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-import gevent
-
-from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import (
-    CactusridgeError,
     NotFound,
     OutcomeUnknown,
     StoreUnavailable,
 )
 from cactusridge.identity import new_id
+from cactusridge.jobs.hold_writer import HoldLost, HoldWriter
 from cactusridge.jobs.keys import (
     head_key,
     partial_key,
@@ -50,11 +47,9 @@
 from cactusridge.store.table import (
     ABSENT,
     Condition,
-    ConditionFailed,
     Priority,
     Table,
     Write,
-    WriteUnknown,
     scan_all,
 )
 from cactusridge.store.writer import insert_once
@@ -62,8 +57,9 @@
 # Results in one transaction; of at most some 23 KB each they stay well
 # under a transaction's megabyte and hundred rows.
 MAX_COMMIT = 20
-TRIES = 8
-PAUSE_S = 0.15
+# Readings of a head that changes while its job is ended; only a take-over
+# changes it, and that seldom twice in a row.
+END_TRIES = 8
 # Results in one answer to a reader.
 PAGE_RESULTS = 30
 # Rows removed in one transaction; the store takes a hundred.
@@ -74,13 +70,6 @@
 MAX_PARTIAL_CHARS = 15_000
 
 
-class HoldLost(CactusridgeError):
-    """Another entry holds the job now."""
-
-    status = 409
-    code = 'hold_lost'
-
-
 class ItemEnd(NamedTuple):
     """An item that ended, by its index in the job.
 
@@ -115,6 +104,7 @@
     ) -> None:
         """Keep everything in ``table``, large payloads in ``objects``."""
         self._table = table
+        self._writer = HoldWriter(table)
         self._payloads = Payloads(table, objects)
         self._clock = clock
 
@@ -176,7 +166,7 @@
         taken = head._replace(holder=holder, life=life)
         write_id = new_id('w', self._clock)
         raw = progress_value(progress.listed, progress.failures, write_id)
-        self._write(
+        self._writer.write(
             [
                 Condition(head_key(head.id), head.version),
                 Condition(progress_key(head.id), progress.version),
@@ -228,7 +218,7 @@
             )
             for part in step.partials
         )
-        version = self._write(
+        version = self._writer.write(
             [Condition(progress_key(job_id), progress.version)],
             writes,
             (progress_key(job_id), write_id),
@@ -237,7 +227,7 @@
 
     def end(self, job_id: str) -> JobHead:
         """End a job; repeating it is harmless. Raises NotFound."""
-        for _ in range(TRIES):
+        for _ in range(END_TRIES):
             head = self.head(job_id)
             if head.state == JobState.ended:
                 return head
@@ -272,7 +262,7 @@
         for start in range(0, len(writes), MAX_REMOVED):
             part = writes[start : start + MAX_REMOVED]
             self._table.transact([], part, Priority.report)
-        self._write(
+        self._writer.write(
             [Condition(head_key(head.id), head.version)],
             [
                 Write(head_key(head.id), None),
@@ -283,76 +273,13 @@
 
     def _put_head(self, head: JobHead) -> JobHead:
         """Write a head over the version that it was read with."""
-        version = self._write(
+        version = self._writer.write(
             [Condition(head_key(head.id), head.version)],
             [Write(head_key(head.id), head_value(head))],
             None,
         )
         return head._replace(version=version)
 
-    def _write(
-        self,
-        conditions: Sequence[Condition],
-        writes: Sequence[Write],
-        mark: tuple[str, str] | None,
-    ) -> int:
-        """Write under conditions, again while the outcome is unknown.
-
-        ``mark`` is the key of a row and the write id put there: if a
-        repeat finds the condition broken, it tells whether an earlier
-        try of this very write broke it.
-        """
-        try:
-            return self._table.transact(conditions, writes, Priority.commit)
-        except ConditionFailed as exc:
-            raise HoldLost(str(exc)) from exc
-        except WriteUnknown:
-            return self._write_again(conditions, writes, mark)
-
-    def _write_again(
-        self,
-        conditions: Sequence[Condition],
-        writes: Sequence[Write],
-        mark: tuple[str, str] | None,
-    ) -> int:
-        """Repeat a write whose outcome is unknown until it is known."""
-        for _ in range(TRIES):
-            gevent.sleep(PAUSE_S)
-            # Neither says what became of the earlier try.
-            with contextlib.suppress(WriteUnknown, StoreUnavailable):
-                return self._repeat(conditions, writes, mark)
-        raise OutcomeUnknown('the store did not say', retry_after_s=PAUSE_S)
-
-    def _repeat(
-        self,
-        conditions: Sequence[Condition],
-        writes: Sequence[Write],
-        mark: tuple[str, str] | None,
-    ) -> int:
-        try:
-            return self._table.transact(conditions, writes, Priority.commit)
-        except ConditionFailed as exc:
-            return self._version_if_mine(writes, mark, exc)
-
-    def _version_if_mine(
-        self,
-        writes: Sequence[Write],
-        mark: tuple[str, str] | None,
-        exc: ConditionFailed,
-    ) -> int:
-        key, write_id = mark or (writes[0].key, '')
-        row = self._table.read([key], Priority.lease)[0]
-        found = row.value or {}
-        mine = (
-            found.get('write_id') == write_id
-            if mark
-            else (found == writes[0].value)
-        )
-        if not mine:
-            raise HoldLost(str(exc)) from exc
-        logs.emit(events.WRITE_RESOLVED, key=key)
-        return row.version
-
 
 def progress_value(
     listed: list[int],
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -9,7 +9,8 @@
 from cactusridge.errors import CactusridgeError
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.held_job import HeldJob
-from cactusridge.jobs.ledger import HoldLost, JobLedger
+from cactusridge.jobs.hold_writer import HoldLost
+from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.model import (
     JobHead,
     JobItem,
--- a/tests/test_job_ledger.py
+++ b/tests/test_job_ledger.py
@@ -6,7 +6,8 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.errors import NotFound, OutcomeUnknown, StoreUnavailable
-from cactusridge.jobs.ledger import HoldLost, ItemEnd, JobLedger, Step
+from cactusridge.jobs.hold_writer import HoldLost
+from cactusridge.jobs.ledger import ItemEnd, JobLedger, Step
 from cactusridge.jobs.model import (
     ItemState,
     JobHead,
