--- a/cactusridge/background.py
+++ b/cactusridge/background.py
@@ -1,5 +1,6 @@
 """Work that goes on beside the requests for as long as the process."""
 
+import itertools
 from collections.abc import Callable
 
 import gevent
@@ -31,11 +32,20 @@
             gevent.sleep(FAILURE_PAUSE_S)
 
 
-def keep_doing_every(pause_s: float, step: Callable[[], object]) -> None:
-    """Do ``step`` after each ``pause_s`` seconds; no failure ends it."""
+def keep_doing_every(
+    pause_s: float,
+    step: Callable[[], object],
+    *,
+    at_once: bool = False,
+) -> None:
+    """Do ``step`` after each ``pause_s`` seconds; no failure ends it.
+
+    The first is done ``at_once`` or after a pause like the others.
+    """
+    pauses = itertools.chain([0] if at_once else [], itertools.repeat(pause_s))
 
     def wait_and_step() -> None:  # noqa: WPS430
-        gevent.sleep(pause_s)
+        gevent.sleep(next(pauses))
         step()
 
     keep_doing(wait_and_step)
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -85,7 +85,14 @@
 
     def start(self) -> None:
         """Start the greenlets."""
-        gevent.spawn(keep_doing_every, RENEW_S, self.session.step)
+        # An entry that does not know its peers yet places requests as if
+        # it were alone; after the loss of all they come at once.
+        gevent.spawn(
+            keep_doing_every,
+            RENEW_S,
+            self.session.step,
+            at_once=True,
+        )
         gevent.spawn(keep_doing_every, LOOK_S, self.manager.look)
         gevent.spawn(keep_doing, self.scheduler.step)
         gevent.spawn(keep_doing_every, JANITOR_S, self._janitor.look)
