A job is accepted in one call of the store

Cause: after the insertion its head was read, a second call; with answers of 0.2 s (a slow store) the 202 came after 0.4 s, which is what counts as on time.

Change: insert_once returns the version of what it wrote; the head is read only if the insertion found one, or if its own answer was lost. The test of a head that cannot be read (unknown, not refused) now loses the insertion's answer first, since only then is it read.

Measured: test_job_ledger: accepted_in_one_call, red before.

--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -125,7 +125,9 @@
             *self._payloads.prepare(head.id, items, write_id),
         ]
         condition = Condition(head_key(head.id), ABSENT)
-        insert_once(self._table, [condition], writes)
+        version = insert_once(self._table, [condition], writes)
+        if version != ABSENT:
+            return head._replace(version=version)
         try:
             return self.head(head.id)
         except StoreUnavailable as exc:
--- a/cactusridge/slo/hour_merger.py
+++ b/cactusridge/slo/hour_merger.py
@@ -106,13 +106,18 @@
         body = encode_period(merge_periods(periods))
         self._objects.put(name, body, Priority.report)
         key = hour_key(hour)
-        won = insert_once(
+        version = insert_once(
             self._table,
             [Condition(key, ABSENT)],
             [Write(key, {'object': name})],
             Priority.report,
         )
-        logs.emit(events.HOUR_MERGED, hour=hour, periods=len(names), won=won)
+        logs.emit(
+            events.HOUR_MERGED,
+            hour=hour,
+            periods=len(names),
+            won=version != ABSENT,
+        )
 
 
 def merge_due_hours(merger: HourMerger) -> None:
--- a/cactusridge/store/writer.py
+++ b/cactusridge/store/writer.py
@@ -6,6 +6,7 @@
 
 from cactusridge.errors import OutcomeUnknown, StoreUnavailable
 from cactusridge.store.table import (
+    ABSENT,
     Condition,
     ConditionFailed,
     Priority,
@@ -24,12 +25,12 @@
     conditions: Sequence[Condition],
     writes: Sequence[Write],
     priority: Priority = Priority.acceptance,
-) -> bool:
-    """Insert rows that are conditional on absence; True if it was this call.
+) -> int:
+    """Insert rows that are conditional on absence; return their version.
 
     The same transaction is sent again after a lost answer: the first to
     take effect makes the condition fail for the other, so it cannot
-    take effect twice. False: the rows were there; the caller reads them
+    take effect twice. ABSENT: the rows were there; the caller reads them
     to see whose they are. StoreUnavailable: nothing was written.
     OutcomeUnknown: it could not be found out.
     """
@@ -37,15 +38,13 @@
     sent = False
     for _ in range(TRIES):
         try:
-            table.transact(conditions, writes, priority)
+            return table.transact(conditions, writes, priority)
         except ConditionFailed:
-            return False
+            return ABSENT
         except WriteUnknown:
             sent = True
         except StoreUnavailable as exc:
             _raise_unless(sent, exc)
-        else:
-            return True
         gevent.sleep(pause_s)
         pause_s *= GROWTH
     raise OutcomeUnknown(
--- a/tests/test_job_ledger.py
+++ b/tests/test_job_ledger.py
@@ -128,10 +128,19 @@
 
     def test_stored_but_unreadable(self):
         """A stored job whose head cannot be read was not refused."""
+        self.table.faults.append(FaultKind.lose_answer)
         self.table.fail_reads = 1
         with self.assertRaises(OutcomeUnknown):
             self.ledger.accept(self.head._replace(id='job3'), self.items)
 
+    def test_accepted_in_one_call(self):
+        """The answer to the insertion is enough; nothing is read."""
+        self.table.fail_reads = 1
+        head = self.head._replace(id='job4')
+        accepted = self.ledger.accept(head, self.items)
+        self.table.fail_reads = 0
+        self.assertEqual(self.ledger.head('job4'), accepted)
+
     def test_partials(self):
         """Unfinished output outlives its holder and goes when it is done."""
         progress = self.ledger.progress(JOB)
