A stopping process begins no request that it may not end

Cause: draining ended as soon as no request was in work. A request on a connection that had been accepted in the last milliseconds was read after that, passed on, and cut 66 ms later when the process ended.

Ruled out: the grace (the process ended 5 s before it was over) and the time-out of the drain (4.2 s, none of it used).

Change: a drain ends after 0.3 s without work; from then on requests get 503, not run, until the process is gone.

Measured: test_server: open_connection_at_the_end (two cases; the refusal was red before).

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -9,11 +9,16 @@
 from gevent.pool import Pool
 
 from cactusridge import events, logs
+from cactusridge.errors import Draining
+from cactusridge.http.app import error_reply
 from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
 from cactusridge.http.unreadable import refusal
 
 SILENT_LOG = None
 POLL_S = 0.05
+# A server without work is quiet only after this many seconds: requests on
+# connections that it has accepted may still be on their way.
+QUIET_S = 0.3
 SERVER_FAULT = 500
 
 
@@ -58,6 +63,8 @@
     def handle_one_response(self) -> None:
         """Serve one request, counted while it is in work."""
         self.server.active += 1
+        if self.server.drained:
+            self.application = refuse
         try:
             super().handle_one_response()
         finally:
@@ -106,6 +113,8 @@
         self.idle_timeout_s = idle_timeout_s
         self.active = 0
         self.draining = False
+        # From then on requests are refused: the process may end any time.
+        self.drained = False
 
     def update_environ(self) -> None:
         """Name this server by its address, without a name lookup.
@@ -121,7 +130,19 @@
         self.draining = True
         self.close()
         waited = float(0)
-        while self.active and waited < bound_s:
+        quiet = float(0)
+        while quiet < QUIET_S and waited < bound_s:
             gevent.sleep(POLL_S)
             waited += POLL_S
+            quiet = 0 if self.active else quiet + POLL_S
+        self.drained = True
         return not self.active
+
+
+def refuse(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+    """Say that the process is stopping; the request is not run."""
+    environ['wsgi.input'].read()
+    reply = error_reply(Draining())
+    phrase = HTTPStatus(reply.status).phrase
+    start_response(f'{reply.status} {phrase}', reply.headers)
+    return list(reply.body)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Iterator
 
+import gevent
 from nose2.tools import params
 
 from cactusridge import wire
@@ -70,6 +71,28 @@
             )
             self.assertEqual(b'{"no_delay":true}', resp.read())
 
+    def drain(self, conn, until_closed):
+        """Drain while ``conn`` is open; send on it before or after."""
+        server = self.served.server
+        draining = gevent.spawn(server.drain, 5)
+        wait_for('it is closed', lambda: server.closed)
+        if not until_closed:
+            draining.join()
+        conn.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        with conn.makefile('rb') as answer:
+            raw = answer.read()
+        draining.join()
+        return raw
+
+    @params((True, b'200'), (False, b'503'))
+    def test_open_connection_at_the_end(self, until_closed, status):
+        """A request that is on its way is served; a late one is refused.
+
+        Nothing begins once the process may end.
+        """
+        raw = self.drain(self.ask(b''), until_closed)
+        self.assertEqual(status, raw.split()[1])
+
     def ask(self, raw: bytes) -> socket.socket:
         """Send bytes as they are; return the connection."""
         conn = socket.create_connection(self.served.address)
