A fault soak over real entries; SIGHUP while an entry loads ends it no more

Seen red: tests.test_machine_failures test_reload_while_starting (not ready within 10 s before, ready after).

The soak (make soak): entries as processes of their own, proxies that delay, reset, cut one way, silence and refuse, signals that kill, suspend, stop and reload, a store that is away, slow, forgets, and loses or delays writes, replicas that crash, fail, hang, cross answers and leave; in series and overlapping by seed. Checks share nothing with the product. One seed in four has planned work alone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON = $(VENV)/bin/python
 DEPS = $(VENV)/.installed
 
-.PHONY: install test codestyle format demo demo-check chaos bench bench-capacity clean
+.PHONY: install test codestyle format demo demo-check chaos soak bench bench-capacity clean
+
+# Seeds of the soak: one, or a range.
+SEEDS = 1-50
 
 install: $(DEPS)
 
@@ -32,6 +35,9 @@
 chaos: install
 	CHAOS_SEEDS=40 $(PYTHON) -m nose2 -s tests -t . -v tests.test_chaos
 
+soak: install
+	$(PYTHON) -m soak --seeds $(SEEDS)
+
 bench: install
 	$(PYTHON) -m bench.traces_report
 
--- a/cactusridge/platform/__main__.py
+++ b/cactusridge/platform/__main__.py
@@ -1,11 +1,16 @@
 """Starts an entry on a machine of the platform."""
 
+import signal
+
+# Until its handler is there, SIGHUP would end the process, and loading
+# the modules takes most of a second; the settings are read after that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from gevent import monkey
 
 monkey.patch_all()
 
 import os
-import signal
 import sys
 
 import gevent
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real entries, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,83 @@
+"""``python -m soak``: runs seeds and says which promises did not hold."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json
+import shutil
+import subprocess  # noqa: S404
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cactusridge import logs
+from cactusridge.descriptors import allow_many
+from soak.run import Size, run
+
+REPORT = 'report.json'
+LOGS = Path('.run/soak')
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def main(
+    seeds: Annotated[str, typer.Option(help='As 7 or 1-50.')] = '1-50',
+    at_once: Annotated[int, typer.Option(help='Runs at a time.')] = 3,
+    seconds: Annotated[float, typer.Option(help='Faults begin.')] = 20,
+    entries: Annotated[int, typer.Option(help='Entries.')] = 3,
+    folder: Annotated[Path, typer.Option(help='For logs.')] = LOGS,
+) -> None:
+    """Run seeds, each in a process of its own; keep logs of what failed."""
+    first, _, last = seeds.partition('-')
+    wanted = range(int(first), int(last or first) + 1)
+    shown = [str(seconds), str(entries), str(folder)]
+    if len(wanted) == 1:
+        sys.exit(run_one(wanted[0], Size(seconds, entries), folder))
+    with ThreadPoolExecutor(at_once) as workers:
+        failed = list(
+            workers.map(lambda seed: run_apart(seed, shown), wanted),
+        )
+    sys.stdout.write(f'{len(wanted) - sum(failed)} passed, ')
+    sys.stdout.write(f'{sum(failed)} failed\n')
+    sys.exit(int(any(failed)))
+
+
+def run_apart(seed: int, shown: list[str]) -> int:
+    """Run a seed in a process; return 1 if a promise did not hold."""
+    seconds, entries, folder = shown
+    options = ['--seconds', seconds, '--entries', entries, '--folder', folder]
+    command = [sys.executable, '-m', 'soak', '--seeds', str(seed), *options]
+    ended = subprocess.run(command, check=False)  # noqa: S603
+    return int(ended.returncode != 0)
+
+
+def run_one(seed: int, size: Size, folder: Path) -> int:
+    """Run a seed here; return the exit status."""
+    allow_many()
+    place = folder / str(seed)
+    shutil.rmtree(place, ignore_errors=True)
+    place.mkdir(parents=True)
+    with (place / 'standins.log').open('w') as own_log:
+        logs.configure('json', own_log)
+        record = run(seed, size, place)
+    report = {
+        'seed': seed,
+        'size': size._asdict(),
+        'figures': record.figures(),
+        'spans': [list(span) for span in record.spans],
+        'violations': [list(each) for each in record.violations],
+    }
+    (place / REPORT).write_text(json.dumps(report, indent=1))
+    sys.stdout.write(f'seed {seed}: {record.figures()}\n')
+    for each in record.violations:
+        sys.stdout.write(f'seed {seed}: BROKEN {each.promise}: {each.text}\n')
+    sys.stdout.flush()
+    return int(bool(record.violations))
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,165 @@
+"""The promises, checked from what callers and replicas saw.
+
+Nothing here is shared with the product. Checks that hold whatever
+happens come first; the others hold for what was in touch, that is while
+nothing disturbed the fleet for ``CONTACT_S`` before.
+"""
+
+import itertools
+from collections import Counter
+
+from soak.record import Began, Call, CallEnd, Job, Record
+
+# Not run, and never will be.
+REFUSALS = frozenset((408, 421, 429, 503))
+ENDED_BOUND_S = 3
+DRAIN_BOUND_S = 2
+CONFIG_BOUND_S = 2
+# Later than this after the last byte of a request a connection may not
+# end without an answer, though its replica never had it.
+LOSS_SLACK_S = 0.2
+GONE_BOUND_S = 1
+TOUCH_S = 3
+ATTEMPTS = 2
+
+
+def check_always(record: Record) -> None:
+    """Check what holds at any moment, under any failure."""
+    runs = record.runs_by_id()
+    for call in record.calls:
+        _check_call(record, call, runs.get(call.id, []))
+    for job in list(record.jobs.values()):
+        _check_job(record, job, runs)
+
+
+def check_at_end(record: Record) -> None:
+    """Check what holds while nothing disturbs the fleet."""
+    check_always(record)
+    runs = record.runs_by_id()
+    _check_ended_jobs(record, runs)
+    _check_draining(record)
+    _check_configuration(record)
+    _check_planned_cuts(record, runs)
+
+
+def check_outstanding(record: Record, seconds: float) -> None:
+    """Check that nothing is owed once the fleet has had time."""
+    for job in record.jobs.values():
+        owed = job.accepted_at is not None and job.end_asked_at is None
+        listed = {each['id'] for each in job.positions}
+        missing = set(job.item_ids()) - listed
+        if owed and missing:
+            text = f'{job.id}: {sorted(missing)} after {seconds} s'
+            record.broke('items complete', text)
+
+
+def _check_call(record: Record, call: Call, runs: list[Began]) -> None:
+    if call.kind == 'on' and len(runs) > 1:
+        record.broke('once', f'{call.id} ran at {_places(runs)}')
+    if call.status in REFUSALS and runs and call.kind == 'on':
+        record.broke('refused is not run', f'{call.id} {call.status} ran')
+    if call.status in {404, 400} and call.kind != 'version':
+        record.broke('not denied', f'{call.id} got {call.status}')
+    if call.status == 503 and 'Retry-After' not in call.headers:
+        record.broke('says when to come back', f'{call.id}: {call.body!r}')
+
+
+def _check_job(record: Record, job: Job, runs: dict[str, list[Began]]) -> None:
+    ids = job.item_ids()
+    listed = Counter(each['id'] for each in job.positions)
+    for item_id, count in listed.items():
+        if count > 1:
+            record.broke('listed once', f'{item_id} {count} times')
+        if item_id not in ids:
+            record.broke('whole answer', f'{item_id} listed in {job.id}')
+    bodies = dict(zip(ids, job.bodies, strict=True))
+    for found in list(job.positions):
+        _check_result(record, found, bodies.get(found['id'], ''))
+    if job.refused and any(item_id in runs for item_id in ids):
+        record.broke('refused is not run', f'{job.id} {job.statuses} ran')
+
+
+def _check_result(record: Record, found: dict[str, str], body: str) -> None:
+    item_id, state, output = found['id'], found['state'], found['output']
+    poison = body in {'impossible', 'failing'}
+    if state == 'completed':
+        count = 0 if poison else int(body.split()[0])
+        whole = '\n'.join(
+            f'{item_id}.{number}' for number in range(1, count + 1)
+        )
+        if output != whole or poison:
+            record.broke('whole answer', f'{item_id}: {output[:80]!r}')
+    elif not poison and record.failed_runs[item_id] < ATTEMPTS:
+        text = f'{item_id} after {record.failed_runs[item_id]} failures'
+        record.broke('given up too early', text)
+
+
+def _check_ended_jobs(record: Record, runs: dict[str, list[Began]]) -> None:
+    for job in record.jobs.values():
+        if job.end_acked_at is None:
+            continue
+        bound = job.end_acked_at + ENDED_BOUND_S
+        begun = itertools.chain.from_iterable(
+            runs.get(item_id, ()) for item_id in job.item_ids()
+        )
+        for each in begun:
+            late = each.at > bound
+            if late and record.calm(each.at - TOUCH_S, each.at, True):
+                record.broke('ended jobs stop', f'{each.id} at {each.at}')
+
+
+def _check_draining(record: Record) -> None:
+    for began in record.began:
+        told_at = record.draining.get(began.replica)
+        if told_at is None or began.at <= told_at + DRAIN_BOUND_S:
+            continue
+        if record.calm(began.at - TOUCH_S, began.at, planned_too=False):
+            record.broke('leaving gets nothing', f'{began.id} at {began.at}')
+
+
+def _check_configuration(record: Record) -> None:
+    """Check that versions come in time and are never taken back.
+
+    Version N serves its own route and no other version's.
+    """
+    newest: dict[str, tuple[int, float]] = {}
+    for call in sorted(record.calls, key=lambda each: each.ended_at):
+        calm = record.calm(call.sent_at - TOUCH_S, call.ended_at, True)
+        if call.version is None or not calm:
+            continue
+        if call.status == 200:
+            seen, seen_at = newest.get(call.entry, (0, 0))
+            if call.version < seen and call.sent_at > seen_at:
+                text = f'{call.id} v{call.version} after v{seen}'
+                record.broke('never back', text)
+            now = (call.version, call.ended_at)
+            newest[call.entry] = max((seen, seen_at), now)
+        _check_in_force(record, call, call.version)
+
+
+def _check_in_force(record: Record, call: Call, version: int) -> None:
+    """Check an answer against the version that has to be in force."""
+    settled = call.sent_at - CONFIG_BOUND_S
+    known = [number for number, at in record.versions.items() if at <= settled]
+    oldest_allowed = max(known)
+    if call.status == 200 and version < oldest_allowed:
+        record.broke('in force', f'{call.id}: v{version} is still served')
+    if call.status == 404 and version == max(record.versions):
+        if version <= oldest_allowed:
+            record.broke('in force', f'{call.id}: v{version} is not served')
+
+
+def _check_planned_cuts(record: Record, runs: dict[str, list[Began]]) -> None:
+    """Check that planned work ends no request without its answer."""
+    for call in record.calls:
+        if call.end not in {CallEnd.cut, CallEnd.closed, CallEnd.silent}:
+            continue
+        took_s = call.ended_at - call.sent_at
+        had = call.id in runs or took_s > LOSS_SLACK_S
+        if had and record.calm(call.sent_at - TOUCH_S, call.ended_at, False):
+            text = f'{call.id} {call.end} after {took_s:.2f} s at {call.entry}'
+            record.broke('planned work cuts nothing', text)
+
+
+def _places(runs: list[Began]) -> str:
+    return ', '.join(f'{each.replica} at {each.at:.3f}' for each in runs)
--- /dev/null
+++ b/soak/job_callers.py
@@ -0,0 +1,187 @@
+"""Callers that submit jobs, send them again, read and end them."""
+
+import base64
+import json
+import random
+import time
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+import gevent
+
+from soak.record import Job
+from soak.world import World
+from standins.machines.site import HOST
+
+TIMEOUT_S = 4
+ITEMS = (2, 8)
+EVENTS = (5, 40)
+ITEM_EVENT_S = 0.03
+# Tries of a caller before it gives a job up.
+TRIES = 3
+PAUSE_S = 0.5
+BETWEEN_JOBS_S = (0.5, 2.5)
+POISON = ('impossible', 'failing')
+POISON_SHARE = 0.1
+END_SHARE = 0.15
+RESEND_SHARE = 0.3
+# Later than this after its acceptance a job is known everywhere.
+SETTLE_S = 1
+
+
+class JobCaller:
+    """Submits one job after the other and follows each."""
+
+    def __init__(self, world: World, name: str, seed: int) -> None:
+        """Draw jobs, entries and moments by ``seed``."""
+        self._world = world
+        self._name = name
+        self._rng = random.Random(seed)  # noqa: S311
+        self._count = 0
+        self._stopped = False
+
+    def run(self) -> None:
+        """Submit jobs until told to stop."""
+        while not self._stopped:
+            job = self._draw()
+            self._world.record.jobs[job.id] = job
+            self._submit(job)
+            if job.accepted_at is not None:
+                gevent.spawn(self.follow, job)
+            gevent.sleep(self._rng.uniform(*BETWEEN_JOBS_S))
+
+    def stop(self) -> None:
+        """Submit no more jobs; go on reading."""
+        self._stopped = True
+
+    def follow(self, job: Job) -> None:
+        """Read a job until all is listed, now and then end it."""
+        ends = self._rng.random() < END_SHARE
+        while not (self._world.over or complete(job)):
+            gevent.sleep(self._rng.uniform(0, 2 * PAUSE_S))
+            if self._rng.random() < RESEND_SHARE / 10:
+                self._resend(job)
+            if ends and len(job.positions) and job.end_acked_at is None:
+                self.end(job)
+            self.read(job, self._any_entry())
+
+    def read(self, job: Job, entry: str, after: int | None = None) -> int:
+        """Read from a position on, the first unknown one if none is given.
+
+        Returns the status, 0 without an answer.
+        """
+        first = self._first(job) if after is None else after
+        asked_at = time.monotonic()
+        target = f'/api/lots/{job.id}?after={first}'
+        status, raw = self._call(entry, 'GET', target)
+        known = job.accepted_at is not None
+        if known and status in {404, 410}:
+            age_s = asked_at - (job.accepted_at or 0)
+            if age_s > SETTLE_S:
+                self._broke('job known', f'{job.id}: {status} at {entry}')
+        if status == 200:
+            self._take(job, first, json.loads(raw))
+        return status
+
+    def end(self, job: Job) -> None:
+        """End a job."""
+        job.end_asked_at = job.end_asked_at or time.monotonic()
+        status, _ = self._call(
+            self._any_entry(),
+            'DELETE',
+            f'/api/lots/{job.id}',
+        )
+        if status == 200:
+            job.end_acked_at = job.end_acked_at or time.monotonic()
+
+    def _draw(self) -> Job:
+        self._count += 1
+        bodies = [
+            f'{self._rng.randint(*EVENTS)} {ITEM_EVENT_S}'
+            for _ in range(self._rng.randint(*ITEMS))
+        ]
+        if self._rng.random() < POISON_SHARE:
+            bodies.append(self._rng.choice(POISON))
+        return Job(f'{self._name}-{self._count}', bodies)
+
+    def _submit(self, job: Job) -> None:
+        for _ in range(TRIES):
+            self._send(job, self._any_entry())
+            if job.accepted_at is not None:
+                return
+            gevent.sleep(PAUSE_S)
+
+    def _resend(self, job: Job) -> None:
+        """Send a job again whose acceptance is seconds old."""
+        self._send(job, self._any_entry())
+
+    def _send(self, job: Job, entry: str) -> None:
+        items = [
+            {
+                'id': item_id,
+                'path': f'/lots/{item_id}',
+                'headers': {'X-Model': 'm'},
+                'body': base64.b64encode(body.encode()).decode(),
+                'tokens': 1,
+            }
+            for item_id, body in zip(job.item_ids(), job.bodies, strict=True)
+        ]
+        raw = json.dumps({'items': items}).encode()
+        headers = {'X-Attempt-Id': job.id, 'Content-Type': 'application/json'}
+        status, _ = self._call(entry, 'POST', '/lots/x', raw, headers)
+        job.statuses.append(status or None)
+        if status == 202 and job.accepted_at is None:
+            job.accepted_at = time.monotonic()
+
+    def _take(self, job: Job, first: int, page: dict[str, Any]) -> None:
+        """Take a page of results; what was read before may not differ."""
+        if page['total'] != len(job.bodies):
+            self._broke('results stay', f'{job.id}: total {page["total"]}')
+        for position, found in enumerate(page['results'], first):
+            if position < len(job.positions):
+                known = job.positions[position]
+                if known != found:
+                    self._broke(
+                        'results stay',
+                        f'{job.id} at {position}: {known} then {found}',
+                    )
+            elif position == len(job.positions):
+                job.positions.append(found)
+
+    def _first(self, job: Job) -> int:
+        """Return where to read from: mostly on, now and then before."""
+        if self._rng.random() < RESEND_SHARE:
+            return self._rng.randint(0, len(job.positions))
+        return len(job.positions)
+
+    def _any_entry(self) -> str:
+        return self._rng.choice(sorted(self._world.caller_links))
+
+    def _broke(self, promise: str, text: str) -> None:
+        self._world.record.broke(promise, text)
+
+    def _call(
+        self,
+        entry: str,
+        method: str,
+        target: str,
+        raw: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Return status and body of a call, 0 if there is no answer."""
+        address = self._world.caller_links[entry].address
+        conn = HTTPConnection(*address, timeout=TIMEOUT_S)
+        try:
+            conn.request(method, target, raw, {'Host': HOST, **(headers or {})})
+            resp = conn.getresponse()
+            return resp.status, resp.read()
+        except (OSError, HTTPException):
+            return 0, b''
+        finally:
+            conn.close()
+
+
+def complete(job: Job) -> bool:
+    """Tell whether a job owes nothing more."""
+    all_listed = len(job.positions) == len(job.bodies)
+    return all_listed or job.end_acked_at is not None
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,209 @@
+"""One seeded run: start, harm, heal, wait, and say what did not hold."""
+
+import itertools
+import random
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import gevent
+
+from soak import checks
+from soak.callers import Caller
+from soak.faults import Fault
+from soak.job_callers import JobCaller, complete
+from soak.link_faults import (
+    AnswersLost,
+    Delay,
+    Refuse,
+    RequestsLost,
+    Reset,
+    Silence,
+)
+from soak.process_faults import Kill, KillAll, Pause, PlannedStop, Reload
+from soak.record import Record
+from soak.replica_faults import (
+    BreaksOff,
+    Crash,
+    Crossed,
+    Grey,
+    Leaving,
+    Reconfigure,
+    Slow,
+)
+from soak.store_faults import (
+    AnswersOfWritesLost,
+    HistoryLost,
+    StoreDown,
+    StoreSlow,
+    StoreUnreachable,
+)
+from soak.world import World
+
+PLANNED = (PlannedStop, Reload, Reconfigure, Leaving)
+FAULTS = (
+    *PLANNED,
+    Kill,
+    Kill,
+    KillAll,
+    Pause,
+    Pause,
+    Delay,
+    Reset,
+    Silence,
+    AnswersLost,
+    RequestsLost,
+    Refuse,
+    StoreDown,
+    StoreSlow,
+    AnswersOfWritesLost,
+    HistoryLost,
+    StoreUnreachable,
+    Crash,
+    BreaksOff,
+    Crossed,
+    Grey,
+    Slow,
+)
+# One seed in so many has planned work alone, which may cut nothing.
+PLANNED_EVERY = 4
+GAPS_S = (0.1, 2.0)
+LASTS_S = (0.3, 5.0)
+# After the last fault: for lost entries to be taken for gone, jobs to be
+# taken over and what is left of them to run.
+RECOVERY_S = 12
+FINISH_S = 18
+WATCH_S = 1
+
+
+class Size(NamedTuple):
+    """How large a run is; ``seconds`` is how long faults begin."""
+
+    seconds: float = 20
+    entries: int = 3
+    replicas: int = 3
+    slots: int = 4
+    callers: int = 8
+    job_callers: int = 2
+
+
+class Strike(NamedTuple):
+    """A fault and when it begins and ends, in seconds from the start."""
+
+    begins_s: float
+    lasts_s: float
+    kind: type[Fault]
+
+
+def schedule(seed: int, seconds: float) -> Iterator[Strike]:
+    """Yield the faults of a seed in order; they may overlap and recur."""
+    rng = random.Random(seed)  # noqa: S311
+    kinds = FAULTS if seed % PLANNED_EVERY else PLANNED
+    at_s = float(0)
+    while at_s < seconds:
+        yield Strike(at_s, rng.uniform(*LASTS_S), rng.choice(kinds))
+        at_s += rng.uniform(*GAPS_S)
+
+
+def run(seed: int, size: Size, folder: Path) -> Record:
+    """Run a seed; the logs of the entries go to ``folder``."""
+    names = [f'entry-{number}' for number in range(size.entries)]
+    world = World(folder, size.replicas, size.slots)
+    try:
+        world.begin(names)
+        _run(world, seed, size)
+    finally:
+        world.stop()
+    return world.record
+
+
+def _run(world: World, seed: int, size: Size) -> None:
+    callers = [
+        Caller(world, f'c{number}', seed + number)
+        for number in range(size.callers)
+    ]
+    job_callers = [
+        JobCaller(world, f'j{number}', seed + number)
+        for number in range(size.job_callers)
+    ]
+    tasks = [gevent.spawn(each.run) for each in (*callers, *job_callers)]
+    watch = gevent.spawn(_watch, world)
+    _strike(world, seed, size)
+    world.note_own_ends()
+    for caller in job_callers:
+        caller.stop()
+    _recover(world, job_callers[0])
+    for task in (*tasks, watch):
+        # One that failed has left callers unheard.
+        task.get(block=False) if task.ready() else task.kill()
+    checks.check_at_end(world.record)
+
+
+def _strike(world: World, seed: int, size: Size) -> None:
+    """Begin and end every fault of the schedule in its time."""
+    began_at = time.monotonic()
+    strikes = []
+    for number, strike in enumerate(schedule(seed, size.seconds)):
+        gevent.sleep(max(0, began_at + strike.begins_s - time.monotonic()))
+        rng = random.Random(f'{seed}/{number}')  # noqa: S311
+        fault = strike.kind(world, rng)
+        strikes.append(gevent.spawn(_last, world, fault, strike.lasts_s))
+    gevent.joinall(strikes, raise_error=True)
+
+
+def _last(world: World, fault: Fault, lasts_s: float) -> None:
+    world.disturb(fault, fault.name, fault.planned)
+    fault.begin()
+    gevent.sleep(lasts_s)
+    fault.end()
+    world.undisturb(fault)
+
+
+def _watch(world: World) -> None:
+    """Check what holds always while the run goes on."""
+    while True:
+        gevent.sleep(WATCH_S)
+        world.note_own_ends()
+        checks.check_always(world.record)
+
+
+def _recover(world: World, reader: JobCaller) -> None:
+    """Wait until all is served and done; note what is not in time."""
+    began_at = time.monotonic()
+    gevent.joinall(
+        [gevent.spawn(_probe, world, name) for name in world.entries],
+        raise_error=True,
+    )
+    jobs = [
+        job for job in world.record.jobs.values() if job.accepted_at is not None
+    ]
+    bound_s = RECOVERY_S + FINISH_S
+    _within(bound_s, began_at, lambda: all(map(complete, jobs)))
+    checks.check_outstanding(world.record, bound_s)
+    # Every entry shows every job, from the start and from its middle.
+    for job, name in itertools.product(jobs, world.entries):
+        firsts = {0, len(job.positions) // 2}
+        if {reader.read(job, name, first) for first in firsts} != {200}:
+            world.record.broke('results readable', f'{job.id} at {name}')
+
+
+def _probe(world: World, name: str) -> None:
+    caller = Caller(world, f'probe-{name}', 0)
+    now = time.monotonic()
+    if not _within(RECOVERY_S, now, lambda: caller.probe(name)):
+        text = f'{name} serves nothing after {RECOVERY_S} s'
+        world.record.broke('recovers', text)
+
+
+def _within(
+    bound_s: float,
+    began_at: float,
+    happened: Callable[[], bool],
+) -> bool:
+    """Wait until something has happened; tell whether it has."""
+    while time.monotonic() < began_at + bound_s:
+        if happened():
+            return True
+        gevent.sleep(0.1)
+    return False
--- a/standins/forwarder.py
+++ b/standins/forwarder.py
@@ -1,7 +1,8 @@
-"""A TCP forwarder that can cut or silence what goes through it."""
+"""A TCP forwarder that harms what goes through it."""
 
 import contextlib
 import socket
+import struct
 
 import gevent
 from gevent.event import Event
@@ -10,6 +11,8 @@
 from cactusridge.http.client import Address
 
 BLOCK = 65536
+# Closing at once, with a reset instead of an orderly end.
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class Forwarder:
@@ -22,7 +25,11 @@
         self._pairs: list[tuple[socket.socket, socket.socket, Event]] = []
         self.address = target
         self.refusing = False
+        # One way only: answers, or requests, are lost.
         self.deaf = False
+        self.mute = False
+        # Seconds that each block is late, in both directions.
+        self.delay_s = float(0)
         self.opened = 0
 
     def start(self) -> Address:
@@ -38,6 +45,13 @@
             _close(far)
         self._pairs = []
 
+    def reset(self) -> None:
+        """Reset every open connection at both ends."""
+        for near, far, _ in self._pairs:
+            _reset(near)
+            _reset(far)
+        self._pairs = []
+
     def silence(self) -> None:
         """Pass nothing on any more on the connections open now."""
         for _, _, flowing in self._pairs:
@@ -62,10 +76,14 @@
         far.settimeout(None)
         for sock in (near, far):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._pairs.append((near, far, flowing))
+        pair = (near, far, flowing)
+        self._pairs.append(pair)
         back = gevent.spawn(self._pump, far, near, flowing, True)
         self._pump(near, far, flowing, False)
         back.join()
+        far.close()
+        if pair in self._pairs:
+            self._pairs.remove(pair)
 
     def _pump(
         self,
@@ -77,14 +95,24 @@
         try:
             while block := source.recv(BLOCK):
                 flowing.wait()
-                if self.deaf and answers:
+                if self._loses(answers):
                     continue
+                gevent.sleep(self.delay_s)
                 sink.sendall(block)
         except OSError:
             _close(source)
         if flowing.is_set():
             _close(sink)
 
+    def _loses(self, answers: bool) -> bool:
+        return self.deaf if answers else self.mute
+
+
+def _reset(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        sock.close()
+
 
 def _close(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -11,11 +11,10 @@
 from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
 
 STEP_S = 0.01
-STATUSES = MappingProxyType(
+FAILING = MappingProxyType(
     {
         b'impossible': '422 Unprocessable',
         b'failing': '500 Failed',
-        b'plain': '200 OK',
     },
 )
 Start = Any
@@ -64,6 +63,22 @@
         ]
         return self._answer(body, headers, answered, start)
 
+    def text(self, request_id: str, number: int) -> str:
+        """Return the data of an event."""
+        return f'e{number}'
+
+    def plain(self, request_id: str, body: bytes) -> bytes:
+        """Return the body of a plain answer."""
+        return body
+
+    def failing(self, request_id: str, body: bytes) -> str | None:
+        """Return the status of a run that fails, None for another."""
+        return FAILING.get(body.partition(b' ')[0])
+
+    def step_s(self, asked_s: float) -> float:
+        """Return how long an event takes, in seconds."""
+        return asked_s
+
     def _answer(
         self,
         body: bytes,
@@ -71,16 +86,21 @@
         answered: list[tuple[str, str]],
         start: Start,
     ) -> Any:
-        status = STATUSES.get(body.partition(b' ')[0])
+        request_id = answered[0][1]
+        status = self.failing(request_id, body)
         if status is not None:
             start(status, answered)
             return [body]
+        if body.startswith(b'plain'):
+            start('200 OK', answered)
+            return [self.plain(request_id, body)]
         if self.spoil:
             wrong = self.spoil.pop(0)
             start('200 OK', [('X-Attempt-Id', wrong), answered[1]])
             return [b'spoiled']
         start('200 OK', [*answered, ('Content-Type', 'text/event-stream')])
-        return self._events(body, headers.get('Last-Event-Id', '0'))
+        last = headers.get('Last-Event-Id', '0')
+        return self._events(request_id, body, last)
 
     def _end(self, whole: bool) -> None:
         self.running -= 1
@@ -91,7 +111,12 @@
         start(status, [('X-Not-Executed', '1')])
         return [b'']
 
-    def _events(self, body: bytes, last: str) -> Iterator[bytes]:
+    def _events(
+        self,
+        request_id: str,
+        body: bytes,
+        last: str,
+    ) -> Iterator[bytes]:
         count, _, gap = body.decode().partition(' ')
         cut_after = self.cut_after.pop(0) if self.cut_after else None
         self._slots.acquire()
@@ -100,11 +125,12 @@
         whole = False
         try:
             for number in range(int(last) + 1, int(count) + 1):
-                gevent.sleep(float(gap or STEP_S))
+                gevent.sleep(self.step_s(float(gap or STEP_S)))
                 if number == cut_after:
                     yield f'id: {number}\nda'.encode()
                     raise Cut
-                yield f'id: {number}\ndata: e{number}\n\n'.encode()
+                text = self.text(request_id, number)
+                yield f'id: {number}\ndata: {text}\n\n'.encode()
             whole = True
         finally:
             self._end(whole)
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -58,7 +58,8 @@
         self.folder = folder
         self.store = MachineStore()
         self.replicas = [
-            MachineReplica(f'i-{number}', slots) for number in range(replicas)
+            self.make_replica(f'i-{number}', slots)
+            for number in range(replicas)
         ]
         self.entries: dict[str, LocalProcess] = {}
         self.addresses: dict[str, Address] = {}
@@ -68,7 +69,7 @@
         # The way from each entry to the store, and to each replica.
         self.store_links: dict[str, Forwarder] = {}
         self.replica_links: list[Forwarder] = []
-        self._version = 0
+        self.version = 0
 
     def start(self) -> None:
         """Serve the store and the replicas; write the configuration."""
@@ -79,22 +80,27 @@
             self.register(replica, link.start())
         self.configure(ROUTES)
 
-    def register(self, replica: MachineReplica, address: Address) -> None:
+    def register(
+        self,
+        replica: MachineReplica,
+        address: Address,
+        state: str = 'ready',
+    ) -> None:
         """Put a replica on the list of the platform."""
         entry = {
             'service': 'model',
             'address': str(address),
             'zone': 'z',
             'slots': self._slots,
-            'state': 'ready',
+            'state': state,
         }
         self.store.put(('servers', '', replica.id), entry)
 
     def configure(self, routes: Any) -> None:
         """Put a new version of the configuration in force."""
-        self._version += 1
+        self.version += 1
         message = {
-            'version': self._version,
+            'version': self.version,
             'routes': [{**ROUTE_DEFAULTS, **route} for route in routes],
             'services': [],
             'limits': {'max_body_bytes': 1 << 20, 'max_header_bytes': 8000},
@@ -103,6 +109,11 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry, or start it again, and wait until it is ready."""
+        self.spawn_entry(name)
+        wait_for(f'{name} is ready', lambda: self.is_ready(name))
+
+    def spawn_entry(self, name: str) -> None:
+        """Start an entry, or start it again."""
         path = self.folder / f'{name}.yaml'
         if name not in self.addresses:
             path.write_text(yaml.safe_dump(self._settings(name)))
@@ -112,7 +123,6 @@
             ['cactusridge.platform'],
             self.folder,
         )
-        wait_for(f'{name} is ready', lambda: self._is_ready(name))
 
     def call(
         self,
@@ -161,6 +171,20 @@
         """Return where a replica listens."""
         return self.replica_links[number].address
 
+    def is_ready(self, name: str) -> bool:
+        """Tell whether an entry says that it is ready."""
+        settings = yaml.safe_load((self.folder / f'{name}.yaml').read_text())
+        host, _, port = settings['readiness_listen'].partition(':')
+        conn = HTTPConnection(host, int(port), timeout=2)
+        with contextlib.closing(conn), contextlib.suppress(OSError):
+            conn.request('GET', '/')
+            return conn.getresponse().status == 200
+        return False
+
+    def make_replica(self, replica_id: str, slots: int) -> MachineReplica:
+        """Return a replica of this site."""
+        return MachineReplica(replica_id, slots)
+
     def stop(self) -> None:
         """End the processes and servers that this site started."""
         for process in self.entries.values():
@@ -213,12 +237,3 @@
                 'max_pause_s': 0.3,
             },
         }
-
-    def _is_ready(self, name: str) -> bool:
-        settings = yaml.safe_load((self.folder / f'{name}.yaml').read_text())
-        host, _, port = settings['readiness_listen'].partition(':')
-        conn = HTTPConnection(host, int(port), timeout=2)
-        with contextlib.closing(conn), contextlib.suppress(OSError):
-            conn.request('GET', '/')
-            return conn.getresponse().status == 200
-        return False
--- a/standins/machines/store.py
+++ b/standins/machines/store.py
@@ -14,6 +14,8 @@
 
 MAX_BODY = 4 << 20
 MS = 1000
+# When a late write is done, in seconds.
+LATE_S = 1.5
 Place = tuple[str, str, str]
 
 
@@ -25,7 +27,12 @@
 
 
 class MachineStore:
-    """Serves the calls about rows; ``faults`` meet the next writes."""
+    """Serves the calls about rows; ``faults`` meet the next writes.
+
+    They are ``lost before`` (not done, no answer), ``lost after`` (done,
+    no answer) and ``late`` (no answer, done a while later if its
+    conditions still hold).
+    """
 
     def __init__(self) -> None:
         """Start empty."""
@@ -33,6 +40,8 @@
         self.ver = 0
         self.oldest = 0
         self.down = False
+        # Seconds that each answer takes.
+        self.slow_s = float(0)
         self.faults: list[str] = []
         self._changed = Event()
         self.app = App(self._routes(), MAX_BODY, 5)
@@ -62,32 +71,41 @@
         message = req.json()
         if self.down:
             return json_reply({}, 503)
+        gevent.sleep(self.slow_s)
         fault = self.faults.pop(0) if self.faults else ''
-        if fault == 'lost before':
+        if fault:
             sever(req)
+        if fault == 'late':
+            gevent.spawn_later(LATE_S, self._perform, message)
+            return json_reply({}, 503)
+        if fault == 'lost before':
+            return json_reply({}, 503)
+        wrong = self._perform(message)
+        if wrong:
+            rows = [self._shown(place) for place in wrong]
+            return json_reply({'rows': rows, **self._stamp()}, 412)
+        return json_reply(self._stamp())
+
+    def _perform(self, message: Any) -> list[Place]:
+        """Apply a transaction; return the places whose version is wrong."""
         wrong = [
-            each
+            _place(each)
             for each in message['expected_rev']
             if self._ver(_place(each)) != each['ver']
         ]
-        if wrong:
-            rows = [self._shown(_place(each)) for each in wrong]
-            return json_reply({'rows': rows, **self._stamp()}, 412)
-        if fault == 'lost before':
-            return json_reply({}, 503)
-        self._apply(
-            [
-                *((_place(each), each['value']) for each in message['writes']),
-                *((_place(each), None) for each in message['remove']),
-            ],
-        )
-        if fault == 'lost after':
-            sever(req)
-        return json_reply(self._stamp())
+        if not wrong:
+            self._apply(
+                [
+                    *((_place(row), row['value']) for row in message['writes']),
+                    *((_place(row), None) for row in message['remove']),
+                ],
+            )
+        return wrong
 
     def _get(self, req: Req) -> Reply:
         if self.down:
             return json_reply({}, 503)
+        gevent.sleep(self.slow_s)
         start, end = req.query('from'), req.query('to')
         found = sorted(
             place
--- a/tests/test_machine_failures.py
+++ b/tests/test_machine_failures.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+from pathlib import Path
 
 import gevent
 from nose2.tools import params
@@ -116,6 +117,15 @@
 class TestEntries(MachineCase):
     """Entries that stop, are killed, or lose the store."""
 
+    def test_reload_while_starting(self):
+        """SIGHUP ends no entry that is still loading its modules."""
+        self.site.spawn_entry('three')
+        process = self.site.entries['three']
+        maps = Path(f'/proc/{process.process.pid}/maps')
+        wait_for('it loads', lambda: 'gevent' in maps.read_text())
+        process.send(signal.SIGHUP)
+        wait_for('it is ready', lambda: self.site.is_ready('three'), 10)
+
     def test_stop_cuts_no_stream(self):
         """A planned stop ends after the streams that it has."""
         call = gevent.spawn(
