A taker ends no item for a route newer than its configuration; three files split

Cause (read, then a red test): an item whose route is not in the catalog is given up, as its route has ended. A taker whose feed of configurations is silent while its feed of jobs is not knows a catalog older than the one under which the job was accepted, and would have given up items of a route that had just been added. Change: a job's head has the version it was accepted under; older catalogs say nothing. tests/test_waiting_line.py: one of six red before ('its route is not known yet'), six pass. One place now turns progress into its row.

--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -14,9 +14,7 @@
 from cactusridge.jobs.ledger import (
     MAX_COMMIT,
     MAX_PARTIAL_CHARS,
-    ItemEnd,
     JobLedger,
-    Step,
 )
 from cactusridge.jobs.model import (
     ItemState,
@@ -26,6 +24,7 @@
     Progress,
     Result,
 )
+from cactusridge.jobs.step import ItemEnd, Step
 
 RETRY_S = 0.3
 # How often unfinished outputs are stored, in seconds: what a holder that
@@ -194,6 +193,21 @@
             task.stored_id = part.last_id
 
 
+def restored_job(
+    head: JobHead,
+    items: Sequence[JobItem],
+    ledger: JobLedger,
+    clock: Clock,
+) -> HeldJob:
+    """Return a job as its holders before this one left it.
+
+    Raises NotFound, StoreUnavailable.
+    """
+    progress = ledger.progress(head.id)
+    partials = ledger.partials(head.id)
+    return HeldJob(head, progress, items, partials, ledger, clock)
+
+
 def _task(index: int, item: JobItem, progress: Progress) -> ItemTask:
     task = ItemTask(index, item, base64.b64decode(item.body))
     task.failures = progress.failures.get(str(index), 0)
--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -7,9 +7,7 @@
 """
 
 import contextlib
-from collections.abc import Mapping, Sequence
-from types import MappingProxyType
-from typing import Any, NamedTuple
+from collections.abc import Sequence
 
 from cactusridge.clock import Clock
 from cactusridge.errors import (
@@ -21,7 +19,6 @@
 from cactusridge.jobs.hold_writer import HoldLost, HoldWriter
 from cactusridge.jobs.keys import (
     head_key,
-    partial_key,
     partial_prefix,
     progress_key,
     result_prefix,
@@ -39,10 +36,15 @@
 from cactusridge.jobs.payloads import Payloads
 from cactusridge.jobs.result_rows import (
     results_in,
-    rows_of,
     start_after,
     without_last,
 )
+from cactusridge.jobs.step import (
+    Step,
+    progress_after,
+    progress_value,
+    step_writes,
+)
 from cactusridge.store.object_store import ObjectStore
 from cactusridge.store.table import (
     ABSENT,
@@ -64,35 +66,10 @@
 PAGE_RESULTS = 30
 # Rows removed in one transaction; the store takes a hundred.
 MAX_REMOVED = 90
-
-
 # Characters of unfinished output that a row takes, whatever they are.
 MAX_PARTIAL_CHARS = 15_000
 
 
-class ItemEnd(NamedTuple):
-    """An item that ended, by its index in the job.
-
-    ``checkpointed`` says that unfinished output of it is in the store.
-    """
-
-    index: int
-    result: Result
-    checkpointed: bool = False
-
-
-class Step(NamedTuple):
-    """What a holder commits at once.
-
-    ``ended`` is listed after what is listed already, ``failures`` are
-    all counts by item index, ``partials`` replace unfinished outputs.
-    """
-
-    ended: Sequence[ItemEnd] = ()
-    failures: Mapping[str, int] = MappingProxyType({})
-    partials: Sequence[Partial] = ()
-
-
 class JobLedger:
     """Accepts, takes, commits, ends and reads jobs."""
 
@@ -119,9 +96,10 @@
         that could not be found out.
         """
         write_id = new_id('w', self._clock)
+        fresh = Progress([], {}, write_id)
         writes = [
             Write(head_key(head.id), head_value(head)),
-            Write(progress_key(head.id), progress_value([], {}, write_id)),
+            Write(progress_key(head.id), progress_value(fresh)),
             *self._payloads.prepare(head.id, items, write_id),
         ]
         condition = Condition(head_key(head.id), ABSENT)
@@ -167,7 +145,7 @@
         progress = self.progress(head.id)
         taken = head._replace(holder=holder, life=life)
         write_id = new_id('w', self._clock)
-        raw = progress_value(progress.listed, progress.failures, write_id)
+        raw = progress_value(progress._replace(write_id=write_id))
         self._writer.write(
             [
                 Condition(head_key(head.id), head.version),
@@ -196,36 +174,13 @@
         Raises StoreUnavailable or OutcomeUnknown if it has to be tried
         again, with the same results in the same order.
         """
-        write_id = new_id('w', self._clock)
-        failures = dict(step.failures)
-        listed = [*progress.listed, *(end.index for end in step.ended)]
-        first = len(progress.listed)
-        writes = [
-            Write(
-                progress_key(job_id),
-                progress_value(listed, failures, write_id),
-            ),
-        ]
-        for position, end in enumerate(step.ended, first):
-            writes.extend(rows_of(job_id, position, end.result))
-        writes.extend(
-            Write(partial_key(job_id, end.index), None)
-            for end in step.ended
-            if end.checkpointed
-        )
-        writes.extend(
-            Write(
-                partial_key(job_id, part.index),
-                {'last_id': part.last_id, 'output': part.output},
-            )
-            for part in step.partials
-        )
+        following = progress_after(progress, step, new_id('w', self._clock))
         version = self._writer.write(
             [Condition(progress_key(job_id), progress.version)],
-            writes,
-            (progress_key(job_id), write_id),
+            list(step_writes(job_id, progress, following, step)),
+            (progress_key(job_id), following.write_id),
         )
-        return Progress(listed, failures, write_id, version)
+        return following._replace(version=version)
 
     def end(self, job_id: str) -> JobHead:
         """End a job; repeating it is harmless. Raises NotFound."""
@@ -281,12 +236,3 @@
             None,
         )
         return head._replace(version=version)
-
-
-def progress_value(
-    listed: list[int],
-    failures: dict[str, int],
-    write_id: str,
-) -> dict[str, Any]:
-    """Return progress as its row's value."""
-    return {'listed': listed, 'failures': failures, 'write_id': write_id}
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -8,14 +8,10 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
 from cactusridge.jobs.heads import JobHeads
-from cactusridge.jobs.held_job import HeldJob
+from cactusridge.jobs.held_job import HeldJob, restored_job
 from cactusridge.jobs.hold_writer import HoldLost
 from cactusridge.jobs.ledger import JobLedger
-from cactusridge.jobs.model import (
-    JobHead,
-    JobItem,
-    JobState,
-)
+from cactusridge.jobs.model import JobHead, JobItem, JobState
 from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import Session
@@ -91,11 +87,21 @@
         path: str,
         items: int,
         now_ms: int,
+        catalog_version: int,
     ) -> JobHead:
         """Return the head of a job that this entry runs, if it stays."""
         me = self._session.me
         name, life = ('', '') if self._stopping else (me.name, me.life)
-        return JobHead(job_id, host, path, items, now_ms, name, life)
+        return JobHead(
+            job_id,
+            host,
+            path,
+            items,
+            now_ms,
+            name,
+            life,
+            catalog_version=catalog_version,
+        )
 
     def accept(self, head: JobHead, items: list[JobItem]) -> JobHead:
         """Store a job and begin to run it; a resend finds the first."""
@@ -194,7 +200,7 @@
     def _begin(self, head: JobHead, items: list[JobItem]) -> None:
         """Run a job until it is done, ended or lost."""
         try:
-            held = self._restored(head, items)
+            held = restored_job(head, items, self.ledger, self._clock)
         except CactusridgeError as exc:
             # The next look finds it orphaned, with this entry as holder.
             logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
@@ -209,19 +215,6 @@
         self._scheduler.wake.set()
         self._flush(held)
 
-    def _restored(self, head: JobHead, items: list[JobItem]) -> HeldJob:
-        """Return a job as its holders before this one left it."""
-        progress = self.ledger.progress(head.id)
-        partials = self.ledger.partials(head.id)
-        return HeldJob(
-            head,
-            progress,
-            items,
-            partials,
-            self.ledger,
-            self._clock,
-        )
-
     def _flush(self, held: HeldJob) -> None:
         try:
             held.flush()
--- a/cactusridge/jobs/model.py
+++ b/cactusridge/jobs/model.py
@@ -40,6 +40,8 @@
     its process; an empty holder means that any entry may take the job.
     ``created_ms`` is the store's clock at the submission. ``version``
     is that of the row, 0 for a job that is not in the store yet.
+    ``catalog_version`` is that of the configuration under which it was
+    accepted: an older one says nothing of its route.
     """
 
     id: str
@@ -51,6 +53,7 @@
     life: str
     state: JobState = JobState.open
     version: int = 0
+    catalog_version: int = 0
 
     @property
     def shard(self) -> str:
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -3,7 +3,6 @@
 import contextlib
 import random
 from collections.abc import Callable
-from typing import NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -21,6 +20,7 @@
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemRun, ItemTask, RunEnd
 from cactusridge.jobs.model import ItemState
+from cactusridge.jobs.running import Running
 from cactusridge.jobs.waiting_line import Waiting, WaitingLine
 from cactusridge.store.store_clock import StoreClock
 
@@ -31,17 +31,6 @@
 IDLE_TICK_S = 2.0
 
 
-class Running(NamedTuple):
-    """An item at a replica."""
-
-    job: HeldJob
-    task: ItemTask
-    replica: Replica
-    greenlet: gevent.Greenlet
-    started_at: float
-    events_before: int
-
-
 class BatchScheduler:
     """Runs the items of held jobs in what online requests leave free."""
 
@@ -229,11 +218,10 @@
     def _learn(self, running: Running, route: Route) -> None:
         """Note how long a run took, and an item that is done."""
         pace = self._line.pace(route)
-        events_now = running.task.events
         took_s = self._clock.monotonic() - running.started_at
-        pace.ran(events_now - running.events_before, took_s)
+        pace.ran(running.events_made, took_s)
         if running.greenlet.value == RunEnd.completed:
-            pace.completed(events_now)
+            pace.completed(running.task.events)
 
     def _failed(self, job: HeldJob, task: ItemTask, route: Route) -> None:
         job.note_failure(task)
--- a/cactusridge/jobs/waiting_line.py
+++ b/cactusridge/jobs/waiting_line.py
@@ -81,7 +81,9 @@
     def _place_in_line(self, job: HeldJob, task: ItemTask) -> Waiting | None:
         """Return an item's place, or None after giving it up."""
         catalog = self._catalog()
-        if not catalog.version:
+        if not catalog.version or catalog.version < job.head.catalog_version:
+            # A taker whose feed of configurations is silent: the route
+            # that it does not know may be newer than what it knows.
             return None
         path = task.item.path.partition('?')[0]
         route = catalog.match(job.head.host, path)
--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -94,7 +94,7 @@
         if route is None:
             self._raise_no_route(call)
         if route.kind == RouteKind.batch:
-            return self._jobs.submit(call, route)
+            return self._jobs.submit(call, route, catalog.version)
         return self._serve(environ, call, route, arrived_at)
 
     def _raise_no_route(self, call: CallerRequest) -> NoReturn:
--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -73,8 +73,16 @@
             return json_reply({})
         return self._read(_checked_id(job_id), call)
 
-    def submit(self, call: CallerRequest, route: Route) -> Reply:
-        """Accept a job; once the reply is out it is the system's."""
+    def submit(
+        self,
+        call: CallerRequest,
+        route: Route,
+        catalog_version: int,
+    ) -> Reply:
+        """Accept a job; once the reply is out it is the system's.
+
+        ``catalog_version`` is that of the configuration with ``route``.
+        """
         job_id = _checked_id(call.id)
         items = parse_items(call.body())
         self._intake.check(job_id)
@@ -84,6 +92,7 @@
             route.prefix,
             len(items),
             self._store_clock.now_ms(),
+            catalog_version,
         )
         unknown = OutcomeUnknown('the store did not say in time')
         with gevent.Timeout(ACCEPT_S, unknown):
--- a/tests/test_job_ledger.py
+++ b/tests/test_job_ledger.py
@@ -7,7 +7,7 @@
 from cactusridge.clock import ManualClock
 from cactusridge.errors import NotFound, OutcomeUnknown, StoreUnavailable
 from cactusridge.jobs.hold_writer import HoldLost
-from cactusridge.jobs.ledger import ItemEnd, JobLedger, Step
+from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.model import (
     ItemState,
     JobHead,
@@ -16,6 +16,7 @@
     Partial,
     Result,
 )
+from cactusridge.jobs.step import ItemEnd, Step
 from cactusridge.store.table import Priority
 from standins.faults import FaultKind
 from standins.memory_table import MemoryTable
--- /dev/null
+++ b/tests/test_waiting_line.py
@@ -0,0 +1,83 @@
+"""Which items wait, start, or are given up, by the routes in force."""
+
+import unittest
+from types import SimpleNamespace
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch.catalog import (
+    CallerLimits,
+    Catalog,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from cactusridge.jobs.item_run import ItemTask
+from cactusridge.jobs.model import ItemState, JobHead, JobItem
+from cactusridge.jobs.waiting_line import WaitingLine
+
+ACCEPTED_UNDER = 5
+NOW_MS = 1000
+GIVE_UP_S = 60
+ROUTE = Route(
+    name='lots',
+    host='h',
+    prefix='/lots/',
+    kind=RouteKind.batch,
+    shares=(ServiceShare('model', 1),),
+    timeout_s=5,
+    aim_s=1,
+    attempts=2,
+    priority=0,
+    resumable=False,
+    due_s=18,
+    give_up_s=GIVE_UP_S,
+)
+
+
+class FakeJob:
+    """A held job with one item that waits."""
+
+    def __init__(self) -> None:
+        """Hold the item; note how it ends."""
+        item = JobItem('i0', '/lots/0', {}, 'YQ==', 1)
+        task = ItemTask(0, item, b'a')
+        self.pending = {0: task}
+        self.ends: list[ItemState] = []
+        self.head = JobHead(
+            'j',
+            'h',
+            '/lots/',
+            1,
+            NOW_MS,
+            'one',
+            'life',
+            catalog_version=ACCEPTED_UNDER,
+        )
+
+    def note_end(self, task: ItemTask, state: ItemState) -> None:
+        """Note how the item ended."""
+        self.ends.append(state)
+
+
+class TestWaitingLine(unittest.TestCase):
+    """A taker may know an older configuration than the one it was before."""
+
+    @params(
+        ('its route is there', ACCEPTED_UNDER, True, 0, 1, []),
+        ('its route has ended', 6, False, 0, 0, [ItemState.given_up]),
+        ('nor was it there', ACCEPTED_UNDER, False, 0, 0, [ItemState.given_up]),
+        ('its route is not known yet', 4, False, 0, 0, []),
+        ('nothing is known yet', 0, False, 0, 0, []),
+        ('too late', 6, True, GIVE_UP_S + 4, 0, [ItemState.given_up]),
+    )
+    def test_item(self, what, version, listed, age_s, waiting, ends):
+        """An item ends for want of a route only where that is known."""
+        routes = (ROUTE,) if listed else ()
+        catalog = Catalog(version, routes, CallerLimits())
+        store_clock = SimpleNamespace(now_ms=lambda: NOW_MS + age_s * 1000)
+        line = WaitingLine(ManualClock(), store_clock, lambda: catalog)
+        job = FakeJob()
+        found = line.urgent_first([job])
+        self.assertEqual((waiting, ends), (len(found), job.ends), what)
