--- a/soak/job_callers.py
+++ b/soak/job_callers.py
@@ -128,8 +128,11 @@
         ]
         raw = json.dumps({'items': items}).encode()
         headers = {'X-Attempt-Id': job.id, 'Content-Type': 'application/json'}
+        # Unknown until it has ended, also to checks made meanwhile.
+        number = len(job.statuses)
+        job.statuses.append(None)
         status, _ = self._call(entry, 'POST', '/lots/x', raw, headers)
-        job.statuses.append(status or None)
+        job.statuses[number] = status or None
         if status == 202 and job.accepted_at is None:
             job.accepted_at = time.monotonic()
 
