What comes late into a drain is refused, whoever else is in work

Change: from 0.3 s into the drain on new requests get 503, to be tried at once over a new connection; the 0.3 s are for those that were on their way. tests/test_server.py late_while_others_work: 200 before, 503 after.

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -20,6 +20,8 @@
 # connections that it has accepted may still be on their way.
 QUIET_S = 0.3
 SERVER_FAULT = 500
+# Another process takes it at once, over a new connection.
+TRY_NOW = ('Retry-After', '0')
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -113,7 +115,8 @@
         self.idle_timeout_s = idle_timeout_s
         self.active = 0
         self.draining = False
-        # From then on requests are refused: the process may end any time.
+        # From then on requests are refused: the process may end before
+        # they do.
         self.drained = False
 
     def update_environ(self) -> None:
@@ -126,7 +129,12 @@
         self.environ.setdefault('SERVER_PORT', str(self.address[1]))
 
     def drain(self, bound_s: float) -> bool:
-        """Stop accepting, wait for requests in work; tell if all ended."""
+        """Stop accepting, wait for requests in work; tell if all ended.
+
+        What comes later than ``QUIET_S``, on a connection that idled
+        until then, could be cut by the end of the process: it is refused,
+        however long others are in work.
+        """
         self.draining = True
         self.close()
         waited = float(0)
@@ -135,6 +143,7 @@
             gevent.sleep(POLL_S)
             waited += POLL_S
             quiet = 0 if self.active else quiet + POLL_S
+            self.drained = waited >= QUIET_S
         self.drained = True
         return not self.active
 
@@ -143,6 +152,7 @@
     """Say that the process is stopping; the request is not run."""
     environ['wsgi.input'].read()
     reply = error_reply(Draining())
+    reply.headers.append(TRY_NOW)
     phrase = HTTPStatus(reply.status).phrase
     start_response(f'{reply.status} {phrase}', reply.headers)
     return list(reply.body)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,6 +12,7 @@
 from cactusridge.http.app import App, route
 from cactusridge.http.client import Clients
 from cactusridge.http.exchange import SOCKET_KEY, Reply, Req, json_reply
+from cactusridge.http.server import QUIET_S
 from standins.ports import Ports
 from standins.waiting import wait_for
 from tests.served import serve
@@ -93,6 +94,24 @@
         raw = self.drain(self.ask(b''), until_closed)
         self.assertEqual(status, raw.split()[1])
 
+    def test_late_while_others_work(self):
+        """One that comes late is refused though another is in work.
+
+        The process ends when its time is over, in the middle of it.
+        """
+        server = self.served.server
+        conn = self.ask(b'')
+        server.active += 1
+        draining = gevent.spawn(server.drain, 5)
+        gevent.sleep(QUIET_S * 2)
+        conn.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        with conn.makefile('rb') as answer:
+            raw = answer.read()
+        server.active -= 1
+        draining.join()
+        self.assertEqual(b'503', raw.split()[1])
+        self.assertIn(b'Retry-After: 0\r\n', raw)
+
     def ask(self, raw: bytes) -> socket.socket:
         """Send bytes as they are; return the connection."""
         conn = socket.create_connection(self.served.address)
