--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,99 @@
+"""Which faults a seed has, when each begins and how long it lasts."""
+
+import random
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from soak.faults import Fault
+from soak.link_faults import (
+    AnswersLost,
+    Delay,
+    Refuse,
+    RequestsLost,
+    Reset,
+    Silence,
+)
+from soak.process_faults import (
+    CutAndPause,
+    Kill,
+    KillAll,
+    Pause,
+    PlannedStop,
+    Reload,
+)
+from soak.replica_faults import (
+    BreaksOff,
+    Crash,
+    Crossed,
+    Grey,
+    Leaving,
+    Reconfigure,
+    Slow,
+)
+from soak.store_faults import (
+    AnswersOfWritesLost,
+    HistoryLost,
+    StoreDown,
+    StoreSlow,
+    StoreUnreachable,
+)
+
+PLANNED = (PlannedStop, Reload, Reconfigure, Leaving)
+FAULTS = (
+    *PLANNED,
+    Kill,
+    Kill,
+    KillAll,
+    Pause,
+    Pause,
+    Delay,
+    Reset,
+    Silence,
+    AnswersLost,
+    RequestsLost,
+    Refuse,
+    StoreDown,
+    StoreSlow,
+    AnswersOfWritesLost,
+    HistoryLost,
+    StoreUnreachable,
+    Crash,
+    BreaksOff,
+    Crossed,
+    Grey,
+    Slow,
+)
+# Lower seeds draw from the table above, as they always have; what has been
+# added since comes in the higher ones.
+FIRST_SEED_OF_ALL = 100
+ADDED = (CutAndPause, CutAndPause)
+# One seed in so many has planned work alone, which may cut nothing.
+PLANNED_EVERY = 4
+GAPS_S = (0.1, 2.0)
+LASTS_S = (0.3, 5.0)
+
+
+class Strike(NamedTuple):
+    """A fault and when it begins and ends, in seconds from the start."""
+
+    begins_s: float
+    lasts_s: float
+    kind: type[Fault]
+
+
+def schedule(seed: int, seconds: float) -> Iterator[Strike]:
+    """Yield the faults of a seed in order; they may overlap and recur."""
+    rng = random.Random(seed)  # noqa: S311
+    kinds = _kinds(seed)
+    at_s = float(0)
+    while at_s < seconds:
+        lasts_s = rng.uniform(*LASTS_S)
+        kind = rng.choice(kinds)
+        yield Strike(at_s, lasts_s * kind.lasts_x, kind)
+        at_s += rng.uniform(*GAPS_S)
+
+
+def _kinds(seed: int) -> tuple[type[Fault], ...]:
+    if seed % PLANNED_EVERY == 0:
+        return PLANNED
+    return FAULTS if seed < FIRST_SEED_OF_ALL else (*FAULTS, *ADDED)
