A row says whether its bytes could be decoded

Cause: one row that another writer spoiled makes the whole answer of the store unreadable, since a row has no way to say so for itself. Ruled out: a value of a second type in place of None, which each reader would have to know.

Change: Row has a fourth field, unreadable, False for every row so far.

--- a/cactusridge/store/table.py
+++ b/cactusridge/store/table.py
@@ -22,11 +22,16 @@
 
 
 class Row(NamedTuple):
-    """A row: its key, its value (None: absent) and its version."""
+    """A row: its key, its value (None: absent) and its version.
+
+    An ``unreadable`` row is there, but its bytes cannot be decoded; it
+    has no value either, so whoever takes None for absent asks first.
+    """
 
     key: str
     value: dict[str, Any] | None
     version: int
+    unreadable: bool = False
 
 
 class Condition(NamedTuple):
