Placing at sidecars is a layer below batch work; layers drawn from imports

Cause: batch/ took the dispatcher out of entry/, entry/ the jobs out of batch/, so neither could be read or changed alone, and the test of layers knew three packages and a list of names each. Ruled out: moving it into dispatch/ now, where it would stand beside a second class of each name before the two are one (docs/DESIGN.md, One core, says the order).

Change: attempts, dispatcher, fleet, prober, settler and the sidecar's client move from entry/ to sidecar_dispatch/, unchanged but for imports; the order of spans is made in batch/ordering.py, and the 600 s of an urgent span stand once.

--- a/bench/made_state.py
+++ b/bench/made_state.py
@@ -4,7 +4,6 @@
 from cactusridge.batch.manifest import Manifest, Segment
 from cactusridge.batch.span import Span
 from cactusridge.clock import ManualClock
-from cactusridge.entry.peer_host import SidecarHost
 from cactusridge.http.client import Address
 from cactusridge.orders import (
     ServiceReport,
@@ -15,6 +14,7 @@
 from cactusridge.settings.schema import ServiceSettings
 from cactusridge.settings.tree import SettingsTree, Snapshot
 from cactusridge.sidecar.ledger import RunLedger
+from cactusridge.sidecar_dispatch.peer_host import SidecarHost
 from cactusridge.startup.models import SidecarSettings
 from cactusridge.store.host_list import Host, HostState
 
--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -10,18 +10,17 @@
 from cactusridge.batch.accounts import BatchAccounts
 from cactusridge.batch.held_span import HeldSpan
 from cactusridge.batch.item_runner import ItemRunner
+from cactusridge.batch.ordering import URGENT_S, make_order
 from cactusridge.batch.placer import BatchPlacer
 from cactusridge.batch.shards import own_shards
 from cactusridge.batch.span import Span, shard_prefix, span_of
 from cactusridge.batch.span_runner import SpanRunner
 from cactusridge.batch.watchlist import LeaseWatch
-from cactusridge.entry.parts import Parts
-from cactusridge.entry.policies import make_order
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
+from cactusridge.sidecar_dispatch.parts import Parts
 from cactusridge.store.table import Priority, Row, scan_all
 
-URGENT_S = 600
 SPREAD = (0.8, 1.2)
 
 
--- a/cactusridge/batch/item_runner.py
+++ b/cactusridge/batch/item_runner.py
@@ -10,8 +10,6 @@
 from cactusridge.batch.permit import DispatchPermit
 from cactusridge.batch.placer import BatchPlacer
 from cactusridge.clock import Clock
-from cactusridge.entry.dispatch import Buffering, Dispatch
-from cactusridge.entry.dispatcher import Dispatcher
 from cactusridge.errors import (
     BadRequest,
     CactusridgeError,
@@ -20,6 +18,8 @@
 )
 from cactusridge.orders import Fence, WorkClass
 from cactusridge.settings.catalog import Service
+from cactusridge.sidecar_dispatch.dispatch import Buffering, Dispatch
+from cactusridge.sidecar_dispatch.dispatcher import Dispatcher
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 2
--- a/cactusridge/batch/ordering.py
+++ b/cactusridge/batch/ordering.py
@@ -5,6 +5,13 @@
 from collections.abc import Iterable, Sequence
 
 from cactusridge.batch.span import Span
+from cactusridge.startup.models import EntryPolicy
+
+# Work left in a job is guessed at this many seconds an item.
+ITEM_S = 0.05
+# A span with less slack than this, in seconds, goes before all that have
+# more, whatever their teams.
+URGENT_S = 600
 
 
 class SpanOrder(abc.ABC):
@@ -78,3 +85,10 @@
         ranked.append((counts[span.team], len(ranked), span))
         counts[span.team] += 1
     return [span for _, _, span in sorted(ranked, key=lambda each: each[:2])]
+
+
+def make_order(policy: EntryPolicy) -> SpanOrder:
+    """Return the order that the start settings name."""
+    if policy.spans == 'first_come':
+        return FirstCome()
+    return LeastSlack(ITEM_S, URGENT_S)
--- a/cactusridge/batch/placer.py
+++ b/cactusridge/batch/placer.py
@@ -7,10 +7,10 @@
 
 from gevent.event import Event
 
-from cactusridge.entry.fleet import Fleet
-from cactusridge.entry.replica import Replica
 from cactusridge.routing.outliers import OutlierDetector
 from cactusridge.settings.catalog import Service
+from cactusridge.sidecar_dispatch.fleet import Fleet
+from cactusridge.sidecar_dispatch.replica import Replica
 
 WAIT_S = 0.25
 
--- a/cactusridge/entry/admin.py
+++ b/cactusridge/entry/admin.py
@@ -5,7 +5,6 @@
 
 from gevent.pool import Pool
 
-from cactusridge.entry.parts import Parts
 from cactusridge.entry.peers import PeerClient
 from cactusridge.errors import BadRequest, Forbidden
 from cactusridge.http.app import Route, route
@@ -15,6 +14,7 @@
 from cactusridge.settings.access import Caller, check_operator
 from cactusridge.settings.follower import SettingsFollower
 from cactusridge.settings.tree import Change
+from cactusridge.sidecar_dispatch.parts import Parts
 from cactusridge.slo.burn import QUARTER, BurnReporter
 from cactusridge.slo.history import SloHistory
 
--- a/cactusridge/entry/answering.py
+++ b/cactusridge/entry/answering.py
@@ -3,11 +3,11 @@
 from typing import NamedTuple
 
 from cactusridge import metrics
-from cactusridge.entry.attempt import Attempt
-from cactusridge.entry.dispatch import Dispatch
-from cactusridge.entry.parts import Parts
 from cactusridge.errors import CactusridgeError, CallerGone
 from cactusridge.http.exchange import Headers, Reply, Req
+from cactusridge.sidecar_dispatch.attempt import Attempt
+from cactusridge.sidecar_dispatch.dispatch import Dispatch
+from cactusridge.sidecar_dispatch.parts import Parts
 from cactusridge.slo.sample import AnswerTimer
 
 HOP_HEADERS = frozenset(('content-length', 'connection', 'date'))
--- a/cactusridge/entry/batches.py
+++ b/cactusridge/entry/batches.py
@@ -8,12 +8,12 @@
 from cactusridge.batch.job_store import JobStore, Submission, body_digest
 from cactusridge.batch.jobs import Job, JobState, JobStatus
 from cactusridge.entry.files import ERROR_PREFIX, OUTPUT_PREFIX
-from cactusridge.entry.parts import Parts
 from cactusridge.errors import BadRequest
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.settings.paths import NAME
 from cactusridge.settings.schema import JobSettings
+from cactusridge.sidecar_dispatch.parts import Parts
 
 KEY_HEADER = 'Idempotency-Key'
 MAX_KEY = 256
--- a/cactusridge/entry/building.py
+++ b/cactusridge/entry/building.py
@@ -7,16 +7,16 @@
 from gevent.pool import Group
 
 from cactusridge.clock import Clock
-from cactusridge.entry.dispatcher import Dispatcher
-from cactusridge.entry.fleet import Fleet
-from cactusridge.entry.parts import Parts
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.http.client import parse_address
 from cactusridge.settings.access import AccessTable
 from cactusridge.settings.catalog import ServiceCatalog
 from cactusridge.settings.schema import ObjectiveSettings
 from cactusridge.settings.store import SettingsStore
 from cactusridge.settings.tree import SettingsTree
+from cactusridge.sidecar_dispatch.dispatcher import Dispatcher
+from cactusridge.sidecar_dispatch.fleet import Fleet
+from cactusridge.sidecar_dispatch.parts import Parts
+from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 from cactusridge.slo.burn_watch import BurnWatch
 from cactusridge.slo.recorder import SloRecorder
 from cactusridge.startup.models import EntrySettings
--- a/cactusridge/entry/files.py
+++ b/cactusridge/entry/files.py
@@ -7,11 +7,11 @@
 from cactusridge.batch.job_reader import JobReader
 from cactusridge.batch.job_store import JobStore
 from cactusridge.batch.manifest import Manifest
-from cactusridge.entry.parts import Parts
 from cactusridge.entry.uploads import Blocks, UploadReader
 from cactusridge.errors import BadRequest
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
+from cactusridge.sidecar_dispatch.parts import Parts
 
 OUTPUT_PREFIX = 'file-out-'
 ERROR_PREFIX = 'file-err-'
--- a/cactusridge/entry/online.py
+++ b/cactusridge/entry/online.py
@@ -5,14 +5,14 @@
 
 from cactusridge import wire
 from cactusridge.entry.answering import answer_headers, begin_answer
-from cactusridge.entry.attempt import Attempt
-from cactusridge.entry.dispatch import Buffering, Dispatch
-from cactusridge.entry.parts import Parts
 from cactusridge.entry.request_fields import passed_headers, read_fields
 from cactusridge.errors import BadRequest, CactusridgeError
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.settings.catalog import Service
+from cactusridge.sidecar_dispatch.attempt import Attempt
+from cactusridge.sidecar_dispatch.dispatch import Buffering, Dispatch
+from cactusridge.sidecar_dispatch.parts import Parts
 from cactusridge.slo.sample import AnswerTimer
 
 OK = 200
--- a/cactusridge/entry/peers.py
+++ b/cactusridge/entry/peers.py
@@ -6,12 +6,12 @@
 from geventhttpclient.response import HTTPParseError
 
 from cactusridge import wire
-from cactusridge.entry.fleet import Fleet
 from cactusridge.errors import NoReplica
 from cactusridge.http.client import Address, Clients
 from cactusridge.http.secret import SECRET_HEADER
 from cactusridge.settings.follower import PeerSource
 from cactusridge.settings.tree import Snapshot
+from cactusridge.sidecar_dispatch.fleet import Fleet
 from cactusridge.startup.models import EntrySettings
 
 IO_ERRORS = (OSError, HTTPParseError)
--- a/cactusridge/entry/plain.py
+++ b/cactusridge/entry/plain.py
@@ -3,12 +3,12 @@
 from urllib.parse import quote
 
 from cactusridge.entry.answering import begin_answer
-from cactusridge.entry.dispatch import Buffering, Dispatch
-from cactusridge.entry.parts import Parts
 from cactusridge.entry.request_fields import passed_headers, read_fields
 from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req
 from cactusridge.settings.catalog import Service
+from cactusridge.sidecar_dispatch.dispatch import Buffering, Dispatch
+from cactusridge.sidecar_dispatch.parts import Parts
 
 REPEATABLE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 PATH_SAFE = "/:@!$&'()*+,;=~-._"
--- /dev/null
+++ b/cactusridge/sidecar_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Placing requests at sidecars: the fleet, attempts, retries, outcomes."""
--- a/cactusridge/entry/attempt.py
+++ b/cactusridge/sidecar_dispatch/attempt.py
@@ -7,8 +7,6 @@
 
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
-from cactusridge.entry.dispatch import Buffering
-from cactusridge.entry.replica import Replica
 from cactusridge.errors import (
     CactusridgeError,
     CrossedReply,
@@ -18,6 +16,8 @@
 from cactusridge.http import frames
 from cactusridge.http.frames import Frame, FrameKind
 from cactusridge.orders import RunOrder, SidecarReport
+from cactusridge.sidecar_dispatch.dispatch import Buffering
+from cactusridge.sidecar_dispatch.replica import Replica
 
 IO_ERRORS = (OSError, HTTPParseError)
 OK = 200
--- a/cactusridge/entry/dispatcher.py
+++ b/cactusridge/sidecar_dispatch/dispatcher.py
@@ -9,17 +9,6 @@
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
-from cactusridge.entry.attempt import Attempt, Callbacks, RemoteRefusal
-from cactusridge.entry.dispatch import Dispatch
-from cactusridge.entry.fleet import Fleet
-from cactusridge.entry.policies import (
-    make_outliers,
-    make_picker,
-    make_retries,
-)
-from cactusridge.entry.replica import Replica
-from cactusridge.entry.settler import Settler
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import (
     CactusridgeError,
     CallerGone,
@@ -30,6 +19,21 @@
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.routing.candidates import PickRequest
 from cactusridge.routing.retry_budget import RetryPolicy
+from cactusridge.sidecar_dispatch.attempt import (
+    Attempt,
+    Callbacks,
+    RemoteRefusal,
+)
+from cactusridge.sidecar_dispatch.dispatch import Dispatch
+from cactusridge.sidecar_dispatch.fleet import Fleet
+from cactusridge.sidecar_dispatch.policies import (
+    make_outliers,
+    make_picker,
+    make_retries,
+)
+from cactusridge.sidecar_dispatch.replica import Replica
+from cactusridge.sidecar_dispatch.settler import Settler
+from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 from cactusridge.startup.models import EntrySettings
 
 FINAL_CODES = frozenset(('bad_request', 'not_found', 'too_large'))
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/sidecar_dispatch/fleet.py
@@ -8,16 +8,16 @@
 from cactusridge import events, logs
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import AwakeClock, Clock
-from cactusridge.entry.peer_host import SidecarHost
-from cactusridge.entry.prober import SidecarProber
-from cactusridge.entry.replica import Replica
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import StoreUnavailable
 from cactusridge.http.client import Address, parse_address
 from cactusridge.orders import SidecarReport
 from cactusridge.routing.membership import Belief
 from cactusridge.routing.subset import choose_subset
 from cactusridge.settings.tree import SettingsTree
+from cactusridge.sidecar_dispatch.peer_host import SidecarHost
+from cactusridge.sidecar_dispatch.prober import SidecarProber
+from cactusridge.sidecar_dispatch.replica import Replica
+from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 from cactusridge.startup.models import EntrySettings
 from cactusridge.store.host_list import Host, HostList
 
--- a/cactusridge/entry/parts.py
+++ b/cactusridge/sidecar_dispatch/parts.py
@@ -1,19 +1,19 @@
-"""What the handlers of an entry are built from."""
+"""What the interfaces and the batch work of an entry are built from."""
 
 from typing import NamedTuple
 
 from gevent.pool import Group
 
 from cactusridge.clock import Clock
-from cactusridge.entry.dispatcher import Dispatcher
-from cactusridge.entry.fleet import Fleet
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import NotFound
 from cactusridge.http.exchange import Req
 from cactusridge.settings.access import AccessTable
 from cactusridge.settings.catalog import ServiceCatalog
 from cactusridge.settings.store import SettingsStore
 from cactusridge.settings.tree import SettingsTree
+from cactusridge.sidecar_dispatch.dispatcher import Dispatcher
+from cactusridge.sidecar_dispatch.fleet import Fleet
+from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 from cactusridge.slo.recorder import SloRecorder
 from cactusridge.startup.models import EntrySettings
 from cactusridge.store.object_store import ObjectStore
@@ -21,7 +21,7 @@
 
 
 class Parts(NamedTuple):
-    """One of each; handlers take the whole."""
+    """One of each; whoever needs some takes the whole."""
 
     cfg: EntrySettings
     clock: Clock
--- a/cactusridge/entry/peer_host.py
+++ b/cactusridge/sidecar_dispatch/peer_host.py
@@ -2,10 +2,10 @@
 
 from gevent.event import Event
 
-from cactusridge.entry.replica import Replica
 from cactusridge.http.client import Address
 from cactusridge.orders import SidecarReport
 from cactusridge.routing.membership import Belief, Evidence, judge
+from cactusridge.sidecar_dispatch.replica import Replica
 from cactusridge.store.host_list import Host, HostState
 
 
--- a/cactusridge/entry/policies.py
+++ b/cactusridge/sidecar_dispatch/policies.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from types import MappingProxyType
 
-from cactusridge.batch.ordering import FirstCome, LeastSlack, SpanOrder
 from cactusridge.clock import Clock
 from cactusridge.routing.outliers import (
     OutlierDetector,
@@ -24,8 +23,6 @@
 )
 from cactusridge.startup.models import EntryPolicy
 
-ITEM_S = 0.05
-URGENT_S = 600
 PICKERS = MappingProxyType(
     {
         'prefix': PrefixPicker,
@@ -53,10 +50,3 @@
     if policy.retries == 'thrice':
         return RetryThrice()
     return RetryBudget(share)
-
-
-def make_order(policy: EntryPolicy) -> SpanOrder:
-    """Return the order in which spans are taken."""
-    if policy.spans == 'first_come':
-        return FirstCome()
-    return LeastSlack(ITEM_S, URGENT_S)
--- a/cactusridge/entry/prober.py
+++ b/cactusridge/sidecar_dispatch/prober.py
@@ -4,12 +4,12 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
-from cactusridge.entry.peer_host import SidecarHost
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import CactusridgeError
 from cactusridge.orders import SidecarReport
 from cactusridge.routing.membership import Belief
 from cactusridge.settings.tree import SettingsTree
+from cactusridge.sidecar_dispatch.peer_host import SidecarHost
+from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 from cactusridge.startup.models import EntrySettings
 
 SPREAD = (0.8, 1.2)
--- a/cactusridge/entry/settler.py
+++ b/cactusridge/sidecar_dispatch/settler.py
@@ -4,15 +4,15 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
-from cactusridge.entry.dispatch import Dispatch
-from cactusridge.entry.replica import Replica
-from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import (
     CactusridgeError,
     DeadlineExceeded,
     OutcomeUnknown,
 )
 from cactusridge.orders import RunOrder, TombstoneOrder, Verdict, WorkClass
+from cactusridge.sidecar_dispatch.dispatch import Dispatch
+from cactusridge.sidecar_dispatch.replica import Replica
+from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 
 HAS_NOT_RUN = MappingProxyType({Verdict.never: True, Verdict.ran: False})
 
