--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -69,6 +69,10 @@
         if self._stopping:
             return
         rows = self._open_rows()
+        if self._stopping:
+            # Told to stop while the store was read: nobody would hand
+            # back what is taken now.
+            return
         free = {row.key: row for row in rows if self._watch.free(row)}
         spans = {span_of(row).name: row for row in free.values()}
         room = self._cfg.max_spans - len(self._runners)
--- a/cactusridge/core.py
+++ b/cactusridge/core.py
@@ -46,6 +46,10 @@
         """Hand batch work back."""
         self._entry.finish(bound_s)
 
+    def close(self) -> None:
+        """Store the last counts."""
+        self._entry.close()
+
 
 class SidecarRole(Role):
     """Runs a sidecar."""
@@ -66,6 +70,14 @@
         """Take no new work; say so to every entry that asks."""
         self._sidecar.begin_drain()
 
+    def late_application(self) -> object:
+        """Return the application itself: it refuses orders in frames.
+
+        An entry that gets no frame can't tell that its order has not
+        run, and may not send it elsewhere.
+        """
+        return self._sidecar.app
+
     def finish(self, bound_s: float) -> None:
         """Nothing is left once the requests have ended."""
 
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -67,8 +67,11 @@
         self.draining = True
 
     def finish(self, bound_s: float) -> None:
-        """Hand batch work back and store the last counts."""
+        """Hand batch work back."""
         self.driver.stop(bound_s)
+
+    def close(self) -> None:
+        """Store the last counts; no request comes any more."""
         self.parts.recorder.flush(last=True)
 
     def livez(self, req: Req) -> Reply:
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -9,9 +9,9 @@
 from gevent.pool import Pool
 
 from cactusridge import events, logs
-from cactusridge.errors import Draining
-from cactusridge.http.app import error_reply
+from cactusridge.clock import BootClock, Clock
 from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
+from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.unreadable import refusal
 
 SILENT_LOG = None
@@ -20,8 +20,6 @@
 # connections that it has accepted may still be on their way.
 QUIET_S = 0.3
 SERVER_FAULT = 500
-# Another process takes it at once, over a new connection.
-TRY_NOW = ('Retry-After', '0')
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -66,7 +64,7 @@
         """Serve one request, counted while it is in work."""
         self.server.active += 1
         if self.server.drained:
-            self.application = refuse
+            self.application = self.server.late_application
         try:
             super().handle_one_response()
         finally:
@@ -103,8 +101,12 @@
         address: tuple[str, int],
         application: Any,
         idle_timeout_s: float,
+        late_application: Any = None,
     ) -> None:
-        """Serve ``application`` at ``address``, an IP number and a port."""
+        """Serve ``application`` at ``address``, an IP number and a port.
+
+        ``late_application`` answers what comes too late into a drain.
+        """
         super().__init__(
             address,
             application,
@@ -113,6 +115,8 @@
             error_log=SILENT_LOG,
         )
         self.idle_timeout_s = idle_timeout_s
+        self.late_application = late_application or LateRefusal()
+        self.clock: Clock = BootClock()
         self.active = 0
         self.draining = False
         # From then on requests are refused: the process may end before
@@ -131,28 +135,20 @@
     def drain(self, bound_s: float) -> bool:
         """Stop accepting, wait for requests in work; tell if all ended.
 
-        What comes later than ``QUIET_S``, on a connection that idled
-        until then, could be cut by the end of the process: it is refused,
-        however long others are in work.
+        Waits ``bound_s`` seconds at most. What comes later than ``QUIET_S``,
+        on a connection that idled until then, could be cut by the end of
+        the process: it is refused, however long others are in work.
         """
         self.draining = True
         self.close()
-        waited = float(0)
-        quiet = float(0)
-        while quiet < QUIET_S and waited < bound_s:
+        begun_at = self.clock.monotonic()
+        busy_at = begun_at
+        now = begun_at
+        while now - busy_at < QUIET_S and now - begun_at < bound_s:
             gevent.sleep(POLL_S)
-            waited += POLL_S
-            quiet = 0 if self.active else quiet + POLL_S
-            self.drained = waited >= QUIET_S
+            now = self.clock.monotonic()
+            if self.active:
+                busy_at = now
+            self.drained = now - begun_at >= QUIET_S
         self.drained = True
         return not self.active
-
-
-def refuse(environ: dict[str, Any], start_response: Any) -> list[bytes]:
-    """Say that the process is stopping; the request is not run."""
-    environ['wsgi.input'].read()
-    reply = error_reply(Draining())
-    reply.headers.append(TRY_NOW)
-    phrase = HTTPStatus(reply.status).phrase
-    start_response(f'{reply.status} {phrase}', reply.headers)
-    return list(reply.body)
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -210,6 +210,10 @@
         newest = self._heads.get(head.id) or head
         if newest.state != JobState.open or not self._orphans.is_mine(newest):
             return
+        if self._stopping:
+            # Told to stop while the store was read.
+            self._release(held)
+            return
         self._scheduler.jobs[head.id] = held
         metrics.SPANS_HELD.set({}, len(self._scheduler.jobs))
         self._scheduler.wake.set()
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -3,6 +3,8 @@
 import secrets
 from typing import Any, NamedTuple
 
+from gevent.lock import RLock
+
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
@@ -56,6 +58,9 @@
         self._seen: dict[str, Seen] = {}
         self._read_at: float | None = None
         self._left = False
+        # One write at a time: a renewal that reached the store after the
+        # removal would bring the row back for a whole lease.
+        self._writing = RLock()
 
     def step(self) -> None:
         """Renew and read once; the store may be away."""
@@ -110,7 +115,8 @@
         """Remove this entry's row, so that nobody waits for its lease."""
         self._left = True
         write = Write(f'{PREFIX}{self.me.name}', None)
-        self._table.transact([], [write], Priority.lease)
+        with self._writing:
+            self._table.transact([], [write], Priority.lease)
 
     def _is_silent(self, seen: Seen) -> bool:
         """Tell whether a row that can be read has not been renewed."""
@@ -119,10 +125,13 @@
         return self._clock.monotonic() - seen.seen_at >= LEASE_S
 
     def _renew(self) -> None:
-        sent_at = self._clock.monotonic()
         raw = {**self.me._asdict(), 'beat': secrets.token_hex(4)}
         write = Write(f'{PREFIX}{self.me.name}', raw)
-        self._table.transact([], [write], Priority.lease)
+        with self._writing:
+            if self._left:
+                return
+            sent_at = self._clock.monotonic()
+            self._table.transact([], [write], Priority.lease)
         self.renewed_at = sent_at
 
     def _read(self) -> None:
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from cactusridge import events, logs
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import Clock
 from cactusridge.dispatch.batch_sharing import BatchSharing
@@ -97,9 +98,17 @@
         gevent.spawn(keep_doing, self.scheduler.step)
         gevent.spawn(keep_doing_every, JANITOR_S, self._janitor.look)
 
-    def finish(self) -> None:
-        """Hand the jobs on and leave the list of entries."""
-        self.manager.stop()
+    def finish(self, bound_s: float) -> None:
+        """Hand the jobs on, then leave the list of entries.
+
+        It leaves after ``bound_s`` seconds in any case: until its row is
+        gone the others wait for its lease.
+        """
+        try:
+            with gevent.Timeout(bound_s):
+                self.manager.stop()
+        except gevent.Timeout:
+            logs.emit(events.HAND_OVER_CUT, bound_s=bound_s)
         ignore_store_errors(self.session.leave)
 
     def _entries(self) -> tuple[str, ...]:
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -16,10 +16,11 @@
 from cactusridge.http.app import App, route
 from cactusridge.http.client import parse_address
 from cactusridge.http.exchange import Reply, Req, json_reply
+from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.server import Server
 from cactusridge.jobs.heads import TABLE as JOBS
 from cactusridge.jobs.keys import head_prefixes
-from cactusridge.platform import discovery, operator
+from cactusridge.platform import discovery, names, operator
 from cactusridge.platform.caller_app import CallerApp
 from cactusridge.platform.catalog_peers import CATALOG_PATH, CatalogPeers
 from cactusridge.platform.job_parts import JobParts
@@ -100,6 +101,10 @@
         """Return the application that callers reach."""
         return self._app
 
+    def late_application(self) -> object:
+        """Return the refusal, logged by the caller's id of the request."""
+        return LateRefusal(names.REQUEST_ID)
+
     def start(self) -> None:
         """Start following the store, the peers and the jobs."""
         self._peers.start()
@@ -132,8 +137,7 @@
 
     def finish(self, bound_s: float) -> None:
         """Hand the jobs on and leave the list of entries."""
-        with gevent.Timeout(bound_s, False):  # noqa: WPS425
-            self._jobs.finish()
+        self._jobs.finish(bound_s - self._cfg.store.timeout_s)
 
     def _peer_targets(self) -> list[Target]:
         members = self._jobs.session.members()
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -11,6 +11,9 @@
 PositiveSeconds = Annotated[float, Field(gt=0, le=86_400)]
 Count = Annotated[int, Field(ge=1, le=1_000_000)]
 MEBIBYTE = 1 << 20
+# From the end of a drain to the end of the process, in seconds: 0.2 s for
+# the log's reader, some 0.05 s for the interpreter, and as much again.
+EXIT_S = 0.5
 
 
 class Model(BaseModel):
@@ -46,6 +49,11 @@
         """Return where this process listens."""
         return parse_address(self.listen)
 
+    @property
+    def drain_s(self) -> float:
+        """Return how long requests in work may take at a stop, in s."""
+        return self.drain_timeout_s
+
 
 class StoreSettings(Model):
     """The platform's services and this process's share of them."""
@@ -136,6 +144,15 @@
     # Results can be read for this long after a job's submission.
     keep_jobs_s: PositiveSeconds = 120
 
+    @property
+    def drain_s(self) -> float:
+        """Return how long requests in work may take at a stop, in s.
+
+        The process is gone before the platform would kill it.
+        """
+        left_s = self.grace_s - self.readiness_delay_s - EXIT_S
+        return max(0, min(self.drain_timeout_s, left_s))
+
     @property
     def peer_address(self) -> Address:
         """Return where peers reach this entry, by datagram and by HTTP."""
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -4,11 +4,13 @@
 import socket
 import unittest
 from collections.abc import Iterator
+from unittest import mock
 
 import gevent
 from nose2.tools import params
 
 from cactusridge import wire
+from cactusridge.clock import ManualClock
 from cactusridge.http.app import App, route
 from cactusridge.http.client import Clients
 from cactusridge.http.exchange import SOCKET_KEY, Reply, Req, json_reply
@@ -94,6 +96,34 @@
         raw = self.drain(self.ask(b''), until_closed)
         self.assertEqual(status, raw.split()[1])
 
+    def test_bound_is_time(self):
+        """On a busy host each nap takes longer; the drain does not."""
+        server = self.served.server
+        server.clock = ManualClock()
+        server.active += 1
+
+        def nap(seconds):
+            server.clock.advance(seconds * 3)
+
+        with mock.patch.object(gevent, 'sleep', nap):
+            self.assertFalse(server.drain(4))
+        self.assertLess(server.clock.now, 4.2)
+
+    def test_slow_body_of_a_late_request(self):
+        """A refused request whose body trickles in holds no stop up."""
+        server = self.served.server
+        conn = self.ask(b'')
+        server.active += 1
+        draining = gevent.spawn(server.drain, 5)
+        wait_for('it is late', lambda: server.drained)
+        conn.sendall(
+            b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\nx'
+        )
+        wait_for('it is read', lambda: server.active == 2)
+        server.active -= 1
+        draining.join()
+        self.assertTrue(draining.value)
+
     def test_late_while_others_work(self):
         """One that comes late is refused though another is in work.
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -1,6 +1,7 @@
 """Start settings are checked in full before anything listens."""
 
 import io
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -13,9 +14,24 @@
 from cactusridge.core import main
 from cactusridge.environment import Environment
 from cactusridge.exits import ExitStatus
+from cactusridge.http.server import QUIET_S
 from cactusridge.startup.loader import BadStartSettings, check
+from cactusridge.startup.models import DirectEntrySettings
 from standins.local_fleet import DEMO
 
+ROOT = Path(__file__).parent.parent
+# A request that is cut by the end of a process which was told to stop
+# longer ago than this, in seconds, counts as lost.
+LAST_TAKEN_S = 3.0
+DIRECT_ENTRY = {
+    'listen': '127.0.0.1:1',
+    'zone': 'z',
+    'name': 'one',
+    'readiness_listen': '127.0.0.1:2',
+    'peer_listen': '127.0.0.1:3',
+    'metrics_listen': '127.0.0.1:4',
+    'store': {'address': '127.0.0.1:5'},
+}
 MISTAKES = (
     ('listen: here', ['listen']),
     ('listen: here\nzone: ""\nmade_up: 1', ['listen', 'zone', 'made_up']),
@@ -35,6 +51,35 @@
     return status, env.stdout.getvalue(), env.stderr.getvalue()
 
 
+class TestStopInTime(unittest.TestCase):
+    """A process has ended before the platform kills it."""
+
+    @params(
+        (8, 2.7, 4.5, 4.5),
+        (8, 3, 6, 4.5),
+        (5, 2.7, 4.5, 1.8),
+        (2, 2.7, 4.5, 0),
+    )
+    def test_drain_is_bounded(self, grace_s, delay_s, drain_s, expected):
+        """Requests in work get what the delay leaves of the grace."""
+        cfg = DirectEntrySettings(
+            **DIRECT_ENTRY,
+            grace_s=grace_s,
+            readiness_delay_s=delay_s,
+            drain_timeout_s=drain_s,
+        )
+        self.assertAlmostEqual(expected, cfg.drain_s)
+
+    def test_last_request_taken(self):
+        """As deployed, none is taken later than 3 s after the signal.
+
+        One that the end of the process cuts has then had its time.
+        """
+        text = (ROOT / 'deploy' / 'entry.yaml').read_text()
+        found = re.search(r'^readiness_delay_s: (\S+)$', text, re.MULTILINE)
+        self.assertLessEqual(float(found[1]) + QUIET_S, LAST_TAKEN_S)
+
+
 class TestStartup(unittest.TestCase):
     """``cactusridged check`` and what it says."""
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -12,8 +12,8 @@
 with the process 50 ms after the drain had begun.
 
 The cause: a server without work was taken for one to which no more work
-comes. The evidence: without the pause before the end of the drain and without
-the refusal after it, these requests are run and get no answer.
+comes. The evidence: without the refusal after the end of the drain, these
+requests are run and get no answer.
 """
 
 import signal
@@ -34,10 +34,15 @@
 RUN = 200
 REFUSED = (429, 503)
 CLOSED = 0
+CUT = -1
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 class Outcome(NamedTuple):
-    """What a caller got, 0 for a close without a byte; how often it ran."""
+    """What a caller got and how often it ran.
+
+    A status, 0 for a close without a byte, -1 for a cut answer.
+    """
 
     status: int
     runs: int
@@ -75,7 +80,12 @@
                 raw = answer.read()
         except (ConnectionResetError, BrokenPipeError):
             return CLOSED
-        return int(raw.split()[1]) if raw else CLOSED
+        if not raw:
+            return CLOSED
+        status = int(raw.split()[1])
+        if status == RUN and not raw.endswith(LAST_CHUNK):
+            return CUT
+        return status
 
     def sound(self, outcomes: list[Outcome]) -> None:
         """Check that each was answered whole, or ran nowhere."""
