A late loop is nobody's silence

Cause, traced with a trial that has every turn of the loop late by 30, 90 or 200 ms (a hundred requests, entry, sidecars and engines in one loop, no other load): the 502s are the time-out for silence on the first read of a sidecar's reply. Each was over after 0.5 to 0.7 s with nothing to read; the loop was late by less than PAUSE_S in each turn, so that PatientSocket saw no pause, but by half a second and more in sum. The 503s are the age of the sidecars' last word: the clock that is to stand still in a pause took steps of up to a probe's period (0.1 s) in full. First cure tried and dropped: counting turns of the loop.

Change: http/awake.py has the rule alone. A clock of the loop goes on by ticks of 20 ms, each over when all that was ready has run, and counts 25 ms of one at most; PatientTimeout waits by it. Used for connecting, sending and reading (PatientSocket), the bounds of probes and of calls to peers, a caller's body and upload, the age of what sidecars said, and for calls that may not repeat, which had no patient socket at all. Deadlines, leases and the upstream's word stay on the real clock. Errors say what was awaited, how long was listened and how long it took; a pause of 0.25 s and more is event 110.

The old check for readable bytes at the end of a wait stays, now for connecting and sending too.

--- a/cactusridge/entry/building.py
+++ b/cactusridge/entry/building.py
@@ -38,7 +38,7 @@
     client = SidecarClient(cfg)
     greenlets = Group()
     host_list = HttpHostList(_link(cfg, clock))
-    fleet = Fleet(cfg, host_list, client, tree, clock, greenlets)
+    fleet = Fleet(cfg, host_list, client, tree, greenlets)
     name = f'{cfg.address}~{secrets.token_hex(NAME_BYTES)}'
     return Parts(
         cfg=cfg,
--- a/cactusridge/entry/fleet.py
+++ b/cactusridge/entry/fleet.py
@@ -7,12 +7,12 @@
 
 from cactusridge import events, logs
 from cactusridge.background import keep_doing, keep_doing_every
-from cactusridge.clock import AwakeClock, Clock
 from cactusridge.entry.peer_host import SidecarHost
 from cactusridge.entry.prober import SidecarProber
 from cactusridge.entry.replica import Replica
 from cactusridge.entry.sidecar_client import SidecarClient
 from cactusridge.errors import StoreUnavailable
+from cactusridge.http.awake import listening_clock
 from cactusridge.http.client import Address, parse_address
 from cactusridge.orders import SidecarReport
 from cactusridge.routing.membership import Belief
@@ -23,7 +23,6 @@
 
 SIDECAR = 'sidecar'
 ENTRY = 'entry'
-TICKS_PER_PROBE = 2
 
 
 class Fleet:
@@ -35,7 +34,6 @@
         host_list: HostList,
         client: SidecarClient,
         tree: SettingsTree,
-        clock: Clock,
         greenlets: Group,
     ) -> None:
         """Know nobody but the seed peers before the first poll."""
@@ -43,7 +41,7 @@
         self.changed = Event()
         self._host_list = host_list
         self._client = client
-        self._clock = AwakeClock(clock, cfg.probe_s)
+        self._clock = listening_clock()
         self._spawn = greenlets.spawn
         self._prober = SidecarProber(cfg, client, tree, self._clock)
         self._sidecars: dict[Address, SidecarHost] = {}
@@ -54,9 +52,8 @@
 
     def start(self) -> None:
         """Follow the host list, in greenlets of its own."""
-        tick_s = self.cfg.probe_s / TICKS_PER_PROBE
-        # Read often enough, the clock can tell a pause.
-        self._spawn(keep_doing_every, tick_s, self.now)
+        # Silence is measured from one answer to the next.
+        self._clock.hold()
         self._spawn(keep_doing_every, self.cfg.hosts_poll_s, self.refresh)
 
     def now(self) -> float:
--- a/cactusridge/entry/peers.py
+++ b/cactusridge/entry/peers.py
@@ -2,12 +2,12 @@
 
 import random
 
-import gevent
 from geventhttpclient.response import HTTPParseError
 
 from cactusridge import wire
 from cactusridge.entry.fleet import Fleet
 from cactusridge.errors import NoReplica
+from cactusridge.http.awake import PatientTimeout
 from cactusridge.http.client import Address, Clients
 from cactusridge.http.secret import SECRET_HEADER
 from cactusridge.settings.follower import PeerSource
@@ -59,7 +59,7 @@
         return Snapshot(raw['version'], nodes)
 
     def _get(self, peer: Address, path: str) -> bytes:
-        limit = gevent.Timeout(TIMEOUT_S)
+        limit = PatientTimeout(TIMEOUT_S)
         try:
             with (
                 limit,
@@ -76,10 +76,10 @@
         except IO_ERRORS as exc:
             self._clients.drop(peer)
             raise NoReplica(f'{peer}: {exc!r}') from exc
-        except gevent.Timeout as exc:
+        except PatientTimeout as exc:
             if exc is not limit:
                 raise
-            raise NoReplica(f'{peer}: no answer in time') from exc
+            raise NoReplica(f'{peer}: {exc.described(path)}') from exc
         if status not in {OK, NO_CONTENT}:
             raise NoReplica(f'{peer}: status {status}')
         return body
--- a/cactusridge/entry/sidecar_client.py
+++ b/cactusridge/entry/sidecar_client.py
@@ -1,10 +1,10 @@
 """Calls from an entry to sidecars."""
 
-import gevent
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from cactusridge import wire
 from cactusridge.errors import NoReplica, OutcomeUnknown
+from cactusridge.http.awake import PatientTimeout
 from cactusridge.http.client import Address, Clients
 from cactusridge.http.secret import SECRET_HEADER
 from cactusridge.orders import (
@@ -86,7 +86,7 @@
         path: str,
         message: dict[str, object],
     ) -> SidecarReport:
-        limit = gevent.Timeout(self._timeout_s)
+        limit = PatientTimeout(self._timeout_s)
         try:
             with limit:
                 status, report = self._clients.post_json(
@@ -98,11 +98,11 @@
         except IO_ERRORS as exc:
             self.drop(address)
             raise NoReplica(f'{address}: {exc!r}') from exc
-        except gevent.Timeout as exc:
+        except PatientTimeout as exc:
             if exc is not limit:
                 raise
             self.drop(address)
-            raise NoReplica(f'{address}: no answer in time') from exc
+            raise NoReplica(f'{address}: {exc.described(path)}') from exc
         if status != OK:
             raise NoReplica(f'{address}: {wire.encode(report).decode()}')
         return report
--- a/cactusridge/entry/uploads.py
+++ b/cactusridge/entry/uploads.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-import gevent
 from multipart import (
     MultipartError,
     MultipartSegment,
@@ -12,6 +11,7 @@
 )
 
 from cactusridge.errors import BadRequest, SlowRequest, TooLarge
+from cactusridge.http.awake import PatientTimeout
 from cactusridge.http.exchange import Req
 
 MAX_FIELD = 4096
@@ -69,7 +69,7 @@
     def _block(self, size: int) -> bytes:
         source = self._req.environ['wsgi.input']
         try:
-            with gevent.Timeout(self._block_timeout_s, SlowRequest()):
+            with PatientTimeout(self._block_timeout_s, SlowRequest()):
                 return source.read(size)
         except OSError as exc:
             raise BadRequest(f'the upload was cut: {exc}') from exc
--- a/cactusridge/http/exchange.py
+++ b/cactusridge/http/exchange.py
@@ -5,10 +5,9 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
-import gevent
-
 from cactusridge import wire
 from cactusridge.errors import BadRequest, SlowRequest, TooLarge
+from cactusridge.http.awake import PatientTimeout
 from cactusridge.http.readable import is_readable
 
 SOCKET_KEY = 'cactusridge.socket'
@@ -85,7 +84,7 @@
         length = self.content_length()
         if length is not None and length > self.max_body:
             raise TooLarge(f'the body is over {self.max_body} bytes')
-        with gevent.Timeout(self.body_timeout_s, SlowRequest()):
+        with PatientTimeout(self.body_timeout_s, SlowRequest()):
             raw = self._read()
         if len(raw) > self.max_body:
             raise TooLarge(f'the body is over {self.max_body} bytes')
--- a/cactusridge/http/patience.py
+++ b/cactusridge/http/patience.py
@@ -1,39 +1,105 @@
 """Sockets whose time-outs do not count this process's own pauses."""
 
-import time
+import contextlib
+import functools
+from collections.abc import Callable, Iterator
+from typing import Any
 
 from gevent import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 
-from cactusridge.http.readable import is_readable
+from cactusridge.http.awake import PatientTimeout
+from cactusridge.http.readable import is_readable, is_writable
 
-PAUSE_S = 0.1
+
+@contextlib.contextmanager
+def bounded(
+    seconds: float,
+    awaited: str,
+    is_ready: Callable[[], bool],
+) -> Iterator[None]:
+    """Bound a wait; raise TimeoutError unless it ``is_ready`` by then.
+
+    What is ready when the time is over is taken all the same: the loop
+    hears of 64 sockets in one turn, and others may have run for long in
+    the turn in which it is over.
+    """
+    limit = PatientTimeout(seconds)
+    try:
+        with limit:
+            yield
+    except PatientTimeout as exc:
+        if exc is not limit:
+            raise
+        if not is_ready():
+            raise TimeoutError(exc.described(awaited)) from exc
 
 
 class PatientSocket(socket.socket):
-    """Gives up a read only if the peer, not this process, was silent.
+    """Gives up only if the peer, not this process, was silent.
 
-    After a pause (a frozen host, a stalled processor) timers and bytes
-    are due together. What has come is read; and if the time-out came
-    late, the peer is given the whole of it again, since it may have
-    been paused with us.
+    Its time-out bounds connecting, and each wait for bytes or for room
+    to send some, in seconds of listening.
     """
 
-    def recv(self, *args: int) -> bytes:
-        """Return what has come; raise TimeoutError for a silent peer."""
-        while True:
-            asked_at = time.monotonic()
+    def connect(self, address: Any) -> None:
+        """Connect; raise TimeoutError if the peer is silent."""
+        timeout_s = self.gettimeout()
+        if timeout_s:
+            # The library bounds it by the clock, all waits together.
+            self.settimeout(None)
+            is_over = functools.partial(is_writable, self)
             try:
-                return super().recv(*args)
-            except TimeoutError:
-                waited_s = time.monotonic() - asked_at
-                if not (self._was_paused(waited_s) or is_readable(self)):
-                    raise
+                with bounded(timeout_s, 'connecting', is_over):
+                    super().connect(address)
+            finally:
+                self.settimeout(timeout_s)
+        # Tells what became of it if it was over only with its time.
+        super().connect(address)
+
+    def sendall(self, message: Any, flags: int = 0) -> None:
+        """Send all of ``message``; raise TimeoutError if none is taken.
+
+        The library bounds the whole of it by the clock.
+        """
+        left = memoryview(message).cast('B')
+        while left:
+            left = left[self.send(left, flags) :]
 
-    def _was_paused(self, waited_s: float) -> bool:
+    def _wait(self, watcher: Any, timeout_exc: Any = None) -> None:
+        """Wait until ``watcher`` is ready; every call waits here."""
         timeout_s = self.gettimeout()
-        return timeout_s is not None and waited_s > timeout_s + PAUSE_S
+        if timeout_s is None or watcher is None:
+            super()._wait(watcher, timeout_exc)
+        elif watcher is self._write_event:
+            can_send = functools.partial(is_writable, self)
+            with bounded(timeout_s, 'sending', can_send):
+                socket.wait(watcher)
+        else:
+            can_read = functools.partial(is_readable, self)
+            with bounded(timeout_s, 'reading', can_read):
+                socket.wait(watcher)
+
+
+def connect(
+    address: tuple[str, int],
+    connect_timeout_s: float,
+    silence_timeout_s: float,
+) -> PatientSocket:
+    """Return a socket connected to ``address``; raise OSError."""
+    sock = PatientSocket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.settimeout(connect_timeout_s)
+    try:
+        sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    sock.settimeout(silence_timeout_s)
+    # Head and body go out as two writes; with Nagle's algorithm the
+    # second waits for the peer's delayed acknowledgement, 40 ms.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
 
 
 class PatientPool(ConnectionPool):
--- a/cactusridge/http/readable.py
+++ b/cactusridge/http/readable.py
@@ -1,4 +1,4 @@
-"""Asks whether a socket can be read, for any number of open ones."""
+"""Asks whether a socket is ready, for any number of open ones."""
 
 import select
 import socket
@@ -12,6 +12,15 @@
 
 def is_readable(sock: socket.socket) -> bool:
     """Tell whether bytes, or the end, wait to be read; never wait."""
+    return _is_ready(sock, select.POLLIN)
+
+
+def is_writable(sock: socket.socket) -> bool:
+    """Tell whether a connect is over or bytes can be sent; never wait."""
+    return _is_ready(sock, select.POLLOUT)
+
+
+def _is_ready(sock: socket.socket, events: int) -> bool:
     poller = real_poll()
-    poller.register(sock.fileno(), select.POLLIN)
+    poller.register(sock.fileno(), events)
     return bool(poller.poll(0))
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -17,6 +17,7 @@
     TruncatedReply,
     UpstreamFailed,
 )
+from cactusridge.http import patience
 from cactusridge.http.client import Clients, parse_address
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
@@ -151,13 +152,13 @@
         connection was closed; whether a call may be repeated is ours to
         say, so these go through the standard library, which never does.
         """
-        conn = HTTPConnection(
-            self.address.host,
-            self.address.port,
-            timeout=self.cfg.read_timeout_s,
-        )
+        conn = HTTPConnection(*self.address)
         try:
-            conn.connect()
+            conn.sock = patience.connect(
+                self.address,
+                self._host_cfg.connect_timeout_s,
+                self.cfg.read_timeout_s,
+            )
         except OSError as exc:
             raise NoReplica(f'cannot connect: {exc!r}') from exc
         try:
--- /dev/null
+++ b/tests/test_paused.py
@@ -0,0 +1,146 @@
+"""A process that is paused at any point of an exchange goes on with it."""
+
+import socket
+import unittest
+
+import gevent
+from gevent.event import Event
+
+from cactusridge.clock import SystemClock
+from cactusridge.entry.sidecar_client import SidecarClient
+from cactusridge.errors import NoReplica
+from cactusridge.http.app import App, route
+from cactusridge.http.exchange import json_reply
+from cactusridge.http.patience import PatientSocket
+from cactusridge.identity import new_id
+from cactusridge.orders import RunOrder, WorkClass
+from cactusridge.sidecar.upstream import Upstream
+from cactusridge.startup.models import SidecarSettings
+from standins.local_fleet import DEFTER
+from standins.ports import Ports
+from tests.late_case import CHUNK, PAUSE_S, TURN_S, LateCase, really_sleep
+from tests.served import serve
+
+SECRET = 'internal-secret-of-tests'
+
+
+class TestPausedConnect(unittest.TestCase):
+    """A process connects to one that takes no new connections."""
+
+    def setUp(self):
+        """Listen with no room for a second connection."""
+        self.listener = socket.socket()
+        self.addCleanup(self.listener.close)
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(0)
+        self.address = self.listener.getsockname()
+        waiting = socket.create_connection(self.address)
+        self.addCleanup(waiting.close)
+        self.sock = PatientSocket()
+        self.addCleanup(self.sock.close)
+
+    def test_paused(self):
+        """The peer, which may have been paused too, gets its time again.
+
+        It has room at the end of the pause; the next packet that asks
+        for a connection comes a second after the last.
+        """
+        self.sock.settimeout(1.6)
+        connecting = gevent.spawn(self.sock.connect, self.address)
+        gevent.sleep(TURN_S)
+        really_sleep(1.8)
+        self.listener.accept()[0].close()
+        connecting.get()
+        self.assertEqual(self.address, self.sock.getpeername())
+
+    def test_silent(self):
+        """One that stays silent is given up, and the error says so."""
+        self.sock.settimeout(0.2)
+        with self.assertRaisesRegex(TimeoutError, 'connecting: nothing in'):
+            self.sock.connect(self.address)
+
+
+class TestPausedExchange(LateCase):
+    """A process is paused for longer than a whole exchange may take."""
+
+    def setUp(self):
+        """Ask with short time-outs."""
+        super().setUp()
+        self.cfg = SidecarSettings(
+            listen='127.0.0.1:1',
+            zone='a',
+            internal_secret=SECRET,
+            connect_timeout_s=0.2,
+            silence_timeout_s=0.2,
+            upstreams=[
+                {
+                    'service': DEFTER,
+                    'address': str(self.address),
+                    'read_timeout_s': 0.2,
+                },
+            ],
+        )
+
+    def test_probe(self):
+        """A sidecar that answers soon after the pause is not silent."""
+        gevent.spawn(self.answer, 3)
+        asking = gevent.spawn(SidecarClient(self.cfg).probe, self.address, 0)
+        self.pause_after_asking()
+        self.assertEqual({}, asking.get())
+
+    def test_probe_of_a_silent_one(self):
+        """One that says nothing is given up, and the error says so."""
+        with self.assertRaisesRegex(NoReplica, 'nothing in'):
+            SidecarClient(self.cfg).probe(self.address, 0)
+
+    def test_call_that_may_not_repeat(self):
+        """An upstream that answers soon after the pause is heard."""
+        gevent.spawn(self.answer, 3)
+        upstream = Upstream(self.cfg.upstreams[0], self.cfg)
+        order = RunOrder(
+            id=new_id('r', SystemClock()),
+            incarnation='any',
+            service=DEFTER,
+            team='any',
+            work=WorkClass.online,
+            method='PUT',
+            path='/registers/1',
+            headers=(),
+            deadline_s=60,
+            repeatable=False,
+        )
+        calling = gevent.spawn(upstream.call, order, b'{}', False)
+        self.pause_after_asking()
+        answer = calling.get()
+        self.assertEqual(200, answer.head.status)
+        self.assertEqual(b'{}', b''.join(answer.body))
+
+
+class TestPausedServer(unittest.TestCase):
+    """A server is paused while a caller sends."""
+
+    def setUp(self):
+        """Serve one route that reads the body."""
+        ports = Ports()
+        self.addCleanup(ports.close)
+        self.reading = Event()
+        app = App([route('POST', '/', self.read)], CHUNK, 0.2)
+        self.served = serve(None, app, ports.give())
+        self.addCleanup(self.served.server.stop, 0)
+
+    def read(self, req):
+        """Answer with the body."""
+        self.reading.set()
+        return json_reply(req.json())
+
+    def test_body(self):
+        """A caller that sends soon after the pause was not too slow."""
+        with gevent.socket.create_connection(self.served.address) as sock:
+            head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n'
+            sock.sendall(head)
+            self.assertTrue(self.reading.wait(10))
+            gevent.sleep(TURN_S)
+            really_sleep(PAUSE_S)
+            gevent.sleep(TURN_S)
+            sock.sendall(b'{}')
+            self.assertIn(b'200 OK', sock.recv(CHUNK))
