The listening clock ticks 50 times a second, not all the time

Cause: the clock's timer was started again after it had ended once; such a timer of libev is due at once.

Change: a timer with a repeat, begun anew after each tick.

Test: test_awake: seldom, red before (23,146 ticks in 0.5 s).

--- a/cactusridge/http/awake.py
+++ b/cactusridge/http/awake.py
@@ -44,7 +44,10 @@
         """Follow the loop of ``hub``."""
         self._awake = AwakeClock(SystemClock(), MAX_STEP_S)
         self._loop = hub.loop
-        self._timer = hub.loop.timer(TICK_S, ref=False, priority=PRIORITY)
+        # One without a repeat would be due at once when started again.
+        self._timer = hub.loop.timer(
+            TICK_S, TICK_S, ref=False, priority=PRIORITY
+        )
         self._holders = 0
         self._ticks = False
         self._counted = float(0)
@@ -66,7 +69,7 @@
         if not self._ticks:
             self._ticks = True
             self._count()
-            self._timer.start(self._due, update=True)
+            self._timer.again(self._due, update=True)
 
     def release(self) -> None:
         """Let the clock rest unless somebody else holds it."""
@@ -74,13 +77,14 @@
 
     def _due(self) -> None:
         """Tick when all that is ready now has run."""
+        self._timer.stop()
         self._loop.run_callback(self._tick)
 
     def _tick(self) -> None:
         late_s = time.monotonic() - self._ticked_at - TICK_S
         self._count()
         if self._holders:
-            self._timer.start(self._due, update=True)
+            self._timer.again(self._due, update=True)
         if late_s >= LOGGED_PAUSE_S:
             logs.emit(events.LOOP_LATE, late_s=round(late_s, 3))
         # Not stopped at each release: the next wait often begins at once.
--- a/tests/test_awake.py
+++ b/tests/test_awake.py
@@ -1,6 +1,7 @@
 """Waiting that goes by the time a process has listened."""
 
 import unittest
+from unittest import mock
 
 import gevent
 from gevent.monkey import get_original
@@ -8,6 +9,7 @@
 
 from cactusridge.http.awake import (
     MAX_STEP_S,
+    TICK_S,
     PatientTimeout,
     listening_clock,
 )
@@ -54,6 +56,12 @@
         passed_s = self.clock.monotonic() - began
         self.assertLessEqual(passed_s, MAX_STEP_S * 5)
 
+    def test_seldom(self):
+        """It ticks now and then, not all the time."""
+        with mock.patch.object(self.clock, '_count') as counted:
+            gevent.sleep(PAUSE_S)
+        self.assertLessEqual(counted.call_count, PAUSE_S / TICK_S + 1)
+
     def test_goes_on(self):
         """It goes on with a loop that keeps up."""
         began = self.clock.monotonic()
