Processor time by part of the work, steps and queues in metrics and log

Steps that may storm are counted: datagrams told and heard, the scheduler's looks, claims made and kept, calls to the rows, job takes and hold checks.

Load and WorkKind have a file of their own; nothing else changes.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -5,7 +5,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route
 from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.loads import WorkKind
+from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.placement import (
--- a/cactusridge/dispatch/claims.py
+++ b/cactusridge/dispatch/claims.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from cactusridge.dispatch.loads import Load
+from cactusridge.dispatch.load import Load
 from cactusridge.hashing import hash64, rendezvous
 
 # How long a claim waits for others, in seconds: the longest way between
--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -1,12 +1,12 @@
 """How many requests are at each replica: this entry's and its peers'."""
 
 import contextlib
-import enum
 from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from cactusridge.clock import Clock
+from cactusridge.dispatch.load import Load, WorkKind
 
 # A peer repeats its counts every half second; three repeats lost in a
 # row are a peer that is gone or cut off.
@@ -16,31 +16,6 @@
 FRESH_S = 0.1
 
 
-class WorkKind(enum.StrEnum):
-    """What takes up a slot of a replica, now or in a moment.
-
-    For ``online`` somebody waits on screen; a ``claim`` is a batch
-    request that its entry sends unless others claim the same slot.
-    """
-
-    online = 'online'
-    batch = 'batch'
-    claim = 'claim'
-
-
-class Load(NamedTuple):
-    """Requests at one replica, in flight or waiting there, and claims."""
-
-    online: int = 0
-    batch: int = 0
-    claims: int = 0
-
-    @property
-    def total(self) -> int:
-        """All requests at the replica."""
-        return self.online + self.batch
-
-
 class PeerLoads(NamedTuple):
     """A peer's counts by replica id and when they were received."""
 
@@ -48,9 +23,6 @@
     heard_at: float
 
 
-NO_LOAD = Load()
-
-
 class LoadTable:
     """Counts requests at replicas over all entries that can be heard."""
 
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -22,8 +22,10 @@
 
 from cactusridge import events, logs
 from cactusridge.background import keep_doing
-from cactusridge.dispatch.loads import NO_LOAD, Load, LoadTable, WorkKind
+from cactusridge.dispatch.load import NO_LOAD, Load, WorkKind
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.http.client import parse_address
+from cactusridge.work_meter import METER, Part, spawn
 
 # All counts are repeated this often, in seconds.
 REPEAT_S = 0.5
@@ -109,8 +111,8 @@
     def start(self) -> None:
         """Bind and begin to speak and to listen."""
         self._sock.bind(self._address)
-        gevent.spawn(keep_doing, self._listen)
-        gevent.spawn(keep_doing, self._take_turn)
+        spawn(Part.peers_heard, keep_doing, self._listen)
+        spawn(Part.peers_told, keep_doing, self._take_turn)
 
     def _take_turn(self) -> None:
         """Wait for this entry's turn; tell what has changed, or all."""
@@ -191,6 +193,7 @@
         return (heard | set(self._peers())) - {self._address}
 
     def _send_to(self, target: Target, raw: bytes) -> None:
+        METER.steps['counts_told'] += 1
         try:
             self._sock.sendto(raw, target)
         except OSError as exc:
@@ -203,6 +206,7 @@
     def _listen(self) -> None:
         try:
             raw, sender = self._sock.recvfrom(MAX_DATAGRAM)
+            METER.steps['counts_heard'] += 1
             self._take(raw, sender)
         except OSError as exc:
             logs.emit(events.PEER_UNREADABLE, error=repr(exc))
--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from cactusridge.dispatch.loads import Load
+from cactusridge.dispatch.load import Load
 from cactusridge.dispatch.replica import Replica
 
 # Until a service has answered something: seconds a request holds a slot.
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -4,7 +4,8 @@
 
 from cactusridge import metrics
 from cactusridge.clock import Clock
-from cactusridge.dispatch.loads import LoadTable, WorkKind
+from cactusridge.dispatch.load import WorkKind
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.placement import HoldTime
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.upstream import (
--- a/cactusridge/dispatch/yielding.py
+++ b/cactusridge/dispatch/yielding.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Mapping
 
-from cactusridge.dispatch.loads import Load
+from cactusridge.dispatch.load import Load
 
 
 def shares_to_yield(
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -19,6 +19,7 @@
 TASK_FAILED: Final = Event(106, 'task_failed', 'error')
 RELOADED: Final = Event(108, 'reloaded')
 RELOAD_REFUSED: Final = Event(109, 'reload_refused', 'warning')
+WORK_REPORT: Final = Event(110, 'work_report')
 
 SETTINGS_APPLIED: Final = Event(201, 'settings_applied')
 SETTINGS_FROM_PEER: Final = Event(202, 'settings_from_peer')
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -13,6 +13,7 @@
 from cactusridge.http.app import error_reply
 from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
 from cactusridge.http.unreadable import refusal
+from cactusridge.work_meter import CallGreenlet, PartGreenlet
 
 SILENT_LOG = None
 POLL_S = 0.05
@@ -103,12 +104,16 @@
         address: tuple[str, int],
         application: Any,
         idle_timeout_s: float,
+        greenlets: type[PartGreenlet] = CallGreenlet,
     ) -> None:
-        """Serve ``application`` at ``address``, an IP number and a port."""
+        """Serve ``application`` at ``address``, an IP number and a port.
+
+        Each connection is served by one of ``greenlets``.
+        """
         super().__init__(
             address,
             application,
-            spawn=Pool(),
+            spawn=Pool(greenlet_class=greenlets),
             log=SILENT_LOG,
             error_log=SILENT_LOG,
         )
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -5,7 +5,7 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.event_splitter import EventSplitter
-from cactusridge.dispatch.loads import WorkKind
+from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Run, Runner
 from cactusridge.dispatch.upstream import UpstreamRequest
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -15,6 +15,7 @@
 from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import Session
+from cactusridge.work_meter import METER, Part, spawn
 
 # How often orphaned jobs are looked for, in seconds.
 LOOK_S = 0.25
@@ -74,7 +75,8 @@
         """
         held = self.held(job_id)
         if held is not None and version > held.head.version:
-            gevent.spawn(self._check_hold, held, version)
+            METER.steps['hold_checks'] += 1
+            spawn(Part.jobs, self._check_hold, held, version)
 
     def held(self, job_id: str) -> HeldJob | None:
         """Return a job that this entry runs."""
@@ -116,7 +118,7 @@
         fresh = stored.state == JobState.open and self._orphans.is_mine(stored)
         if fresh and self.held(head.id) is None and not self._stopping:
             self._taking.add(head.id)
-            gevent.spawn(self._begin, stored, items)
+            spawn(Part.jobs, self._begin, stored, items)
         return stored
 
     def end(self, job_id: str) -> None:
@@ -140,7 +142,8 @@
             busy = head.id in self._taking or self.held(head.id) is not None
             if not busy and self._orphans.due(head):
                 self._taking.add(head.id)
-                gevent.spawn(self._take, head)
+                METER.steps['job_takes'] += 1
+                spawn(Part.jobs, self._take, head)
 
     def stop(self) -> None:
         """Hand every job to the other entries."""
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -13,7 +13,8 @@
 from cactusridge.dispatch.catalog import Catalog, Route
 from cactusridge.dispatch.claims import claim_wait_s, claims_kept
 from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.loads import Load, LoadTable, WorkKind
+from cactusridge.dispatch.load import Load, WorkKind
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.yielding import room, shares_to_yield
@@ -23,6 +24,7 @@
 from cactusridge.jobs.running import Running
 from cactusridge.jobs.waiting_line import Waiting, WaitingLine
 from cactusridge.store.store_clock import StoreClock
+from cactusridge.work_meter import METER, Part, PartGreenlet, spawn
 
 # With nothing else to wake it the scheduler looks this often: a peer's
 # silence or a replica's recovery frees slots without a word.
@@ -62,10 +64,21 @@
         """Return the counts that decisions are made from."""
         return self._runner.loads
 
+    def depths(self) -> dict[str, int]:
+        """Return how many jobs are held, and items wait and run."""
+        return {
+            'jobs_held': len(self.jobs),
+            'items_waiting': sum(
+                len(job.pending) for job in self.jobs.values()
+            ),
+            'items_running': len(self._running),
+        }
+
     def step(self) -> None:
         """Yield and start when something has changed, or after a while."""
         self.wake.wait(TICK_S if self._busy() else IDLE_TICK_S)
         self.wake.clear()
+        METER.steps['scheduler_looks'] += 1
         self.make_room()
         if self.may_dispatch.is_set():
             self.start_items()
@@ -138,7 +151,8 @@
         claim = contextlib.ExitStack()
         # Counted at once: the next choice sees it.
         claim.enter_context(self.loads.running(replica.id, WorkKind.claim))
-        gevent.spawn(self._settle, waiting, replica, claim)
+        METER.steps['claims'] += 1
+        spawn(Part.claims, self._settle, waiting, replica, claim)
 
     def _settle(
         self,
@@ -152,6 +166,7 @@
         kept = claims_kept(replica.slots, replica.id, loads)[self._name]
         claim.close()
         if kept and self._may_start(waiting.job):
+            METER.steps['claims_kept'] += 1
             self._start(waiting, replica)
         else:
             waiting.job.pending[waiting.task.index] = waiting.task
@@ -168,7 +183,8 @@
     def _start(self, waiting: Waiting, replica: Replica) -> None:
         job, task = waiting.job, waiting.task
         run = ItemRun(task, job.head.host, self._runner, self._clock)
-        greenlet = gevent.Greenlet(run.go, replica)
+        greenlet = PartGreenlet(run.go, replica)
+        greenlet.part = Part.items.value
         now = self._clock.monotonic()
         running = Running(job, task, replica, greenlet, now, task.events)
         self._running.append(running)
--- a/cactusridge/log_stream.py
+++ b/cactusridge/log_stream.py
@@ -7,6 +7,8 @@
 from gevent.event import Event
 from gevent.os import make_nonblocking, nb_write
 
+from cactusridge.work_meter import Part, spawn
+
 # Lines a second that a process writes on average, and at once after a
 # quiet time. An entry at the sizes measured so far writes some 60; a
 # line takes about 300 bytes, so the bound is some 120 KB a second.
@@ -50,7 +52,7 @@
         self._waiting: collections.deque[bytes] = collections.deque()
         self._wake = Event()
         make_nonblocking(descriptor)
-        self._writer = gevent.spawn(self._run)
+        self._writer = spawn(Part.log, self._run)
 
     def write(self, text: str) -> int:
         """Queue ``text``, or drop and count it."""
--- a/cactusridge/metrics.py
+++ b/cactusridge/metrics.py
@@ -29,6 +29,10 @@
 STORE_CALLS = Counter('cr_store_calls_total', 'Store calls by kind, outcome')
 STORE_DOWN = Gauge('cr_store_down', 'One while the store is not answering')
 BURN = Gauge('cr_burn', 'Burn by service, objective, window')
+WORK_SECONDS = Counter('cr_work_seconds_total', 'Processor time by part')
+WORK_TURNS = Counter('cr_work_turns_total', 'Switches to greenlets by part')
+STEPS = Counter('cr_steps_total', 'Steps of the work by step')
+DEPTH = Gauge('cr_depth', 'Length of a queue, by queue')
 ITEMS = Counter('cr_items_total', 'Batch items by service and outcome')
 
 
--- a/cactusridge/platform/caller_watch.py
+++ b/cactusridge/platform/caller_watch.py
@@ -2,10 +2,10 @@
 
 import socket
 
-import gevent
 from gevent.socket import wait_read
 
 from cactusridge.dispatch.caller import CallerWatch
+from cactusridge.work_meter import Part, spawn
 
 
 class SocketWatch(CallerWatch):
@@ -15,7 +15,7 @@
         """Watch ``sock`` until ``stop``."""
         super().__init__()
         self._sock = sock
-        self._greenlet = gevent.spawn(self._watch)
+        self._greenlet = spawn(Part.caller_watch, self._watch)
 
     def stop(self) -> None:
         """Watch no longer."""
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -1,7 +1,5 @@
 """The parts of an entry that run batch jobs."""
 
-import gevent
-
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import Clock
 from cactusridge.dispatch.batch_sharing import BatchSharing
@@ -22,6 +20,7 @@
 from cactusridge.platform.operator import CatalogHolder
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.work_meter import Part, spawn
 
 
 class JobParts:
@@ -87,15 +86,16 @@
         """Start the greenlets."""
         # An entry that does not know its peers yet places requests as if
         # it were alone; after the loss of all they come at once.
-        gevent.spawn(
+        spawn(
+            Part.session,
             keep_doing_every,
             RENEW_S,
             self.session.step,
             at_once=True,
         )
-        gevent.spawn(keep_doing_every, LOOK_S, self.manager.look)
-        gevent.spawn(keep_doing, self.scheduler.step)
-        gevent.spawn(keep_doing_every, JANITOR_S, self._janitor.look)
+        spawn(Part.jobs, keep_doing_every, LOOK_S, self.manager.look)
+        spawn(Part.scheduler, keep_doing, self.scheduler.step)
+        spawn(Part.jobs, keep_doing_every, JANITOR_S, self._janitor.look)
 
     def finish(self) -> None:
         """Hand the jobs on and leave the list of entries."""
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -28,6 +28,8 @@
 from cactusridge.routing.outliers import OutlierEjector
 from cactusridge.serving import Role
 from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.work_meter import METER, InnerCallGreenlet, Part, spawn
+from cactusridge.work_report import WorkReport
 
 # The largest body of a call between our own processes, in bytes.
 INNER_BODY = 65_536
@@ -114,10 +116,13 @@
             self._store.follower(JOBS, head_prefixes(), self._jobs.heads),
         )
         for follower in followers:
-            gevent.spawn(keep_doing, follower.step)
+            spawn(Part.feeds, keep_doing, follower.step)
         self._jobs.start()
         trim = self._upstream.connections.trim
         gevent.spawn(keep_doing_every, TRIM_S, trim)
+        METER.start()
+        report = WorkReport(METER, self._jobs.scheduler.depths)
+        gevent.spawn(keep_doing, report.step)
         self._serve_at(self._cfg.metrics_listen, '/metrics', metrics.serve)
         serve_catalog = self._catalogs.serve
         self._serve_at(self._cfg.peer_listen, CATALOG_PATH, serve_catalog)
@@ -149,7 +154,8 @@
     def _serve_at(self, listen: str, pattern: str, handler: object) -> None:
         app = App([route('GET', pattern, handler)], INNER_BODY, INNER_TIMEOUT_S)
         address = parse_address(listen)
-        Server(address, app, self._cfg.idle_timeout_s).start()
+        idle_s = self._cfg.idle_timeout_s
+        Server(address, app, idle_s, InnerCallGreenlet).start()
 
     def _readiness(self, req: Req) -> Reply:
         if not self._holder.known or self._draining:
--- a/cactusridge/platform/rows.py
+++ b/cactusridge/platform/rows.py
@@ -21,6 +21,7 @@
     WriteUnknown,
 )
 from cactusridge.store.watch import HistoryLost, Snapshot, Watch
+from cactusridge.work_meter import METER
 
 RETRY_S = 0.5
 ROW_KEY_PARTS = 2
@@ -68,6 +69,7 @@
         if len({_place(key)['part'] for key in keys}) > 1:
             message['across'] = True
         raw = wire.encode(message)
+        METER.steps['rows_written'] += 1
         answer = self.link.call('POST', '/api/rows-tx', raw, priority)
         try:
             return self._version(answer)
@@ -100,6 +102,7 @@
         """Return the rows of ``table`` that changed since ``after``."""
         asked = {'table': table, 'after': after, 'wait_ms': int(wait_s * MS)}
         path = f'/api/rows-feed?{urlencode(asked)}'
+        METER.steps['feeds_asked'] += 1
         answer = self.feeds.ask('GET', path, b'', Priority.lease)
         if answer.status == HTTPStatus.GONE:
             raise HistoryLost
@@ -151,6 +154,7 @@
 
     def _get(self, asked: dict[str, Any], priority: Priority) -> '_Page':
         path = f'/api/rows-get?{urlencode(asked)}'
+        METER.steps['rows_read'] += 1
         answer = self.link.ask('GET', path, b'', priority)
         snapshot = _snapshot(answer)
         said = wire.decode(answer.body)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -10,7 +10,7 @@
 from nose2.tools import params
 
 from cactusridge.dispatch.claims import CLAIM_S, claims_kept
-from cactusridge.dispatch.loads import Load
+from cactusridge.dispatch.load import Load
 from cactusridge.dispatch.yielding import room
 
 SLOTS = 8
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -6,7 +6,8 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.loads import Load, LoadTable, WorkKind
+from cactusridge.dispatch.load import Load, WorkKind
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.placement import (
     Choice,
     choose,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,12 +6,8 @@
 from nose2.tools import params
 
 from cactusridge.clock import SystemClock
-from cactusridge.dispatch.loads import (
-    FRESH_S,
-    Load,
-    LoadTable,
-    WorkKind,
-)
+from cactusridge.dispatch.load import Load, WorkKind
+from cactusridge.dispatch.loads import FRESH_S, LoadTable
 from cactusridge.dispatch.peers import PeerExchange, Word
 from cactusridge.dispatch.placement import FEW, Choice, consider
 from cactusridge.dispatch.replica import Replica, ReplicaState
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -5,7 +5,8 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.loads import LoadTable, WorkKind
+from cactusridge.dispatch.load import WorkKind
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.upstream import (
