The batch scheduler of a large fleet looks at most every 20 ms

Change: where counts are told by turns of over 0.1 s (from 17 entries on) looks are 20 ms apart at least; routes found are kept until there is another configuration. Small fleets look at once as before. The look's pace and the choice of a replica have files of their own, so the scheduler is shorter; test_fleet_cost goes to the choice directly, with the same bounds. The two counts of job takes and hold checks are dropped again: the log has them.

Red without the pace: 200 looks in a second of datagrams every 5 ms where 50 are allowed.

--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -15,7 +15,7 @@
 from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import Session
-from cactusridge.work_meter import METER, Part, spawn
+from cactusridge.work_meter import Part, spawn
 
 # How often orphaned jobs are looked for, in seconds.
 LOOK_S = 0.25
@@ -75,7 +75,6 @@
         """
         held = self.held(job_id)
         if held is not None and version > held.head.version:
-            METER.steps['hold_checks'] += 1
             spawn(Part.jobs, self._check_hold, held, version)
 
     def held(self, job_id: str) -> HeldJob | None:
@@ -142,7 +141,6 @@
             busy = head.id in self._taking or self.held(head.id) is not None
             if not busy and self._orphans.due(head):
                 self._taking.add(head.id)
-                METER.steps['job_takes'] += 1
                 spawn(Part.jobs, self._take, head)
 
     def stop(self) -> None:
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -1,8 +1,6 @@
 """Starts items where slots are free and ends them where they are not."""
 
 import contextlib
-import itertools
-import random
 from collections.abc import Callable
 
 import gevent
@@ -18,21 +16,17 @@
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Runner
-from cactusridge.dispatch.yielding import room, shares_to_yield
+from cactusridge.dispatch.yielding import shares_to_yield
+from cactusridge.jobs.free_replicas import FreeReplicas
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemRun, ItemTask, RunEnd
+from cactusridge.jobs.look_pacer import LookPacer
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.running import Running
 from cactusridge.jobs.waiting_line import Waiting, WaitingLine
 from cactusridge.store.store_clock import StoreClock
 from cactusridge.work_meter import METER, Part, PartGreenlet, spawn
 
-# With nothing else to wake it the scheduler looks this often: a peer's
-# silence or a replica's recovery frees slots without a word.
-TICK_S = 0.1
-# Without any item to run there is nothing that could be overlooked.
-IDLE_TICK_S = 2.0
-
 
 class BatchScheduler:
     """Runs the items of held jobs in what online requests leave free."""
@@ -48,17 +42,16 @@
         sharing: BatchSharing,
     ) -> None:
         """Run items as the entry ``name`` by the ``catalog`` in force."""
-        self.wake = Event()
+        self._pacer = LookPacer(clock, runner.loads)
+        self.wake = self._pacer.wake
         self.may_dispatch = Event()
         self.jobs: dict[str, HeldJob] = {}
         self._name = name
-        self._sharing = sharing
-        self._fleet = fleet
+        self._free = FreeReplicas(name, fleet, runner, sharing)
         self._runner = runner
         self._clock = clock
         self._line = WaitingLine(clock, store_clock, catalog)
         self._running: list[Running] = []
-        self._rng = random.Random()  # noqa: S311
 
     @property
     def loads(self) -> LoadTable:
@@ -77,8 +70,7 @@
 
     def step(self) -> None:
         """Yield and start when something has changed, or after a while."""
-        self.wake.wait(TICK_S if self._busy() else IDLE_TICK_S)
-        self.wake.clear()
+        self._pacer.wait(self._busy())
         METER.steps['scheduler_looks'] += 1
         self.make_room()
         if self.may_dispatch.is_set():
@@ -104,7 +96,7 @@
         for waiting in self._line.urgent_first(self.jobs.values()):
             if waiting.route.name in full:
                 continue
-            replica = self._replica_with_room(waiting.route)
+            replica = self._free.roomiest(waiting.route)
             if replica is None:
                 full.add(waiting.route.name)
             else:
@@ -125,26 +117,6 @@
     def _busy(self) -> bool:
         return bool(self.jobs or self._running)
 
-    def _replica_with_room(self, route: Route) -> Replica | None:
-        services = [each.service for each in route.shares if each.weight]
-        mine = [
-            self._sharing.replicas_of(self._name, each) for each in services
-        ]
-        # Without any of its own an entry uses all; yielding sorts it out.
-        usable = mine if any(mine) else map(self._fleet.ready, services)
-        ready = {each.id: each for each in itertools.chain(*usable)}
-        allowed = self._runner.health.allowed(ready)
-        free = [
-            (
-                room(ready[key].slots, self.loads.at(key)),
-                self._rng.random(),
-                key,
-            )
-            for key in allowed
-        ]
-        most = max(free, default=(0, 0, ''))
-        return ready[most[-1]] if most[0] else None
-
     def _claim(self, waiting: Waiting, replica: Replica) -> None:
         """Tell the peers that an item is about to start."""
         waiting.job.pending.pop(waiting.task.index)
--- a/cactusridge/jobs/waiting_line.py
+++ b/cactusridge/jobs/waiting_line.py
@@ -5,6 +5,7 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Catalog, Route
+from cactusridge.dispatch.route_matches import RouteMatches
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemTask
 from cactusridge.jobs.model import ItemState
@@ -46,6 +47,7 @@
         self._urgency = OnTimeFirst()
         self._paces: dict[str, Pace] = {}
         self._not_before: dict[str, float] = {}
+        self._routes = RouteMatches()
 
     def urgent_first(self, jobs: Iterable[HeldJob]) -> list[Waiting]:
         """Return the items of ``jobs`` that may start, in their order."""
@@ -53,7 +55,11 @@
 
     def pace(self, route: Route) -> Pace:
         """Return what is known of how long items of a route take."""
-        return self._paces.setdefault(route.name, Pace())
+        found = self._paces.get(route.name)
+        if found is None:
+            found = Pace()
+            self._paces[route.name] = found
+        return found
 
     def pause(self, task: ItemTask) -> None:
         """Keep an item from starting for a moment."""
@@ -86,7 +92,7 @@
             # that it does not know may be newer than what it knows.
             return None
         path = task.item.path.partition('?')[0]
-        route = catalog.match(job.head.host, path)
+        route = self._routes.match(catalog, job.head.host, path)
         age_s = (self._store_clock.now_ms() - job.head.created_ms) / MS
         if route is None:
             self.end(job, task, ItemState.given_up)
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -1,4 +1,4 @@
-"""What a choice costs does not grow with the number of entries.
+"""What a choice costs, and how often it is made, is bounded in a fleet.
 
 Counted in calls of functions, generators' turns among them, which are the
 same on every machine and at every load.
@@ -8,10 +8,11 @@
 import unittest
 from collections import Counter
 from types import SimpleNamespace
+from unittest import mock
 
 from nose2.tools import params
 
-from cactusridge.clock import SystemClock
+from cactusridge.clock import ManualClock, SystemClock
 from cactusridge.dispatch.attempts import Attempts
 from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import RouteKind
@@ -20,7 +21,8 @@
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online_call import Progress
 from cactusridge.dispatch.replica import Replica, ReplicaState
-from cactusridge.jobs.scheduler import BatchScheduler
+from cactusridge.jobs.free_replicas import FreeReplicas
+from cactusridge.jobs.look_pacer import LookPacer
 from cactusridge.routing.outliers import TrustAll
 
 FEW = 8
@@ -30,6 +32,7 @@
 SERVICE = 's'
 # Share by which a choice may cost more with four times as many entries.
 MARGIN = 1.1
+DATAGRAM_S = 0.005
 # Calls that a choice may take, by what it is for.
 BOUNDS = {'online': 600, 'batch': 250}
 
@@ -78,15 +81,8 @@
             aim_s=1,
         )
         self.attempts = Attempts(fleet, runner, 'z', clock, None)
-        self.scheduler = BatchScheduler(
-            names[0],
-            fleet,
-            runner,
-            clock,
-            None,
-            None,
-            BatchSharing(fleet, lambda: names, clock),
-        )
+        sharing = BatchSharing(fleet, lambda: names, clock)
+        self.free = FreeReplicas(names[0], fleet, runner, sharing)
 
     def online(self):
         """Choose a replica for an online request."""
@@ -95,7 +91,32 @@
 
     def batch(self):
         """Choose a replica for a batch item."""
-        return self.scheduler._replica_with_room(self.route)
+        return self.free.roomiest(self.route)
+
+
+class TestLooks(unittest.TestCase):
+    """How often the batch scheduler looks, on a clock of its own."""
+
+    def looks_in_a_second(self, period_s):
+        """Return the looks while a datagram comes every 5 ms."""
+        clock = ManualClock(1)
+        loads = LoadTable(clock)
+        loads.period_s = period_s
+        pacer = LookPacer(clock, loads)
+        looks = 0
+        with mock.patch('gevent.sleep', clock.advance):
+            while clock.now < 2:
+                clock.advance(DATAGRAM_S)
+                pacer.wake.set()
+                pacer.wait(busy=True)
+                looks += 1
+        return looks
+
+    @params((0.2, 50), (0.04, 200))
+    def test_looks(self, period_s, wanted):
+        """In a large fleet it does not look at every datagram."""
+        looks = self.looks_in_a_second(period_s)
+        self.assertLessEqual(abs(looks - wanted), 1)
 
 
 class TestFleetCost(unittest.TestCase):
