--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -22,6 +22,7 @@
 REQUEST_TOO_LATE: Final = Event(110, 'request_too_late')
 HAND_OVER_CUT: Final = Event(111, 'hand_over_cut', 'warning')
 LOOP_LATE: Final = Event(112, 'loop_late', 'warning')
+WORK_REPORT: Final = Event(113, 'work_report')
 
 SETTINGS_APPLIED: Final = Event(201, 'settings_applied')
 SETTINGS_FROM_PEER: Final = Event(202, 'settings_from_peer')
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -13,6 +13,7 @@
 from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.unreadable import refusal
+from cactusridge.work_meter import CallGreenlet, PartGreenlet
 
 SILENT_LOG = None
 POLL_S = 0.05
@@ -102,15 +103,17 @@
         application: Any,
         idle_timeout_s: float,
         late_application: Any = None,
+        greenlets: type[PartGreenlet] = CallGreenlet,
     ) -> None:
         """Serve ``application`` at ``address``, an IP number and a port.
 
         ``late_application`` answers what comes too late into a drain.
+        Each connection is served by one of ``greenlets``.
         """
         super().__init__(
             address,
             application,
-            spawn=Pool(),
+            spawn=Pool(greenlet_class=greenlets),
             log=SILENT_LOG,
             error_log=SILENT_LOG,
         )
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -1,7 +1,6 @@
 """Starts items where slots are free and ends them where they are not."""
 
 import contextlib
-import random
 from collections.abc import Callable
 
 import gevent
@@ -13,22 +12,20 @@
 from cactusridge.dispatch.catalog import Catalog, Route
 from cactusridge.dispatch.claims import claim_wait_s, claims_kept
 from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.loads import Load, LoadTable, WorkKind
+from cactusridge.dispatch.load import Load, WorkKind
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Runner
-from cactusridge.dispatch.yielding import room, shares_to_yield
+from cactusridge.dispatch.yielding import shares_to_yield
+from cactusridge.jobs.free_replicas import FreeReplicas
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemRun, ItemTask, RunEnd
+from cactusridge.jobs.look_pacer import LookPacer
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.running import Running
 from cactusridge.jobs.waiting_line import Waiting, WaitingLine
 from cactusridge.store.store_clock import StoreClock
-
-# With nothing else to wake it the scheduler looks this often: a peer's
-# silence or a replica's recovery frees slots without a word.
-TICK_S = 0.1
-# Without any item to run there is nothing that could be overlooked.
-IDLE_TICK_S = 2.0
+from cactusridge.work_meter import METER, Part, PartGreenlet, spawn
 
 
 class BatchScheduler:
@@ -45,27 +42,36 @@
         sharing: BatchSharing,
     ) -> None:
         """Run items as the entry ``name`` by the ``catalog`` in force."""
-        self.wake = Event()
+        self._pacer = LookPacer(clock, runner.loads)
+        self.wake = self._pacer.wake
         self.may_dispatch = Event()
         self.jobs: dict[str, HeldJob] = {}
         self._name = name
-        self._sharing = sharing
-        self._fleet = fleet
+        self._free = FreeReplicas(name, fleet, runner, sharing)
         self._runner = runner
         self._clock = clock
         self._line = WaitingLine(clock, store_clock, catalog)
         self._running: list[Running] = []
-        self._rng = random.Random()  # noqa: S311
 
     @property
     def loads(self) -> LoadTable:
         """Return the counts that decisions are made from."""
         return self._runner.loads
 
+    def depths(self) -> dict[str, int]:
+        """Return how many jobs are held, and items wait and run."""
+        return {
+            'jobs_held': len(self.jobs),
+            'items_waiting': sum(
+                len(job.pending) for job in self.jobs.values()
+            ),
+            'items_running': len(self._running),
+        }
+
     def step(self) -> None:
         """Yield and start when something has changed, or after a while."""
-        self.wake.wait(TICK_S if self._busy() else IDLE_TICK_S)
-        self.wake.clear()
+        self._pacer.wait(self._busy())
+        METER.steps['scheduler_looks'] += 1
         self.make_room()
         if self.may_dispatch.is_set():
             self.start_items()
@@ -90,7 +96,7 @@
         for waiting in self._line.urgent_first(self.jobs.values()):
             if waiting.route.name in full:
                 continue
-            replica = self._replica_with_room(waiting.route)
+            replica = self._free.roomiest(waiting.route)
             if replica is None:
                 full.add(waiting.route.name)
             else:
@@ -111,34 +117,14 @@
     def _busy(self) -> bool:
         return bool(self.jobs or self._running)
 
-    def _replica_with_room(self, route: Route) -> Replica | None:
-        ready = {
-            replica.id: replica
-            for share in route.shares
-            if share.weight
-            for replica in self._fleet.ready(share.service)
-        }
-        mine = {key for key in ready if self._name in self._sharing.of(key)}
-        # Without any of its own an entry uses all; yielding sorts it out.
-        allowed = self._runner.health.allowed(mine or ready)
-        free = [
-            (
-                room(ready[key].slots, self.loads.at(key)),
-                self._rng.random(),
-                key,
-            )
-            for key in allowed
-        ]
-        most = max(free, default=(0, 0, ''))
-        return ready[most[-1]] if most[0] else None
-
     def _claim(self, waiting: Waiting, replica: Replica) -> None:
         """Tell the peers that an item is about to start."""
         waiting.job.pending.pop(waiting.task.index)
         claim = contextlib.ExitStack()
         # Counted at once: the next choice sees it.
         claim.enter_context(self.loads.running(replica.id, WorkKind.claim))
-        gevent.spawn(self._settle, waiting, replica, claim)
+        METER.steps['claims'] += 1
+        spawn(Part.claims, self._settle, waiting, replica, claim)
 
     def _settle(
         self,
@@ -152,6 +138,7 @@
         kept = claims_kept(replica.slots, replica.id, loads)[self._name]
         claim.close()
         if kept and self._may_start(waiting.job):
+            METER.steps['claims_kept'] += 1
             self._start(waiting, replica)
         else:
             waiting.job.pending[waiting.task.index] = waiting.task
@@ -168,7 +155,8 @@
     def _start(self, waiting: Waiting, replica: Replica) -> None:
         job, task = waiting.job, waiting.task
         run = ItemRun(task, job.head.host, self._runner, self._clock)
-        greenlet = gevent.Greenlet(run.go, replica)
+        greenlet = PartGreenlet(run.go, replica)
+        greenlet.part = Part.items.value
         now = self._clock.monotonic()
         running = Running(job, task, replica, greenlet, now, task.events)
         self._running.append(running)
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -23,6 +23,7 @@
 from cactusridge.platform.operator import CatalogHolder
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.work_meter import Part, spawn
 
 
 class JobParts:
@@ -88,15 +89,16 @@
         """Start the greenlets."""
         # An entry that does not know its peers yet places requests as if
         # it were alone; after the loss of all they come at once.
-        gevent.spawn(
+        spawn(
+            Part.session,
             keep_doing_every,
             RENEW_S,
             self.session.step,
             at_once=True,
         )
-        gevent.spawn(keep_doing_every, LOOK_S, self.manager.look)
-        gevent.spawn(keep_doing, self.scheduler.step)
-        gevent.spawn(keep_doing_every, JANITOR_S, self._janitor.look)
+        spawn(Part.jobs, keep_doing_every, LOOK_S, self.manager.look)
+        spawn(Part.scheduler, keep_doing, self.scheduler.step)
+        spawn(Part.jobs, keep_doing_every, JANITOR_S, self._janitor.look)
 
     def finish(self, bound_s: float) -> None:
         """Hand the jobs on, then leave the list of entries.
