--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -1,5 +1,6 @@
 """A replica of the machines: slots, streams, resumption, and faults."""
 
+import time
 from collections import Counter
 from collections.abc import Iterator
 from types import MappingProxyType
@@ -11,6 +12,7 @@
 from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
 
 STEP_S = 0.01
+NS_PER_MS = 1_000_000
 FAILING = MappingProxyType(
     {
         b'impossible': '422 Unprocessable',
@@ -29,12 +31,15 @@
 
     The body of a request is ``N`` or ``N EVENT_SECONDS``: so many events
     come, one each so many seconds. ``cut_after`` breaks the next streams
-    off after so many events, in the middle of one.
+    off after so many events, in the middle of one. ``born`` is the Unix
+    millisecond at which the present life began; what tests look at is
+    counted over all lives.
     """
 
     def __init__(self, replica_id: str, slots: int) -> None:
         """Run as the process ``replica_id``."""
         self.id = replica_id
+        self.born = time.time_ns() // NS_PER_MS
         self.runs: Counter[str] = Counter()
         self.seen: dict[str, dict[str, str]] = {}
         self.targets: list[str] = []
@@ -43,6 +48,7 @@
         self.running = 0
         self.most = 0
         self.left = 0
+        self._slot_count = slots
         self._slots = BoundedSemaphore(slots)
 
     def __call__(self, environ: dict[str, Any], start: Start) -> Any:
@@ -63,6 +69,12 @@
         ]
         return self._answer(body, headers, answered, start)
 
+    def restart(self) -> None:
+        """Begin a life that knows nothing of what runs; that breaks off."""
+        self.born = max(self.born + 1, time.time_ns() // NS_PER_MS)
+        self.running = 0
+        self._slots = BoundedSemaphore(self._slot_count)
+
     def text(self, request_id: str, number: int) -> str:
         """Return the data of an event."""
         return f'e{number}'
@@ -102,10 +114,10 @@
         last = headers.get('Last-Event-Id', '0')
         return self._events(request_id, body, last)
 
-    def _end(self, whole: bool) -> None:
-        self.running -= 1
+    def _end(self, slots: BoundedSemaphore, whole: bool) -> None:
+        self.running -= slots is self._slots
         self.left += not whole
-        self._slots.release()
+        slots.release()
 
     def _refuse(self, start: Start, status: str) -> list[bytes]:
         start(status, [('X-Not-Executed', '1')])
@@ -119,13 +131,16 @@
     ) -> Iterator[bytes]:
         count, _, gap = body.decode().partition(' ')
         cut_after = self.cut_after.pop(0) if self.cut_after else None
-        self._slots.acquire()
-        self.running += 1
+        slots = self._slots
+        slots.acquire()
+        self.running += slots is self._slots
         self.most = max(self.most, self.running)
         whole = False
         try:
             for number in range(int(last) + 1, int(count) + 1):
                 gevent.sleep(self.step_s(float(gap or STEP_S)))
+                if slots is not self._slots:
+                    raise Cut
                 if number == cut_after:
                     yield f'id: {number}\nda'.encode()
                     raise Cut
@@ -133,4 +148,4 @@
                 yield f'id: {number}\ndata: {text}\n\n'.encode()
             whole = True
         finally:
-            self._end(whole)
+            self._end(slots, whole)
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -15,6 +15,7 @@
 from cactusridge.http.server import Server
 from standins.forwarder import Forwarder
 from standins.local_process import LocalProcess
+from standins.machines.listed_replicas import ListedReplicas
 from standins.machines.replica import MachineReplica
 from standins.machines.store import MachineStore
 from standins.ports import Ports
@@ -50,25 +51,24 @@
 )
 
 
-class MachineSite:
+class MachineSite(ListedReplicas):
     """A store, replicas of one service and some entries."""
 
     def __init__(self, folder: Path, replicas: int, slots: int) -> None:
         """Make everything but the entries."""
         self.folder = folder
-        self.store = MachineStore()
-        self.replicas = [
-            self.make_replica(f'i-{number}', slots)
-            for number in range(replicas)
-        ]
+        replica_ids = [f'i-{number}' for number in range(replicas)]
+        super().__init__(
+            MachineStore(),
+            [self.make_replica(each, slots) for each in replica_ids],
+            slots,
+        )
         self.entries: dict[str, LocalProcess] = {}
         self.addresses: dict[str, Address] = {}
-        self._slots = slots
         self._ports = Ports()
         self._servers: list[Server] = []
-        # The way from each entry to the store, and to each replica.
+        # The way from each entry to the store.
         self.store_links: dict[str, Forwarder] = {}
-        self.replica_links: list[Forwarder] = []
         self.version = 0
 
     def start(self) -> None:
@@ -80,22 +80,6 @@
             self.register(replica, link.start())
         self.configure(ROUTES)
 
-    def register(
-        self,
-        replica: MachineReplica,
-        address: Address,
-        state: str = 'ready',
-    ) -> None:
-        """Put a replica on the list of the platform."""
-        entry = {
-            'service': 'model',
-            'address': str(address),
-            'zone': 'z',
-            'slots': self._slots,
-            'state': state,
-        }
-        self.store.put(('servers', '', replica.id), entry)
-
     def configure(self, routes: Any) -> None:
         """Put a new version of the configuration in force."""
         self.version += 1
@@ -167,10 +151,6 @@
                 return found
             found.extend(page)
 
-    def replica_address(self, number: int) -> Address:
-        """Return where a replica listens."""
-        return self.replica_links[number].address
-
     def is_ready(self, name: str) -> bool:
         """Tell whether an entry says that it is ready."""
         settings = yaml.safe_load((self.folder / f'{name}.yaml').read_text())
--- a/standins/machines/store.py
+++ b/standins/machines/store.py
@@ -48,8 +48,11 @@
 
     def put(self, place: Place, message: Any) -> None:
         """Write a row as the operator or a replica does."""
-        packed = base64.b64encode(wire.encode(message)).decode()
-        self._apply([(place, packed)])
+        self.put_bytes(place, wire.encode(message))
+
+    def put_bytes(self, place: Place, raw: bytes) -> None:
+        """Write a row whose value need not be a message."""
+        self._apply([(place, base64.b64encode(raw).decode())])
         self._wake()
 
     def remove(self, place: Place) -> None:
