Entries that cannot be read name no replica; a life is id and start

Cause: an entry of the list of replicas was taken as it came. An address that is a number raised AttributeError, which nothing caught; slots of true, null or -1, a zone of null and a port over 65535 were taken for a replica to use; a known replica whose entry another writer had spoiled stayed in choice. And all that is known of a replica was kept by its id, which now outlives its process: its successor inherited counts, verdicts and kept connections.

Change: replica_entry.py reads an entry by pydantic in strict mode, each field bounded; what is wrong raises UnreadableEntry, and the replica leaves the choice at once, without grace, logged once a version of the row. A life is id@start; counts, peers' counts, claims, verdicts, kept connections, sharing and what was tried go by it. FleetView owns lives: a newer one ends the one before and tells LifeListeners; an older one never counts, also after the newer one's entry has gone, for the last 4,096 gone. life_rule.py says when an entry without a start counts: while most replicas tell none, and never under an id that told one. In jobs/ the scheduler takes life keys, and starts no item at a replica that has started again or gone while its claim was told. An id that cannot stand in a header, and a row in another part of the table, name no replica either.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -64,7 +64,9 @@
     def choose(self, call: OnlineCall, progress: Progress) -> Replica:
         """Return the replica for the next attempt; raise what refuses it."""
         service = self._service(call.route)
-        ready = {replica.id: replica for replica in self._fleet.ready(service)}
+        ready = {
+            replica.life: replica for replica in self._fleet.ready(service)
+        }
         fresh = set(ready) - set(progress.tried) or set(ready)
         if not fresh:
             raise NoReplica(
@@ -94,7 +96,7 @@
         req: UpstreamRequest,
     ) -> Run:
         """Send a request; raise ConnectFailed or OutcomeUnknown."""
-        progress.tried.append(replica.id)
+        progress.tried.append(replica.life)
         left_s = call.deadline_at - self._clock.monotonic()
         try:
             run = self._runner.open(
@@ -124,7 +126,7 @@
         limit_s = None
         if self.may_go_again(call, progress):
             limit_s = silence_s(
-                self._runner.loads.at(run.replica.id),
+                self._runner.loads.at(run.replica.life),
                 run.replica.slots,
                 call.route.aim_s,
             )
--- a/cactusridge/dispatch/batch_sharing.py
+++ b/cactusridge/dispatch/batch_sharing.py
@@ -28,7 +28,7 @@
 
 @functools.lru_cache(maxsize=KEPT)
 def sharers(
-    replica_id: str,
+    life: str,
     entries: tuple[str, ...],
     count: int,
 ) -> frozenset[str]:
@@ -36,7 +36,7 @@
 
     Everybody finds the same ones. One that comes or goes changes little.
     """
-    order = rendezvous(entries, hash64(replica_id))
+    order = rendezvous(entries, hash64(life))
     return frozenset(order[:count])
 
 
@@ -56,15 +56,15 @@
         self._entries: tuple[str, ...] = ()
         self._listed_at: float | None = None
 
-    def of(self, replica_id: str) -> frozenset[str]:
+    def of(self, life: str) -> frozenset[str]:
         """Return the names of the entries that run batch at a replica."""
         entries = self._current()
-        replica = self._fleet.get(replica_id)
+        replica = self._fleet.get(life)
         if replica is None:
             return frozenset()
         replicas = len(self._fleet.ready(replica.service))
         needed = math.ceil(LEAST_REPLICAS * len(entries) / max(1, replicas))
-        return sharers(replica_id, entries, max(SHARERS, needed))
+        return sharers(life, entries, max(SHARERS, needed))
 
     def _current(self) -> tuple[str, ...]:
         now = self._clock.monotonic()
--- a/cactusridge/dispatch/claims.py
+++ b/cactusridge/dispatch/claims.py
@@ -29,7 +29,7 @@
 
 def claims_kept(
     slots: int,
-    replica_id: str,
+    life: str,
     loads: Mapping[str, Load],
 ) -> Counter[str]:
     """Return by entry how many of its claims on a replica are kept.
@@ -39,7 +39,7 @@
     differs from replica to replica, so that no entry is always last.
     """
     free = slots - sum(load.total for load in loads.values())
-    order = rendezvous(loads, hash64(replica_id))
+    order = rendezvous(loads, hash64(life))
     most = max((load.claims for load in loads.values()), default=0)
     claims = [
         name
--- a/cactusridge/dispatch/fleet_view.py
+++ b/cactusridge/dispatch/fleet_view.py
@@ -5,57 +5,135 @@
 from gevent.event import Event
 
 from cactusridge import events, logs
-from cactusridge.dispatch.replica import Replica, ReplicaState
+from cactusridge.dispatch.life_listener import LifeListener
+from cactusridge.dispatch.life_order import LifeOrder
+from cactusridge.dispatch.life_rule import lives_told, names_replica
+from cactusridge.dispatch.replica import (
+    NOT_TOLD,
+    Replica,
+    ReplicaState,
+    life_key,
+)
 
 
 class FleetView:
-    """Replicas by id; ``changed`` is set whenever one comes or goes."""
+    """The newest life of each replica that has an entry.
+
+    ``changed`` is set whenever one comes or goes. Nobody else keeps
+    anything by the plain id of a replica.
+    """
 
     def __init__(self) -> None:
         """Start with no replica."""
         self.changed = Event()
         self._replicas: dict[str, Replica] = {}
+        self._order = LifeOrder()
+        self._telling = 0
+        self._left_out = 0
+        self._listeners: list[LifeListener] = []
+
+    def on_life_end(self, listener: LifeListener) -> None:
+        """Tell ``listener`` of each life that a newer one ends."""
+        self._listeners.append(listener)
 
     def put(self, replica: Replica) -> None:
-        """Take a new replica, or a new state of a known one."""
-        known = self._replicas.get(replica.id)
-        if known == replica:
+        """Take a new replica, a new life or a new state of a known one.
+
+        Raises LifeOver for a life before the newest, LifeNotTold for an
+        entry without one under an id that told its own.
+        """
+        ended = self._order.take(replica.id, replica.born)
+        if ended is not None:
+            self._end(replica, ended)
+        if self._replicas.get(replica.life) == replica:
             return
-        self._replicas[replica.id] = replica
+        self._telling -= self._tells(replica.life)
+        self._replicas[replica.life] = replica
+        self._telling += self._tells(replica.life)
         event = events.REPLICA_FOUND
         if replica.state == ReplicaState.draining:
             event = events.REPLICA_LEAVING
-        logs.emit(event, replica=replica.id, service=replica.service)
-        self.changed.set()
+        logs.emit(
+            event,
+            replica=replica.id,
+            service=replica.service,
+            born=replica.born,
+        )
+        self._settle()
 
     def drop(self, replica_id: str) -> None:
-        """Forget a replica that is gone."""
-        if self._replicas.pop(replica_id, None) is not None:
-            logs.emit(events.REPLICA_GONE, replica=replica_id)
-            self.changed.set()
+        """Take a replica for gone; its newest life is remembered."""
+        newest = self._order.newest(replica_id)
+        if newest is None or not self._remove(life_key(replica_id, newest)):
+            return
+        self._order.gone(replica_id)
+        logs.emit(events.REPLICA_GONE, replica=replica_id)
+        self._settle()
 
-    def get(self, replica_id: str) -> Replica | None:
-        """Return the replica with this id, or None."""
-        return self._replicas.get(replica_id)
+    def get(self, life: str) -> Replica | None:
+        """Return the replica that lives this life, or None."""
+        return self._replicas.get(life)
 
-    def slots(self, replica_id: str) -> int:
+    def slots(self, life: str) -> int:
         """Return a replica's slots, 0 if it is gone."""
-        replica = self._replicas.get(replica_id)
+        replica = self._replicas.get(life)
         return replica.slots if replica else 0
 
     def ids(self) -> set[str]:
         """Return the ids of all replicas."""
-        return set(self._replicas)
+        return {replica.id for replica in self._replicas.values()}
 
     def ready(self, service: str) -> list[Replica]:
         """Return the replicas of ``service`` that take new work."""
+        told = self._lives_told()
         return [
             replica
             for replica in self._replicas.values()
             if replica.service == service
             and replica.state == ReplicaState.ready
+            and names_replica(replica.born, NOT_TOLD, told)
         ]
 
+    def is_named(self, replica: Replica) -> bool:
+        """Tell whether the entry of a replica names one to use."""
+        told = self._lives_told()
+        return names_replica(replica.born, NOT_TOLD, told)
+
     def addresses(self) -> Iterable[tuple[str, int]]:
         """Return the addresses of all replicas."""
         return {replica.address for replica in self._replicas.values()}
+
+    def _end(self, replica: Replica, born: int) -> None:
+        """End the life that began at ``born``: ``replica`` is the next."""
+        life = life_key(replica.id, born)
+        self._remove(life)
+        logs.emit(
+            events.REPLICA_REBORN,
+            replica=replica.id,
+            born=replica.born,
+            before=born,
+        )
+        for listener in self._listeners:
+            listener.life_ended(life)
+
+    def _remove(self, life: str) -> bool:
+        """Remove a life; tell whether it was there."""
+        self._telling -= self._tells(life)
+        return self._replicas.pop(life, None) is not None
+
+    def _tells(self, life: str) -> bool:
+        """Tell whether a replica is known and tells its life."""
+        replica = self._replicas.get(life)
+        return replica is not None and replica.born != NOT_TOLD
+
+    def _lives_told(self) -> bool:
+        return lives_told(self._telling, len(self._replicas))
+
+    def _settle(self) -> None:
+        """Say how many are left out by the rule, and that one has changed."""
+        untold = len(self._replicas) - self._telling
+        left_out = untold if self._lives_told() else 0
+        if bool(left_out) != bool(self._left_out):
+            logs.emit(events.LIVES_NOT_TOLD, left_out=left_out)
+        self._left_out = left_out
+        self.changed.set()
--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -42,7 +42,7 @@
 
 
 class PeerLoads(NamedTuple):
-    """A peer's counts by replica id and when they were received."""
+    """A peer's counts by the life of a replica, and when they came."""
 
     loads: dict[str, Load]
     heard_at: float
@@ -52,7 +52,11 @@
 
 
 class LoadTable:
-    """Counts requests at replicas over all entries that can be heard."""
+    """Counts requests at replicas over all entries that can be heard.
+
+    Counts are by the life of the replica: what was at a former one is
+    not at its successor.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start with no request anywhere."""
@@ -80,30 +84,30 @@
         return self.period_s <= FRESH_S
 
     @contextlib.contextmanager
-    def running(self, replica_id: str, kind: WorkKind) -> Iterator[None]:
+    def running(self, life: str, kind: WorkKind) -> Iterator[None]:
         """Count one request of this entry at a replica while it lasts."""
         counts = self._own[kind]
-        counts[replica_id] += 1
+        counts[life] += 1
         self._tell()
         if self._on_rise is not None:
-            self._on_rise(replica_id, kind)
+            self._on_rise(life, kind)
         try:
             yield
         finally:
-            self._end(counts, replica_id)
+            self._end(counts, life)
 
-    def own(self, replica_id: str) -> Load:
+    def own(self, life: str) -> Load:
         """Return this entry's requests at a replica."""
         return Load(
-            self._own[WorkKind.online][replica_id],
-            self._own[WorkKind.batch][replica_id],
-            self._own[WorkKind.claim][replica_id],
+            self._own[WorkKind.online][life],
+            self._own[WorkKind.batch][life],
+            self._own[WorkKind.claim][life],
         )
 
     def all_own(self) -> dict[str, Load]:
-        """Return this entry's requests by replica."""
-        ids = set().union(*self._own.values())
-        return {replica_id: self.own(replica_id) for replica_id in ids}
+        """Return this entry's requests by the life of the replica."""
+        lives = set().union(*self._own.values())
+        return {life: self.own(life) for life in lives}
 
     def heard(self, peer: str, loads: dict[str, Load]) -> None:
         """Take a peer's counts."""
@@ -113,6 +117,14 @@
         """Drop a peer that said it stops."""
         self._peers.pop(peer, None)
 
+    def forget_life(self, life: str) -> None:
+        """Drop what peers counted at a life that is over.
+
+        This entry's own requests there count until they have ended.
+        """
+        for said in self._peers.values():
+            said.loads.pop(life, None)
+
     def heard_lately(self) -> Iterator[str]:
         """Yield the peers that have been heard lately."""
         oldest = self._clock.monotonic() - PEER_SILENCE_S
@@ -130,27 +142,27 @@
         ages = (now - said.heard_at for said in self._peers.values())
         return max((age for age in ages if age < PEER_SILENCE_S), default=0)
 
-    def peers_at(self, replica_id: str) -> dict[str, Load]:
+    def peers_at(self, life: str) -> dict[str, Load]:
         """Return the counts at a replica of each peer that is heard."""
         return {
-            peer: self._peers[peer].loads[replica_id]
+            peer: self._peers[peer].loads[life]
             for peer in self.heard_lately()
-            if replica_id in self._peers[peer].loads
+            if life in self._peers[peer].loads
         }
 
-    def at(self, replica_id: str) -> Load:
+    def at(self, life: str) -> Load:
         """Return the requests of all entries at a replica."""
-        loads = [self.own(replica_id), *self.peers_at(replica_id).values()]
+        loads = [self.own(life), *self.peers_at(life).values()]
         return Load(
             sum(load.online for load in loads),
             sum(load.batch for load in loads),
             sum(load.claims for load in loads),
         )
 
-    def _end(self, counts: Counter[str], replica_id: str) -> None:
-        counts[replica_id] -= 1
-        if not counts[replica_id]:
-            counts.pop(replica_id)
+    def _end(self, counts: Counter[str], life: str) -> None:
+        counts[life] -= 1
+        if not counts[life]:
+            counts.pop(life)
         self._tell()
 
     def _tell(self) -> None:
--- a/cactusridge/dispatch/online_log.py
+++ b/cactusridge/dispatch/online_log.py
@@ -27,7 +27,7 @@
         req: UpstreamRequest,
     ) -> None:
         """Tell where a request goes and what decided it."""
-        load = self._loads.at(replica.id)
+        load = self._loads.at(replica.life)
         logs.emit(
             events.REQUEST_PLACED,
             request=req.id,
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -136,23 +136,23 @@
         if changed:
             self._send(CHANGED, changed)
 
-    def _risen(self, replica_id: str, kind: WorkKind) -> None:
+    def _risen(self, life: str, kind: WorkKind) -> None:
         """Tell of one more request or claim at a replica at once."""
         if self._loads.fresh:
-            own = self._loads.own(replica_id)
-            self._told[replica_id] = own
-            self._send(CHANGED, {replica_id: own})
+            own = self._loads.own(life)
+            self._told[life] = own
+            self._send(CHANGED, {life: own})
         elif kind != WorkKind.online:
-            self._tell_some(self._sharers(replica_id), replica_id)
-        elif self._loads.at(replica_id).total > self._slots(replica_id):
+            self._tell_some(self._sharers(life), life)
+        elif self._loads.at(life).total > self._slots(life):
             # Those who may have to make room.
-            there = self._loads.peers_at(replica_id)
+            there = self._loads.peers_at(life)
             holders = {peer for peer, load in there.items() if load.batch}
-            self._tell_some(holders, replica_id)
+            self._tell_some(holders, life)
 
-    def _tell_some(self, names: Set[str], replica_id: str) -> None:
-        own = list(self._loads.own(replica_id))
-        raw = orjson.dumps({CHANGED: {replica_id: own}})
+    def _tell_some(self, names: Set[str], life: str) -> None:
+        own = list(self._loads.own(life))
+        raw = orjson.dumps({CHANGED: {life: own}})
         targets = {parse_address(name) for name in names} - {self._address}
         for target in targets:
             self._send_to(target, raw)
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -4,6 +4,7 @@
 
 from cactusridge import metrics
 from cactusridge.clock import Clock
+from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.loads import LoadTable, WorkKind
 from cactusridge.dispatch.placement import HoldTime
 from cactusridge.dispatch.replica import Replica
@@ -84,7 +85,7 @@
 
     def failed(self) -> None:
         """Note that the replica failed, whatever was asked of it."""
-        self._runner.health.failed(self.replica.id, certain=True)
+        self._runner.health.failed(self.replica.life, certain=True)
 
     def close(self) -> None:
         """End the request; its replica stops if it is still at work."""
@@ -97,12 +98,12 @@
         wherever they run, would take good replicas out of choice.
         """
         if status < SERVER_FAULT:
-            self._runner.health.succeeded(self.replica.id, 0)
+            self._runner.health.succeeded(self.replica.life, 0)
         elif status != TIME_OVER and self._kind == WorkKind.online:
-            self._runner.health.failed(self.replica.id)
+            self._runner.health.failed(self.replica.life)
 
 
-class Runner:
+class Runner(LifeListener):
     """Opens runs and keeps what they teach of replicas and services."""
 
     def __init__(
@@ -119,6 +120,11 @@
         self._upstream = upstream
         self._hold: dict[str, HoldTime] = {}
 
+    def life_ended(self, life: str) -> None:
+        """Forget the verdicts on a life and what peers counted there."""
+        self.health.forget(life)
+        self.loads.forget_life(life)
+
     def hold(self, service: str) -> HoldTime:
         """Return how long online requests of a service hold a slot."""
         return self._hold.setdefault(service, HoldTime())
@@ -136,11 +142,11 @@
         A ``fresh`` one goes out on a new connection.
         """
         with contextlib.ExitStack() as stack:
-            stack.enter_context(self.loads.running(replica.id, kind))
+            stack.enter_context(self.loads.running(replica.life, kind))
             try:
                 exchange = self._upstream.send(replica, req, left_s, fresh)
             except CactusridgeError:
-                self.health.failed(replica.id, certain=True)
+                self.health.failed(replica.life, certain=True)
                 raise
             metrics.ATTEMPTS.inc({'service': replica.service})
             stack.callback(exchange.close)
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -77,7 +77,7 @@
 
     def make_room(self) -> None:
         """End the newest items at replicas that are over their slots."""
-        replicas = {each.replica.id: each.replica for each in self._running}
+        replicas = {each.replica.life: each.replica for each in self._running}
         for replica in replicas.values():
             loads = self._loads_at(replica)
             count = shares_to_yield(replica.slots, loads)[self._name]
@@ -113,7 +113,7 @@
 
     def _replica_with_room(self, route: Route) -> Replica | None:
         ready = {
-            replica.id: replica
+            replica.life: replica
             for share in route.shares
             if share.weight
             for replica in self._fleet.ready(share.service)
@@ -137,7 +137,7 @@
         waiting.job.pending.pop(waiting.task.index)
         claim = contextlib.ExitStack()
         # Counted at once: the next choice sees it.
-        claim.enter_context(self.loads.running(replica.id, WorkKind.claim))
+        claim.enter_context(self.loads.running(replica.life, WorkKind.claim))
         gevent.spawn(self._settle, waiting, replica, claim)
 
     def _settle(
@@ -149,20 +149,27 @@
         """Start an item if its claim is kept, else let it wait on."""
         gevent.sleep(claim_wait_s(self.loads.fresh))
         loads = self._loads_at(replica)
-        kept = claims_kept(replica.slots, replica.id, loads)[self._name]
+        kept = claims_kept(replica.slots, replica.life, loads)[self._name]
         claim.close()
-        if kept and self._may_start(waiting.job):
+        if kept and self._may_start(waiting.job, replica):
             self._start(waiting, replica)
         else:
             waiting.job.pending[waiting.task.index] = waiting.task
 
-    def _may_start(self, job: HeldJob) -> bool:
+    def _may_start(self, job: HeldJob, replica: Replica) -> bool:
+        """Tell whether a claimed slot is still there to be used.
+
+        The replica may have started again or gone while the claim was
+        told; its slots are then another life's, and claimed anew.
+        """
+        if self._fleet.get(replica.life) is None:
+            return False
         return job.head.id in self.jobs and self.may_dispatch.is_set()
 
     def _loads_at(self, replica: Replica) -> dict[str, Load]:
         """Return each entry's counts at a replica."""
-        loads = self.loads.peers_at(replica.id)
-        loads[self._name] = self.loads.own(replica.id)
+        loads = self.loads.peers_at(replica.life)
+        loads[self._name] = self.loads.own(replica.life)
         return loads
 
     def _start(self, waiting: Waiting, replica: Replica) -> None:
@@ -177,7 +184,7 @@
             self._ended(running, waiting.route)
 
         greenlet.link(ended)
-        load = self.loads.at(replica.id)
+        load = self.loads.at(replica.life)
         logs.emit(
             events.ITEM_STARTED,
             job=job.head.id,
@@ -232,7 +239,8 @@
         job.pending[task.index] = task
 
     def _end_newest(self, replica: Replica, count: int) -> None:
-        here = [each for each in self._running if each.replica == replica]
+        life = replica.life
+        here = [each for each in self._running if each.replica.life == life]
         live = [each for each in here if not each.greenlet.dead]
         for each in live[-count:]:
             metrics.PREEMPTED.inc({'service': replica.service})
@@ -242,6 +250,6 @@
                 item=each.task.item.id,
                 replica=replica.id,
                 events=each.task.events,
-                online=self.loads.at(replica.id).online,
+                online=self.loads.at(replica.life).online,
             )
             each.greenlet.kill(block=False)
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from cactusridge.clock import Clock
+from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.upstream import ConnectFailed
 from cactusridge.http.client import Address
 from cactusridge.http.readable import is_readable
@@ -53,17 +54,21 @@
     return min(MAX_IDLE_S, int(found.group(1)) - IDLE_MARGIN_S)
 
 
-class Connections:
-    """Connections by the id of the replica, the latest used first."""
+class Connections(LifeListener):
+    """Connections by the life of the replica, the latest used first.
+
+    One to a former process never carries a request for its successor,
+    also where both have the same id and address.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start with none."""
         self._clock = clock
         self._idle: dict[str, collections.deque[Idle]] = {}
 
-    def take(self, replica_id: str, address: Address) -> socket.socket:
+    def take(self, life: str, address: Address) -> socket.socket:
         """Return a kept or new connection; raise ConnectFailed."""
-        kept = self._idle.get(replica_id)
+        kept = self._idle.get(life)
         while kept:
             idle = kept.pop()
             if idle.until > self._clock.monotonic() and _is_quiet(idle.sock):
@@ -82,7 +87,7 @@
 
     def give_back(
         self,
-        replica_id: str,
+        life: str,
         sock: socket.socket,
         keep_s: float,
     ) -> None:
@@ -91,22 +96,22 @@
             sock.close()
             return
         until = self._clock.monotonic() + keep_s
-        kept = self._idle.setdefault(replica_id, collections.deque())
+        kept = self._idle.setdefault(life, collections.deque())
         kept.append(Idle(sock, until))
 
-    def drop(self, replica_id: str) -> None:
-        """Close the idle connections to a replica."""
-        for idle in self._idle.pop(replica_id, ()):
+    def life_ended(self, life: str) -> None:
+        """Close the idle connections to a replica's former process."""
+        for idle in self._idle.pop(life, ()):
             idle.sock.close()
 
     def trim(self) -> None:
         """Close what has idled for too long."""
         now = self._clock.monotonic()
-        for replica_id, kept in list(self._idle.items()):
+        for life, kept in list(self._idle.items()):
             while kept and kept[0].until <= now:
                 kept.popleft().sock.close()
             if not kept:
-                self._idle.pop(replica_id)
+                self._idle.pop(life)
 
 
 def _is_quiet(sock: socket.socket) -> bool:
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -62,6 +62,8 @@
         )
         loads = LoadTable(clock)
         runner = Runner(self._upstream, loads, health, clock)
+        self._fleet.on_life_end(runner)
+        self._fleet.on_life_end(self._upstream.connections)
         self._jobs = JobParts(
             cfg,
             self._store,
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -101,7 +101,7 @@
             return
         stated = self._parser.get('Keep-Alive', '')
         keep_s = idle_s(str(stated))
-        self._connections.give_back(self._replica.id, self._sock, keep_s)
+        self._connections.give_back(self._replica.life, self._sock, keep_s)
 
     def abort(self) -> None:
         """Shut the connection; whoever waits on it gets its end."""
@@ -187,7 +187,7 @@
         if fresh:
             sock = self.connections.connect(replica.address)
         else:
-            sock = self.connections.take(replica.id, replica.address)
+            sock = self.connections.take(replica.life, replica.address)
         exchange = HttpExchange(replica, req, sock, self.connections)
         try:
             exchange.start(raw)
--- a/cactusridge/routing/outliers.py
+++ b/cactusridge/routing/outliers.py
@@ -46,6 +46,10 @@
     def failed(self, key: str, certain: bool = False) -> None:
         """Note a failure; ``certain`` if no request can have caused it."""
 
+    @abc.abstractmethod
+    def forget(self, key: str) -> None:
+        """Drop what is known of a replica that is over for good."""
+
     @abc.abstractmethod
     def allowed(self, keys: Iterable[str]) -> set[str]:
         """Return those of ``keys`` that may be chosen now."""
@@ -60,6 +64,9 @@
     def failed(self, key: str, certain: bool = False) -> None:
         """Pass over the failure."""
 
+    def forget(self, key: str) -> None:
+        """There is nothing to drop."""
+
     def allowed(self, keys: Iterable[str]) -> set[str]:
         """Return all of them."""
         return set(keys)
@@ -119,6 +126,10 @@
         if certain or old.trials or old.failures + 1 >= self._failures:
             self._eject(key)
 
+    def forget(self, key: str) -> None:
+        """Drop what is known of a replica that is over for good."""
+        self._health.pop(key, None)
+
     def allowed(self, keys: Iterable[str]) -> set[str]:
         """Return those of ``keys`` that may be chosen now."""
         known = set(keys)
--- /dev/null
+++ b/tests/discovery_case.py
@@ -0,0 +1,84 @@
+"""A test case over a list of replicas that is fed by hand."""
+
+import unittest
+from unittest import mock
+
+from cactusridge import logs, wire
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch.fleet_view import FleetView
+from cactusridge.errors import BadRequest
+from cactusridge.platform.discovery import PREFIX, Discovery
+from cactusridge.store.table import Row
+from standins.machines.spoiled import SPOILED
+
+BORN = 1_764_720_000_000
+ENTRY = {
+    'service': 'model',
+    'address': '127.0.0.1:8000',
+    'zone': 'z',
+    'version': '1',
+    'slots': 8,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'sequence': 0,
+    'born': BORN,
+}
+# As the platform's entries were before they told when a life began.
+UNTOLD = {name: held for name, held in ENTRY.items() if name != 'born'}
+
+
+def row_of(raw: bytes, key: str, version: int) -> Row:
+    """Return the row with ``raw`` as its value, as the reader of rows does."""
+    try:
+        held = wire.decode(raw)
+    except BadRequest:
+        held = None
+    return Row(key, held, version, unreadable=held is None)
+
+
+class DiscoveryCase(unittest.TestCase):
+    """A list of replicas that is fed by hand."""
+
+    def setUp(self):
+        """Know two replicas."""
+        self.clock = ManualClock()
+        self.fleet = FleetView()
+        self.list = Discovery(self.fleet, self.clock)
+        self.version = 0
+        self.events = []
+        emit = mock.patch.object(logs, 'emit', self.note)
+        emit.start()
+        self.addCleanup(emit.stop)
+
+    def note(self, event, **fields):
+        """Keep an event."""
+        self.events.append((event, fields))
+
+    def logged(self, event):
+        """Return how often an event was logged."""
+        return sum(each == event for each, _ in self.events)
+
+    def put(self, replica_id, entry, **changes):
+        """Let the list hold an entry; return its row."""
+        self.version += 1
+        raw = wire.encode({**entry, **changes})
+        row = row_of(raw, f'{PREFIX}{replica_id}', self.version)
+        self.list.put(row)
+        return row
+
+    def remove(self, replica_id):
+        """Let the list hold an entry no more."""
+        self.version += 1
+        self.list.put(Row(f'{PREFIX}{replica_id}', None, self.version))
+
+    def spoil(self, replica_id, how):
+        """Let another writer spoil an entry; return its row."""
+        self.version += 1
+        raw = SPOILED[how](ENTRY)
+        row = row_of(raw, f'{PREFIX}{replica_id}', self.version)
+        self.list.put(row)
+        return row
+
+    def in_choice(self):
+        """Return the ids of the replicas that take new work."""
+        return {replica.id for replica in self.fleet.ready('model')}
--- /dev/null
+++ b/tests/test_machine_lives.py
@@ -0,0 +1,120 @@
+"""Replicas that start again under their id, and entries that are spoiled."""
+
+import contextlib
+from http.client import IncompleteRead
+
+import gevent
+from nose2.tools import params
+
+from standins.waiting import wait_for
+from tests.machine_case import MachineCase
+from tests.test_machine_failures import sent
+
+FEW = 6
+LONG = b'40 0.05'
+
+
+class LivesCase(MachineCase):
+    """One entry and two replicas."""
+
+    entries = ('one',)
+    sent = 0
+
+    def call(self, path, request_id, body=b'1'):
+        """Return the status of a call, None if its answer breaks off."""
+        with contextlib.suppress(IncompleteRead):
+            headers = sent(request_id)
+            return self.site.call('one', 'POST', path, body, headers)[0]
+
+    def reached(self):
+        """Send requests, all of which have to be served; return where."""
+        before = {each.id: len(each.targets) for each in self.site.replicas}
+        for _ in range(FEW * 2):
+            self.sent += 1
+            self.assertEqual(200, self.call('/on/', f'to-{self.sent}'))
+        return {
+            each.id
+            for each in self.site.replicas
+            if len(each.targets) > before[each.id]
+        }
+
+    def wait_logged(self, event):
+        """Wait until the entry has logged an event."""
+        process = self.site.entries['one']
+        wait_for(event, lambda: event in process.tail())
+
+    def wait_all_reached(self):
+        """Wait until both replicas get requests."""
+        wait_for('both are in choice', lambda: len(self.reached()) == 2)
+
+
+class TestLives(LivesCase):
+    """A replica that starts again."""
+
+    def begin(self, path, request_id):
+        """Begin a stream that lasts some seconds; return its greenlet."""
+        call = gevent.spawn(self.call, path, request_id, LONG)
+        wait_for('it runs', lambda: self.runs(request_id) == 1)
+        return call
+
+    def restart(self, request_id, moved=False):
+        """Restart the replica that runs a request."""
+        number = next(
+            number
+            for number, each in enumerate(self.site.replicas)
+            if each.runs[request_id]
+        )
+        self.site.restart_under_same_id(number, moved)
+
+    @params(False, True)
+    def test_never_twice(self, moved):
+        """What may run once is sent to no next life."""
+        call = self.begin('/on/', 'once')
+        self.restart('once', moved)
+        self.assertNotEqual(200, call.get(timeout=10))
+        self.wait_logged('replica_reborn')
+        self.wait_all_reached()
+        self.assertEqual(1, self.runs('once'))
+
+    @params('/again/', '/safe/')
+    def test_goes_on(self, path):
+        """What may be repeated goes on, whole."""
+        call = self.begin(path, 'twice')
+        self.restart('twice')
+        self.assertEqual(200, call.get(timeout=10))
+        self.assertEqual(2, self.runs('twice'))
+
+    def test_batch_goes_on(self):
+        """A job's items go on, each listed once."""
+        self.site.submit('one', 'j1', ['30 0.05'] * 6)
+        wait_for(
+            'the items run',
+            lambda: sum(each.running for each in self.site.replicas) == 6,
+        )
+        for number in range(self.replicas):
+            self.site.restart_under_same_id(number)
+        listed = self.wait_done('one', 'j1', 6)
+        self.assertEqual(6, len(set(listed)))
+
+
+class TestSpoiled(LivesCase):
+    """An entry that another writer spoils."""
+
+    @params(
+        'address a number',
+        'slots a string',
+        'slots true',
+        'service a list',
+        'zone null',
+        'port too large',
+        'no born',
+        'state not named',
+    )
+    def test_left_out(self, how):
+        """It gets nothing more until its entry can be read; others do."""
+        self.wait_all_reached()
+        self.site.spoil_entry(0, how)
+        self.wait_logged('host_unreadable')
+        self.assertEqual({'i-1'}, self.reached())
+        self.site.mend_entry(0)
+        self.wait_all_reached()
