--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -278,6 +278,7 @@
         self.health.failed(OLD, certain=True)
         self.assertEqual({other}, self.health.allowed([OLD, other]))
         self.reborn()
+        self.assertEqual({OLD, other}, self.health.allowed([OLD, other]))
         self.assertEqual({NEW, other}, self.health.allowed([NEW, other]))
         # What ran at the former one fails later.
         self.health.failed(OLD, certain=True)
