--- a/cactusridge/dispatch/batch_sharing.py
+++ b/cactusridge/dispatch/batch_sharing.py
@@ -29,7 +29,7 @@
 
 
 def sharers(
-    replica_id: str,
+    life: str,
     entries: tuple[str, ...],
     count: int,
 ) -> frozenset[str]:
@@ -37,7 +37,7 @@
 
     Everybody finds the same ones. One that comes or goes changes little.
     """
-    order = rendezvous(entries, hash64(replica_id))
+    order = rendezvous(entries, hash64(life))
     return frozenset(order[:count])
 
 
@@ -82,25 +82,25 @@
             # Both are replaced when they change.
             if known.entries is entries and known.ready is ready:
                 return known.replicas
-        replicas = tuple(each for each in ready if entry in self.of(each.id))
+        replicas = tuple(each for each in ready if entry in self.of(each.life))
         self._shares[service] = Share(entry, entries, ready, replicas)
         return replicas
 
-    def of(self, replica_id: str) -> frozenset[str]:
+    def of(self, life: str) -> frozenset[str]:
         """Return the names of the entries that run batch at a replica."""
         entries = self._current()
-        replica = self._fleet.get(replica_id)
+        replica = self._fleet.get(life)
         if replica is None:
             return frozenset()
         replicas = len(self._fleet.ready(replica.service))
         needed = math.ceil(LEAST_REPLICAS * len(entries) / max(1, replicas))
         count = max(SHARERS, needed)
-        found = self._found.get((replica_id, count))
+        found = self._found.get((life, count))
         if found is None:
             if len(self._found) >= KEPT:
                 self._found.clear()
-            found = sharers(replica_id, entries, count)
-            self._found[replica_id, count] = found
+            found = sharers(life, entries, count)
+            self._found[life, count] = found
         return found
 
     def _current(self) -> tuple[str, ...]:
--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/dispatch/loads.py
@@ -13,7 +13,11 @@
 
 
 class LoadTable:
-    """Counts requests at replicas over all entries that can be heard."""
+    """Counts requests at replicas over all entries that can be heard.
+
+    Counts are by the life of the replica: what was at a former one is
+    not at its successor.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start with no request anywhere."""
@@ -39,23 +43,23 @@
         return self.period_s <= FRESH_S
 
     @contextlib.contextmanager
-    def running(self, replica_id: str, kind: WorkKind) -> Iterator[None]:
+    def running(self, life: str, kind: WorkKind) -> Iterator[None]:
         """Count one request of this entry at a replica while it lasts."""
-        self._own[replica_id] = self.own(replica_id).plus(ONE[kind])
+        self._own[life] = self.own(life).plus(ONE[kind])
         self._tell()
         if self._on_rise is not None:
-            self._on_rise(replica_id, kind)
+            self._on_rise(life, kind)
         try:
             yield
         finally:
-            self._end(replica_id, kind)
+            self._end(life, kind)
 
-    def own(self, replica_id: str) -> Load:
+    def own(self, life: str) -> Load:
         """Return this entry's requests at a replica."""
-        return self._own.get(replica_id, NO_LOAD)
+        return self._own.get(life, NO_LOAD)
 
     def all_own(self) -> dict[str, Load]:
-        """Return this entry's requests by replica."""
+        """Return this entry's requests by the life of the replica."""
         return dict(self._own)
 
     def heard(self, peer: str, loads: dict[str, Load]) -> None:
@@ -66,6 +70,13 @@
         """Drop a peer that said it stops."""
         self._peers.forget(peer)
 
+    def forget_life(self, life: str) -> None:
+        """Drop what peers counted at a life that is over.
+
+        This entry's own requests there count until they have ended.
+        """
+        self._peers.forget_life(life)
+
     def heard_lately(self) -> Iterator[str]:
         """Return the peers that have been heard lately."""
         return self._peers.heard_lately()
@@ -78,20 +89,20 @@
         """Return the age of the oldest counts of peers that are heard."""
         return self._peers.age_s()
 
-    def peers_at(self, replica_id: str) -> dict[str, Load]:
+    def peers_at(self, life: str) -> dict[str, Load]:
         """Return the counts at a replica of each peer with any there."""
-        return self._peers.by_peer(replica_id)
+        return self._peers.by_peer(life)
 
-    def at(self, replica_id: str) -> Load:
+    def at(self, life: str) -> Load:
         """Return the requests of all entries at a replica."""
-        return self._peers.sum_at(replica_id).plus(self.own(replica_id))
+        return self._peers.sum_at(life).plus(self.own(life))
 
-    def _end(self, replica_id: str, kind: WorkKind) -> None:
-        left = self.own(replica_id).minus(ONE[kind])
+    def _end(self, life: str, kind: WorkKind) -> None:
+        left = self.own(life).minus(ONE[kind])
         if left == NO_LOAD:
-            self._own.pop(replica_id)
+            self._own.pop(life)
         else:
-            self._own[replica_id] = left
+            self._own[life] = left
         self._tell()
 
     def _tell(self) -> None:
--- a/cactusridge/dispatch/peer_counts.py
+++ b/cactusridge/dispatch/peer_counts.py
@@ -18,7 +18,7 @@
 
 
 class PeerLoads(NamedTuple):
-    """A peer's counts by replica id and when they were received."""
+    """A peer's counts by the life of a replica and when they were received."""
 
     loads: dict[str, Load]
     heard_at: float
@@ -32,7 +32,7 @@
         self._clock = clock
         # In the order in which they were heard, the longest silent first.
         self._peers: dict[str, PeerLoads] = {}
-        self._by_replica: dict[str, dict[str, Load]] = {}
+        self._by_life: dict[str, dict[str, Load]] = {}
         self._sums: dict[str, Load] = {}
 
     def heard(self, peer: str, loads: dict[str, Load]) -> None:
@@ -41,16 +41,22 @@
         known = self._peers.pop(peer, None)
         before = known.loads if known else {}
         self._peers[peer] = PeerLoads(loads, self._clock.monotonic())
-        for replica_id in before.keys() | loads.keys():
-            load = loads.get(replica_id, NO_LOAD)
-            if load != before.get(replica_id, NO_LOAD):
-                self._put(replica_id, peer, load)
+        for life in before.keys() | loads.keys():
+            load = loads.get(life, NO_LOAD)
+            if load != before.get(life, NO_LOAD):
+                self._put(life, peer, load)
 
     def forget(self, peer: str) -> None:
         """Drop a peer with its counts."""
         known = self._peers.pop(peer, None)
-        for replica_id in known.loads if known else ():
-            self._put(replica_id, peer, NO_LOAD)
+        for life in known.loads if known else ():
+            self._put(life, peer, NO_LOAD)
+
+    def forget_life(self, life: str) -> None:
+        """Drop what peers counted at a life of a replica that is over."""
+        for peer in tuple(self._by_life.get(life, ())):
+            self._peers[peer].loads.pop(life, None)
+            self._put(life, peer, NO_LOAD)
 
     def heard_lately(self) -> Iterator[str]:
         """Return the peers that have been heard lately."""
@@ -65,15 +71,15 @@
         oldest = next(iter(self._peers.values()))
         return self._clock.monotonic() - oldest.heard_at
 
-    def by_peer(self, replica_id: str) -> dict[str, Load]:
+    def by_peer(self, life: str) -> dict[str, Load]:
         """Return each peer's counts at a replica, without those of none."""
         self._drop_silent()
-        return dict(self._by_replica.get(replica_id, {}))
+        return dict(self._by_life.get(life, {}))
 
-    def sum_at(self, replica_id: str) -> Load:
+    def sum_at(self, life: str) -> Load:
         """Return the requests of all peers at a replica."""
         self._drop_silent()
-        return self._sums.get(replica_id, NO_LOAD)
+        return self._sums.get(life, NO_LOAD)
 
     def _drop_silent(self) -> None:
         if not self._peers:
@@ -85,14 +91,14 @@
                 return
             self.forget(peer)
 
-    def _put(self, replica_id: str, peer: str, load: Load) -> None:
-        there = self._by_replica.setdefault(replica_id, {})
+    def _put(self, life: str, peer: str, load: Load) -> None:
+        there = self._by_life.setdefault(life, {})
         before = there.pop(peer, NO_LOAD)
         if load != NO_LOAD:
             there[peer] = load
-        total = self._sums.get(replica_id, NO_LOAD).plus(load).minus(before)
-        self._sums[replica_id] = total
+        total = self._sums.get(life, NO_LOAD).plus(load).minus(before)
+        self._sums[life] = total
         if not there:
             # Replicas come and go for as long as the process runs.
-            self._by_replica.pop(replica_id)
-            self._sums.pop(replica_id)
+            self._by_life.pop(life)
+            self._sums.pop(life)
--- a/cactusridge/jobs/free_replicas.py
+++ b/cactusridge/jobs/free_replicas.py
@@ -36,7 +36,7 @@
         ]
         # Without any of its own an entry uses all; yielding sorts it out.
         usable = mine if any(mine) else map(self._fleet.ready, services)
-        ready = {each.id: each for each in itertools.chain(*usable)}
+        ready = {each.life: each for each in itertools.chain(*usable)}
         allowed = self._runner.health.allowed(ready)
         free = [
             (
--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -1,14 +1,13 @@
 """The platform's list of replicas, read into the fleet view."""
 
-from typing import Any
-
 import gevent
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.replica import Replica, ReplicaState
-from cactusridge.http.client import parse_address
+from cactusridge.dispatch.life_order import LifeNotTold, LifeOver
+from cactusridge.dispatch.replica import Replica
+from cactusridge.platform.replica_entry import UnreadableEntry, read_entry
 from cactusridge.store.table import Row
 from cactusridge.store.table_follower import TableListener
 
@@ -28,6 +27,9 @@
         self._clock = clock
         self._grace_until = float(0)
         self._missing: set[str] = set()
+        # The version of each row that has been taken in, by key. Reading
+        # everything again finds most rows as they were.
+        self._taken: dict[str, int] = {}
 
     def regained(self) -> None:
         """Give entries that lapsed while the store was away time to return.
@@ -40,47 +42,80 @@
         gevent.spawn_later(LAPSED_GRACE_S, self._drop_missing)
 
     def put(self, row: Row) -> None:
-        """Take a replica's entry."""
-        replica_id = row.key.removeprefix(PREFIX)
-        if row.value is None:
-            self._drop(replica_id)
-            return
-        self._missing.discard(replica_id)
+        """Take a replica's entry; whatever it holds, the others hold."""
+        if row.value is None and not row.unreadable:
+            self._drop(row.key)
+        elif self._taken.get(row.key) != row.version:
+            self._taken[row.key] = row.version
+            self._take(row)
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Drop the replicas without an entry."""
+        for key in self._taken.keys() - keys:
+            self._drop(key)
+
+    def _take(self, row: Row) -> None:
+        """Take in a version of an entry; what is wrong is logged once."""
         try:
-            replica = _replica(replica_id, row.value)
-        except (KeyError, TypeError, ValueError) as exc:
+            replica = _read(row)
+            self._fleet.put(replica)
+        except (UnreadableEntry, LifeNotTold) as unreadable:
+            self._leave_out(row.key, str(unreadable))
+        except LifeOver as over:
+            # The newer life stays as it is, listed or gone.
             logs.emit(
-                events.HOST_UNREADABLE,
-                host=replica_id,
-                error=repr(exc),
+                events.LIFE_OUT_OF_ORDER,
+                host=_id_of(row.key),
+                error=str(over),
             )
-            return
-        self._fleet.put(replica)
+        else:
+            self._missing.discard(row.key)
+            if not self._fleet.is_named(replica):
+                _log_unreadable(row.key, 'tells no life, unlike most')
 
-    def keep_only(self, keys: set[str]) -> None:
-        """Drop the replicas without an entry."""
-        listed = {key.removeprefix(PREFIX) for key in keys}
-        for replica_id in self._fleet.ids() - listed:
-            self._drop(replica_id)
+    def _leave_out(self, key: str, cause: str) -> None:
+        """Take a replica whose entry is unreadable out of choice at once.
 
-    def _drop(self, replica_id: str) -> None:
+        No grace: the entry has not lapsed, it is there and names none.
+        """
+        self._missing.discard(key)
+        self._fleet.drop(_id_of(key))
+        _log_unreadable(key, cause)
+
+    def _drop(self, key: str) -> None:
+        self._taken.pop(key, None)
         if self._clock.monotonic() < self._grace_until:
-            self._missing.add(replica_id)
+            self._missing.add(key)
         else:
-            self._fleet.drop(replica_id)
+            self._fleet.drop(_id_of(key))
 
     def _drop_missing(self) -> None:
-        """Take those that did not come back for gone."""
+        """Take those that did not come back for gone.
+
+        Waits on while the store was away once more: those that lapsed
+        then have a grace of their own.
+        """
+        left_s = self._grace_until - self._clock.monotonic()
+        if left_s > 0:
+            gevent.spawn_later(left_s, self._drop_missing)
+            return
         while self._missing:
-            self._fleet.drop(self._missing.pop())
-
-
-def _replica(replica_id: str, raw: dict[str, Any]) -> Replica:
-    return Replica(
-        id=replica_id,
-        service=raw['service'],
-        address=parse_address(raw['address']),
-        zone=raw['zone'],
-        slots=raw['slots'],
-        state=ReplicaState(raw['state']),
-    )
+            self._fleet.drop(_id_of(self._missing.pop()))
+
+
+def _id_of(key: str) -> str:
+    """Return the id of a replica, the whole key in another part."""
+    return key.removeprefix(PREFIX)
+
+
+def _read(row: Row) -> Replica:
+    """Return the replica that a row names; raise UnreadableEntry."""
+    if not row.key.startswith(PREFIX):
+        raise UnreadableEntry('not in the part of the replicas')
+    if row.unreadable:
+        raise UnreadableEntry('cannot be decoded')
+    return read_entry(_id_of(row.key), row.value)
+
+
+def _log_unreadable(key: str, cause: str) -> None:
+    logs.emit(events.HOST_UNREADABLE, host=_id_of(key), error=cause)
