Soak: replicas that start again under their id, a foreign writer of the list

Change: from seed 200 on the soak draws Restart (refused, broken off, back as a newer life under the same id, three in ten at another address), EntrySpoiled (a replica's entry overwritten by one that names none, put back later unless it was written anew) and StrayEntry (an entry of no replica; half of them stay). A run belongs to a life, not to an id. New checks: a life whose entry can't be read gets nothing from 2 s on, nothing is ever sent to a stray entry; both count as planned work, which may cut no request. The stand-in store has put_packed and packed, so that a value need not be base64. Lower seeds draw what they drew.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,7 +38,7 @@
     check_always(record)
     runs = record.runs_by_id()
     _check_ended_jobs(record, runs)
-    _check_draining(record)
+    _check_withheld(record)
     _check_configuration(record)
     _check_planned_cuts(record, runs)
 
@@ -109,13 +109,16 @@
                 record.broke('ended jobs stop', f'{each.id} at {each.at}')
 
 
-def _check_draining(record: Record) -> None:
-    for began in record.began:
-        told_at = record.draining.get(began.replica)
-        if told_at is None or began.at <= told_at + DRAIN_BOUND_S:
+def _check_withheld(record: Record) -> None:
+    """Check that lives that may be given nothing got nothing."""
+    for began, withheld in itertools.product(record.began, record.withheld):
+        settled = withheld.since + DRAIN_BOUND_S
+        late = settled < began.at <= withheld.until
+        if began.life != withheld.life or not late:
             continue
         if record.calm(began.at - TOUCH_S, began.at, planned_too=False):
-            record.broke('leaving gets nothing', f'{began.id} at {began.at}')
+            text = f'{began.id} at {began.life} at {began.at}'
+            record.broke(withheld.promise, text)
 
 
 def _check_configuration(record: Record) -> None:
@@ -163,4 +166,4 @@
 
 
 def _places(runs: list[Began]) -> str:
-    return ', '.join(f'{each.replica} at {each.at:.3f}' for each in runs)
+    return ', '.join(f'{each.life} at {each.at:.3f}' for each in runs)
--- a/soak/record.py
+++ b/soak/record.py
@@ -43,14 +43,26 @@
 
 
 class Began(NamedTuple):
-    """A run that a replica began, of a request or an item."""
+    """A run that a life of a replica began, of a request or an item."""
 
     id: str
     target: str
-    replica: str
+    life: str
     at: float
 
 
+class Withheld(NamedTuple):
+    """From when to when a life of a replica may be given nothing, in seconds.
+
+    ``promise`` is what a run that begins there breaks.
+    """
+
+    life: str
+    since: float
+    until: float
+    promise: str
+
+
 class Violation(NamedTuple):
     """A promise that did not hold, and what shows it."""
 
@@ -104,8 +116,7 @@
         self.violations: list[Violation] = []
         # When each version of the configuration was acknowledged.
         self.versions: dict[int, float] = {}
-        # When each replica was put on the list as leaving.
-        self.draining: dict[str, float] = {}
+        self.withheld: list[Withheld] = []
 
     def broke(self, promise: str, text: str) -> None:
         """Note that a promise did not hold."""
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -11,6 +11,8 @@
 from standins.machines.replica import MachineReplica
 
 HANG_S = 30
+# So begin the ids of entries on the list that no replica has written.
+STRAY = 'stray-'
 
 
 class SoakReplica(MachineReplica):
@@ -29,12 +31,21 @@
         """Serve one request, as WSGI has it."""
         headers = dict(environ[HEADERS_KEY])
         request_id = headers.get('X-Attempt-Id', '')
-        if headers.get('X-Expect-Instance') == self.id:
+        expected = headers.get('X-Expect-Instance', '')
+        if expected == self.id:
             now = time.monotonic()
-            began = Began(request_id, environ[TARGET_KEY], self.id, now)
+            began = Began(request_id, environ[TARGET_KEY], self.life, now)
             self._record.began.append(began)
+        if expected.startswith(STRAY):
+            text = f'{request_id} was sent to {expected}'
+            self._record.broke('unreadable names none', text)
         return super().__call__(environ, start)
 
+    @property
+    def life(self) -> str:
+        """Return what tells this life from others, of its id too."""
+        return f'{self.id} born {self.born}'
+
     def text(self, request_id: str, number: int) -> str:
         """Return the data of an event."""
         return f'{request_id}.{number}'
--- a/soak/replica_faults.py
+++ b/soak/replica_faults.py
@@ -1,13 +1,18 @@
 """Replicas that crash, fail, slow down or leave; configurations."""
 
+import math
 import random
 import time
 
 from soak.faults import Fault
+from soak.record import Withheld
 from soak.world import World
+from standins.forwarder import Forwarder
 
 GREY = (0.2, 0.7)
 SLOW_X = (2, 8)
+# Of the replicas that start again, so many listen at another address.
+MOVED_SHARE = 0.3
 
 
 class ReplicaFault(Fault):
@@ -18,9 +23,13 @@
         super().__init__(world, rng)
         self.number = rng.randrange(len(world.replicas))
         self.replica = world.replicas[self.number]
-        self.link = world.replica_links[self.number]
         self.target = f'replica {self.number}'
 
+    @property
+    def link(self) -> Forwarder:
+        """Return the way to the replica, which may have moved."""
+        return self.world.replica_links[self.number]
+
 
 class Crash(ReplicaFault):
     """A replica crashes; another life of it listens at its address."""
@@ -40,6 +49,20 @@
         self.world.register(self.replica, self.link.address)
 
 
+class Restart(ReplicaFault):
+    """A replica crashes and starts again under the id that it had."""
+
+    def begin(self) -> None:
+        """Break off what it does."""
+        self.link.refusing = True
+        self.link.reset()
+
+    def end(self) -> None:
+        """Begin a life that knows nothing of the one before."""
+        moved = self.rng.random() < MOVED_SHARE
+        self.world.restart_under_same_id(self.number, moved)
+
+
 class BreaksOff(ReplicaFault):
     """Some streams are broken off in the middle of an event."""
 
@@ -97,7 +120,13 @@
     def begin(self) -> None:
         """Say that it leaves."""
         self.world.register(self.replica, self.link.address, 'draining')
-        self.world.record.draining[self.replica.id] = time.monotonic()
+        withheld = Withheld(
+            self.replica.life,
+            time.monotonic(),
+            math.inf,
+            'leaving gets nothing',
+        )
+        self.world.record.withheld.append(withheld)
 
     def end(self) -> None:
         """Come back as a new life of the replica."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -13,6 +13,7 @@
     Reset,
     Silence,
 )
+from soak.list_faults import EntrySpoiled, StrayEntry
 from soak.process_faults import (
     CutAndPause,
     Kill,
@@ -28,6 +29,7 @@
     Grey,
     Leaving,
     Reconfigure,
+    Restart,
     Slow,
 )
 from soak.store_faults import (
@@ -63,10 +65,13 @@
     Grey,
     Slow,
 )
-# Lower seeds draw from the table above, as they always have; what has been
+# Lower seeds draw from the tables above, as they always have; what has been
 # added since comes in the higher ones.
-FIRST_SEED_OF_ALL = 100
-ADDED = (CutAndPause, CutAndPause)
+FIRST_SEED_OF_PAUSES = 100
+PAUSES = (CutAndPause, CutAndPause)
+FIRST_SEED_OF_LISTS = 200
+LISTS = (EntrySpoiled, StrayEntry)
+RESTARTS = (Restart, Restart)
 # One seed in so many has planned work alone, which may cut nothing.
 PLANNED_EVERY = 4
 GAPS_S = (0.1, 2.0)
@@ -94,6 +99,10 @@
 
 
 def _kinds(seed: int) -> tuple[type[Fault], ...]:
+    lists = LISTS if seed >= FIRST_SEED_OF_LISTS else ()
     if seed % PLANNED_EVERY == 0:
-        return PLANNED
-    return FAULTS if seed < FIRST_SEED_OF_ALL else (*FAULTS, *ADDED)
+        return (*PLANNED, *lists)
+    if seed < FIRST_SEED_OF_PAUSES:
+        return FAULTS
+    restarts = RESTARTS if lists else ()
+    return (*FAULTS, *PAUSES, *lists, *restarts)
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,6 +13,7 @@
 from standins.forwarder import Forwarder
 from standins.machines.replica import MachineReplica
 from standins.machines.site import ROUTES, MachineSite
+from standins.machines.store import Place
 from standins.waiting import wait_for
 
 # A planned stop has to be over within this time, in seconds.
@@ -38,6 +39,8 @@
         self._starting: set[str] = set()
         self.over = False
         self.active: dict[object, tuple[float, str, bool]] = {}
+        # Entries of replicas that another writer has overwritten.
+        self.spoiled: set[Place] = set()
 
     def make_replica(self, replica_id: str, slots: int) -> MachineReplica:
         """Return a replica that notes its runs."""
--- a/standins/machines/store.py
+++ b/standins/machines/store.py
@@ -52,13 +52,21 @@
 
     def put_bytes(self, place: Place, raw: bytes) -> None:
         """Write a row whose value need not be a message."""
-        self._apply([(place, base64.b64encode(raw).decode())])
+        self.put_packed(place, base64.b64encode(raw).decode())
+
+    def put_packed(self, place: Place, packed: str | None) -> None:
+        """Write a row's value as it is answered; None removes the row."""
+        self._apply([(place, packed)])
         self._wake()
 
+    def packed(self, place: Place) -> str | None:
+        """Return a row's value as it is answered; None if it is not there."""
+        held = self.rows.get(place)
+        return None if held is None else held.packed
+
     def remove(self, place: Place) -> None:
         """Remove a row."""
-        self._apply([(place, None)])
-        self._wake()
+        self.put_packed(place, None)
 
     def forget_history(self) -> None:
         """Drop all changes, so that every watch has to read anew."""
