--- a/soak/checks.py
+++ b/soak/checks.py
@@ -61,6 +61,8 @@
         record.broke('refused is not run', f'{call.id} {call.status} ran')
     if call.status in {404, 400} and call.kind != 'version':
         record.broke('not denied', f'{call.id} got {call.status}')
+    if call.status == 500 and 'X-Response-Signature' not in call.headers:
+        record.broke('no fault of its own', f'{call.id} got {call.body!r}')
     if call.status == 503 and 'Retry-After' not in call.headers:
         record.broke('says when to come back', f'{call.id}: {call.body!r}')
 
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -12,7 +12,7 @@
 from cactusridge.http.client import Address
 from soak.checks import DRAIN_BOUND_S, check_at_end
 from soak.list_faults import EntrySpoiled, StrayEntry
-from soak.record import Began, Record, Withheld
+from soak.record import Began, Call, CallEnd, Record, Withheld
 from soak.replica_faults import Leaving, Restart
 from soak.schedule import PLANNED, schedule
 from soak.world import World
@@ -127,3 +127,16 @@
         record.began.append(Began('r', '/on/x', life, since + after_s))
         check_at_end(record)
         self.assertEqual(broken, len(record.violations))
+
+
+class TestOwnFault(unittest.TestCase):
+    """A failure of a replica is the replica's; another is a fault."""
+
+    @params(({}, 1), ({'X-Response-Signature': 'sig.i-0'}, 0))
+    def test_status(self, headers, broken):
+        """It is told by the replica's signature."""
+        record = Record()
+        call = Call('r', 'on', 'e', 0, 1, CallEnd.whole, 500, b'', headers)
+        record.calls.append(call)
+        check_at_end(record)
+        self.assertEqual(broken, len(record.violations))
