A row that cannot be read costs that row alone

Cause: the store's answers were decoded in one go. One row whose value was no base64, no JSON or no text made the whole answer StoreUnavailable for as long as it stood, or let ValueError, AttributeError or KeyError (a missing has_more) out that nobody catches; a listener that failed at a row kept its follower from ever getting past it; a spoilt configuration ended the follower's step.

Change: platform/row_codec.py reads each entry by itself.

Answers whose frame is wrong stay StoreUnavailable, a transaction's stay WriteUnknown; an answer without now_ms no longer sets the store's clock to 0. The follower tells its listener each row by itself: UnreadableRecord is logged once a version (309), any other failure as a fault of ours (311). The operator's configuration is read whole and typed; one that cannot be read leaves the last good one in force, from the store or from a peer (205). Values are fetched through store/fields.py, which knows missing, wrong type and under 0, and logged through store/row_reports.py, once a version.

--- a/cactusridge/platform/catalog_peers.py
+++ b/cactusridge/platform/catalog_peers.py
@@ -47,11 +47,11 @@
         try:
             gevent.sleep(FEED_HEAD_START_S)
             if version > self.version():
-                self._ask(peer)
+                self._ask(peer, version)
         finally:
             self._fetching = False
 
-    def _ask(self, peer: Address) -> None:
+    def _ask(self, peer: Address, version: int) -> None:
         try:
             _, raw = self._clients.get_json(peer, CATALOG_PATH)
         except (OSError, BadRequest, ValueError) as exc:
@@ -61,10 +61,11 @@
                 error=repr(exc),
             )
             return
-        if raw.get('version', 0) > self.version():
+        before = self.version()
+        self._holder.take(raw, str(peer), version)
+        if self.version() > before:
             logs.emit(
                 events.SETTINGS_FROM_PEER,
                 peer=str(peer),
-                version=raw['version'],
+                version=self.version(),
             )
-            self._holder.take(raw)
--- a/cactusridge/platform/operator.py
+++ b/cactusridge/platform/operator.py
@@ -12,8 +12,11 @@
     ServiceShare,
 )
 from cactusridge.platform.names import MS
+from cactusridge.store.fields import Fields
+from cactusridge.store.row_reports import RowReports
 from cactusridge.store.table import Row
 from cactusridge.store.table_follower import TableListener
+from cactusridge.store.unreadable import UnreadableField
 
 TABLE = 'op'
 KEY = 'op//config'
@@ -26,6 +29,7 @@
         """Know none at first."""
         self.catalog = NO_CATALOG
         self.raw: dict[str, Any] = {}
+        self._reports = RowReports(events.SETTINGS_UNREADABLE)
 
     @property
     def known(self) -> bool:
@@ -37,63 +41,94 @@
         return self.catalog
 
     def put(self, row: Row) -> None:
-        """Take the operator's row if it is newer."""
-        if row.key == KEY and row.value is not None:
-            self.take(row.value)
-
-    def take(self, raw: dict[str, Any]) -> None:
-        """Take a configuration from the store or a peer if it is newer."""
-        if raw['version'] <= self.catalog.version:
+        """Take the operator's row if it is newer and can be read."""
+        if row.key != KEY:
+            return
+        if row.unreadable:
+            self._reports.note(KEY, row.version, 'no JSON object')
+        elif row.value is not None:
+            self.take(row.value, KEY, row.version)
+
+    def take(
+        self,
+        raw: Any,
+        source: str = '',
+        source_version: int = 0,
+    ) -> None:
+        """Take a configuration from the store or a peer if it is newer.
+
+        One that cannot be read leaves the one in force; ``source`` and
+        its version say in the log whose it is.
+        """
+        try:
+            catalog = decode(raw)
+        except UnreadableField as exc:
+            self._reports.note(source, source_version, str(exc))
             return
-        self.catalog = decode(raw)
+        if catalog.version <= self.catalog.version:
+            return
+        self.catalog = catalog
         self.raw = raw
-        metrics.SETTINGS_VERSION.set({}, self.catalog.version)
+        metrics.SETTINGS_VERSION.set({}, catalog.version)
         logs.emit(
             events.SETTINGS_APPLIED,
-            version=self.catalog.version,
-            routes=len(self.catalog.routes),
+            version=catalog.version,
+            routes=len(catalog.routes),
         )
 
     def keep_only(self, keys: set[str]) -> None:
         """A configuration is never taken back."""
 
 
-def decode(raw: dict[str, Any]) -> Catalog:
-    """Return the catalog in the operator's words."""
+def decode(raw: Any) -> Catalog:
+    """Return the catalog in the operator's words; raise UnreadableField.
+
+    Read whole or not at all: a catalog without one of its routes would
+    answer that route's callers with 404.
+    """
+    fields = Fields(raw)
     return Catalog(
-        raw['version'],
-        tuple(map(_route, raw.get('routes', ()))),
-        _limits(raw.get('limits', {})),
+        fields.whole('version'),
+        tuple(map(_route, fields.listed('routes', ()))),
+        _limits(Fields(fields.mapping('limits', {}))),
     )
 
 
-def _route(raw: dict[str, Any]) -> Route:
-    split = raw.get('traffic_split') or [
-        {'service': raw['service'], 'weight': 1},
-    ]
+def _route(raw: Any) -> Route:
+    fields = Fields(raw)
+    timeout_ms = fields.number('timeout_ms')
     return Route(
-        name=raw['name'],
-        host=raw['host'],
-        prefix=raw['path_prefix'],
-        kind=RouteKind(raw['kind']),
-        shares=tuple(
-            ServiceShare(share['service'], share['weight']) for share in split
-        ),
-        timeout_s=raw['timeout_ms'] / MS,
-        aim_s=raw.get('target_latency_ms', raw['timeout_ms']) / MS,
-        attempts=raw.get('max_attempts', 1),
-        priority=raw.get('priority', 0),
-        resumable=bool(raw.get('resumable')),
-        due_s=raw.get('result_due_ms', 0) / MS,
-        give_up_s=raw.get('max_wait_s', 0),
+        name=fields.text('name'),
+        host=fields.text('host'),
+        prefix=fields.text('path_prefix'),
+        kind=fields.word('kind', RouteKind),
+        shares=_shares(fields),
+        timeout_s=timeout_ms / MS,
+        aim_s=fields.number('target_latency_ms', timeout_ms) / MS,
+        attempts=fields.whole('max_attempts', 1),
+        priority=fields.whole('priority', 0),
+        resumable=fields.flag('resumable', False),  # noqa: WPS425
+        due_s=fields.number('result_due_ms', 0) / MS,
+        give_up_s=fields.number('max_wait_s', 0),
+    )
+
+
+def _shares(route: Fields) -> tuple[ServiceShare, ...]:
+    split = route.listed('traffic_split', ())
+    if not split:
+        return (ServiceShare(route.text('service'), 1),)
+    shares = map(Fields, split)
+    return tuple(
+        ServiceShare(share.text('service'), share.number('weight'))
+        for share in shares
     )
 
 
-def _limits(raw: dict[str, Any]) -> CallerLimits:
+def _limits(fields: Fields) -> CallerLimits:
     usual = CallerLimits()
     return CallerLimits(
-        raw.get('max_header_bytes', usual.header_bytes),
-        raw.get('max_body_bytes', usual.body_bytes),
-        raw.get('header_timeout_ms', usual.header_s * MS) / MS,
-        raw.get('idle_timeout_ms', usual.idle_s * MS) / MS,
+        fields.whole('max_header_bytes', usual.header_bytes),
+        fields.whole('max_body_bytes', usual.body_bytes),
+        fields.number('header_timeout_ms', usual.header_s * MS) / MS,
+        fields.number('idle_timeout_ms', usual.idle_s * MS) / MS,
     )
--- a/cactusridge/platform/rows.py
+++ b/cactusridge/platform/rows.py
@@ -1,16 +1,27 @@
 """The platform's rows as the product's table, and its feed as a watch."""
 
-import base64
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
-from cactusridge import wire
+from cactusridge import events, wire
 from cactusridge.errors import BadRequest, StoreUnavailable
+from cactusridge.platform.row_codec import (
+    RETRY_S,
+    Answer,
+    answer_in,
+    packed_of,
+    place_of,
+    rows_in,
+    unreadable_answer,
+)
+from cactusridge.store.fields import Fields
 from cactusridge.store.link import PlatformAnswer, PlatformLink
+from cactusridge.store.row_reports import RowReports
 from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table import (
+    ABSENT,
     PAGE,
     Condition,
     ConditionFailed,
@@ -20,10 +31,9 @@
     Write,
     WriteUnknown,
 )
+from cactusridge.store.unreadable import UnreadableField
 from cactusridge.store.watch import HistoryLost, Snapshot, Watch
 
-RETRY_S = 0.5
-ROW_KEY_PARTS = 2
 # A watch is kept waiting by the store; the link waits this much longer.
 MS = 1000
 # Bytes of an unexpected answer that are shown in its error.
@@ -43,6 +53,7 @@
         self.link = link
         self.feeds = feeds
         self._store_clock = store_clock
+        self._reports = RowReports(events.ROW_UNNAMED)
 
     def transact(
         self,
@@ -54,24 +65,25 @@
         keys = [each.key for each in (*conditions, *writes)]
         message = {
             'expected_rev': [
-                {**_place(each.key), 'ver': each.version} for each in conditions
+                {**place_of(each.key), 'ver': each.version}
+                for each in conditions
             ],
             'writes': [
-                {**_place(each.key), 'value': _packed(each.value)}
+                {**place_of(each.key), 'value': packed_of(each.value)}
                 for each in writes
                 if each.value is not None
             ],
             'remove': [
-                _place(each.key) for each in writes if each.value is None
+                place_of(each.key) for each in writes if each.value is None
             ],
         }
-        if len({_place(key)['part'] for key in keys}) > 1:
+        if len({place_of(key)['part'] for key in keys}) > 1:
             message['across'] = True
         raw = wire.encode(message)
         answer = self.link.call('POST', '/api/rows-tx', raw, priority)
         try:
             return self._version(answer)
-        except (BadRequest, KeyError, TypeError) as exc:
+        except UnreadableField as exc:
             raise WriteUnknown(f'unreadable: {exc!r}') from exc
 
     def read(self, keys: Sequence[str], priority: Priority) -> list[Row]:
@@ -103,25 +115,32 @@
         answer = self.feeds.ask('GET', path, b'', Priority.lease)
         if answer.status == HTTPStatus.GONE:
             raise HistoryLost
-        return _snapshot(answer)
+        found = self._answer(_fields(answer))
+        return Snapshot(found.rows, found.version)
 
     def _version(self, answer: PlatformAnswer) -> int:
+        """Return a transaction's version; raise UnreadableField."""
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
-            rows = wire.decode(answer.body)['rows']
-            raise ConditionFailed([_row(each) for each in rows])
+            rows, _ = rows_in(_decoded(answer).listed('rows'))
+            raise ConditionFailed(rows)
         if answer.status != HTTPStatus.OK:
             raise StoreUnavailable(
                 f'the table answered {answer.status} {answer.body[:SHOWN]!r}',
                 retry_after_s=RETRY_S,
             )
-        return int(wire.decode(answer.body)['ver'])
+        return _decoded(answer).whole('ver')
 
     def _read_one(self, key: str, priority: Priority) -> Row:
-        place = _place(key)
+        place = place_of(key)
         name = place.pop('key')
         asked = {**place, 'from': name, 'to': f'{name}\0', 'limit': 1}
-        found = self._get(asked, priority)
-        return found.rows[0] if found.rows else Row(key, None, 0)
+        found = self._get(asked, priority).answer
+        if found.rows and found.rows[0].key == key:
+            return found.rows[0]
+        # Something is there that does not say its place: nobody may take
+        # the row for absent.
+        there = bool(found.rows or found.unnamed)
+        return Row(key, None, ABSENT, unreadable=there)
 
     def _scan(
         self,
@@ -131,74 +150,90 @@
         limit: int | None,
     ) -> Snapshot:
         """Return rows below ``prefix``; without a limit, all of them."""
-        place = _place(prefix)
+        place = place_of(prefix)
         name = place.pop('key')
-        start = f'{_place(after)["key"]}\0' if after else name
+        start = f'{place_of(after)["key"]}\0' if after else name
         rows: list[Row] = []
-        version = None
+        versions = []
+        size = limit or PAGE
         while True:
             asked: dict[str, Any] = {**place, 'from': start}
             if name:
                 asked['to'] = f'{name[:-1]}{chr(ord(name[-1]) + 1)}'
-            asked['limit'] = min(PAGE, (limit or PAGE) - len(rows) % PAGE)
+            asked['limit'] = size
             found = self._get(asked, priority)
-            rows.extend(found.rows)
-            version = found.version if version is None else version
+            rows.extend(found.answer.rows)
+            versions.append(found.answer.version)
             enough = limit is not None and len(rows) >= limit
             if enough or not found.more:
-                return Snapshot(rows, version)
-            start = f'{_place(rows[-1].key)["key"]}\0'
+                return Snapshot(rows[:limit], versions[0])
+            size = _next_size(size, found.answer, limit, len(rows))
+            if rows:
+                start = f'{place_of(rows[-1].key)["key"]}\0'
 
     def _get(self, asked: dict[str, Any], priority: Priority) -> '_Page':
         path = f'/api/rows-get?{urlencode(asked)}'
-        answer = self.link.ask('GET', path, b'', priority)
-        snapshot = _snapshot(answer)
-        said = wire.decode(answer.body)
-        self._store_clock.note(said.get('now_ms', 0))
-        return _Page(snapshot.rows, snapshot.version, bool(said['has_more']))
-
-
-class _Page:
-    """One answer to a read: rows, version, whether there are more."""
-
-    def __init__(self, rows: list[Row], version: int, more: bool) -> None:
-        self.rows = rows
-        self.version = version
-        self.more = more
+        fields = _fields(self.link.ask('GET', path, b'', priority))
+        try:
+            more = fields.flag('has_more')
+            now_ms = fields.number('now_ms', None)
+        except UnreadableField as exc:
+            raise unreadable_answer(exc) from exc
+        if now_ms is not None:
+            self._store_clock.note(now_ms)
+        return _Page(self._answer(fields), more)
+
+    def _answer(self, fields: Fields) -> Answer:
+        found = answer_in(fields)
+        for entry in found.unnamed:
+            self._reports.note(repr(entry)[:SHOWN], ABSENT, 'it has no place')
+        return found
+
+
+class _Page(NamedTuple):
+    """One answer to a read, and whether there are more rows."""
+
+    answer: Answer
+    more: bool
+
+
+def _next_size(
+    size: int,
+    answer: Answer,
+    limit: int | None,
+    count: int,
+) -> int:
+    """Return how many rows to ask for after a page of ``size``.
+
+    A page begins after the last row that could be named, so one of
+    nothing but unnamed entries is asked for again, as long as can be.
+    """
+    if answer.rows:
+        return PAGE if limit is None else min(PAGE, limit - count)
+    if size == PAGE:
+        raise StoreUnavailable(
+            'a page without a row that can be named',
+            retry_after_s=RETRY_S,
+        )
+    return PAGE
 
 
-def _snapshot(answer: PlatformAnswer) -> Snapshot:
+def _fields(answer: PlatformAnswer) -> Fields:
+    """Return the fields of an answer; raise StoreUnavailable."""
     if answer.status != HTTPStatus.OK:
         raise StoreUnavailable(
             f'the table answered {answer.status}',
             retry_after_s=RETRY_S,
         )
     try:
-        said = wire.decode(answer.body)
-        return Snapshot(list(_rows(said['rows'])), int(said['ver']))
-    except (BadRequest, LookupError, TypeError) as exc:
-        raise StoreUnavailable(
-            f'unreadable: {exc!r}',
-            retry_after_s=RETRY_S,
-        ) from exc
-
-
-def _rows(entries: Iterable[dict[str, Any]]) -> Iterable[Row]:
-    return map(_row, entries)
-
+        return _decoded(answer)
+    except UnreadableField as exc:
+        raise unreadable_answer(exc) from exc
 
-def _row(entry: dict[str, Any]) -> Row:
-    key = '/'.join((entry['table'], entry.get('part', ''), entry['key']))
-    packed = entry.get('value')
-    gone = entry.get('deleted') or packed is None
-    held = None if gone else wire.decode(base64.b64decode(packed))
-    return Row(key, held, int(entry.get('ver', 0)))
 
-
-def _place(key: str) -> dict[str, str]:
-    table, part, name = key.split('/', ROW_KEY_PARTS)
-    return {'table': table, 'part': part, 'key': name}
-
-
-def _packed(held: Any) -> str:
-    return base64.b64encode(wire.encode(held)).decode()
+def _decoded(answer: PlatformAnswer) -> Fields:
+    """Return the fields of an answer; raise UnreadableField."""
+    try:
+        return Fields(wire.decode(answer.body))
+    except BadRequest as exc:
+        raise UnreadableField(str(exc)) from exc
--- a/cactusridge/store/table_follower.py
+++ b/cactusridge/store/table_follower.py
@@ -2,13 +2,16 @@
 
 import abc
 import random
+from collections.abc import Callable
 
 import gevent
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import StoreUnavailable
-from cactusridge.store.table import Row
+from cactusridge.store.row_reports import RowReports
+from cactusridge.store.table import ABSENT, Row
+from cactusridge.store.unreadable import UnreadableRecord
 from cactusridge.store.watch import HistoryLost, Watch
 
 # A watch is answered at least this often, which tells a lost connection
@@ -31,7 +34,10 @@
 
     @abc.abstractmethod
     def put(self, row: Row) -> None:
-        """Take a row; without a value it was removed."""
+        """Take a row; without a value it was removed or is unreadable.
+
+        Raises UnreadableRecord; the other rows are taken all the same.
+        """
 
     @abc.abstractmethod
     def keep_only(self, keys: set[str]) -> None:
@@ -63,6 +69,8 @@
         self._version: int | None = None
         self._read_at = float(0)
         self._pause_s = FIRST_PAUSE_S
+        self._unreadable = RowReports()
+        self._failures = RowReports(events.LISTENER_FAILED)
 
     def silent_s(self) -> float:
         """Return the seconds for which the store has told nothing."""
@@ -95,13 +103,35 @@
             found = self._watch.changes(self._table, self._version, WAIT_S)
             whole = False
         if was_away:
-            self._listener.regained()
+            self._tell(self._table, ABSENT, self._listener.regained)
         if whole:
-            self._listener.keep_only({row.key for row in found.rows})
+            keys = {row.key for row in found.rows}
+            self._tell(
+                self._table,
+                found.version,
+                lambda: self._listener.keep_only(keys),
+            )
         for row in found.rows:
-            self._listener.put(row)
+            self._put(row)
         self._version = found.version
 
+    def _put(self, row: Row) -> None:
+        """Have the listener take a row."""
+        self._tell(row.key, row.version, lambda: self._listener.put(row))
+
+    def _tell(self, key: str, version: int, say: Callable[[], None]) -> None:
+        """Tell the listener; what it cannot take costs that alone.
+
+        Guards against a table that is read again and again from its
+        beginning and never past the row at which the listener fails.
+        """
+        try:
+            say()
+        except UnreadableRecord as exc:
+            self._unreadable.note(key, version, str(exc))
+        except Exception as fault:
+            self._failures.note(key, version, repr(fault))
+
     def _rest(self) -> None:
         gevent.sleep(self._pause_s * self._rng.uniform(0.5, 1))
         self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -1,8 +1,12 @@
 """Following a table through outages and lost history."""
 
+import itertools
 import random
 import unittest
 
+from nose2.tools import params
+
+from cactusridge import events
 from cactusridge.clock import ManualClock
 from cactusridge.errors import StoreUnavailable
 from cactusridge.store.breaker import Breaker
@@ -12,7 +16,9 @@
     TableFollower,
     TableListener,
 )
+from cactusridge.store.unreadable import UnreadableRecord
 from cactusridge.store.watch import HistoryLost, Snapshot, Watch
+from tests.emitted import emitted
 
 
 class ScriptedWatch(Watch):
@@ -104,6 +110,69 @@
         self.assertEqual(3, self.follower.silent_s())
 
 
+class FailingRows(Rows):
+    """Fails at one row, or at what is told of the whole table."""
+
+    def __init__(self, failing: str, failure: Exception) -> None:
+        """Fail with ``failure`` at the row or call ``failing``."""
+        super().__init__()
+        self.failing = failing
+        self.failure = failure
+
+    def put(self, row):
+        """Keep a row, or fail."""
+        if row.key == self.failing:
+            raise self.failure
+        super().put(row)
+
+    def keep_only(self, keys):
+        """Forget the others, or fail."""
+        if self.failing == 'keep_only':
+            raise self.failure
+        super().keep_only(keys)
+
+    def regained(self):
+        """Fail or not."""
+        if self.failing == 'regained':
+            raise self.failure
+
+
+class TestFailingListener(unittest.TestCase):
+    """What a listener cannot take costs that alone."""
+
+    @params(
+        *itertools.product(
+            ('t//a', 't//b', 'keep_only', 'regained'),
+            (StoreUnavailable(), KeyError('x'), AttributeError()),
+        ),
+    )
+    def test_others_are_told(self, failing, failure):
+        """Each other row is put, and what follows is only the changes."""
+        watch = ScriptedWatch()
+        listener = FailingRows(failing, failure)
+        follower = TableFollower(watch, 't', ['t//'], listener, ManualClock())
+        watch.rows = [Row('t//a', {}, 1), Row('t//b', {}, 1)]
+        with emitted() as found:
+            follower.step()
+            follower.step()
+        self.assertEqual({'t//a', 't//b'} - {failing}, set(listener.rows))
+        self.assertEqual(['all', 'after 1'], watch.asked)
+        self.assertEqual([events.LISTENER_FAILED], found)
+        self.assertEqual(0, follower.silent_s())
+
+    def test_typed_failure(self):
+        """A row that the listener refuses is told once a version."""
+        watch = ScriptedWatch()
+        listener = FailingRows('t//a', UnreadableRecord('t//a'))
+        follower = TableFollower(watch, 't', ['t//'], listener, ManualClock())
+        with emitted() as found:
+            for version in (1, 1, 1, 2, 2):
+                watch.rows = [Row('t//a', {}, version), Row('t//b', {}, 1)]
+                follower.step()
+        self.assertEqual([events.ROW_UNREADABLE] * 2, found)
+        self.assertEqual({'t//b'}, set(listener.rows))
+
+
 class TestBreakerPause(unittest.TestCase):
     """How soon the store is asked again after an outage."""
 
