Rows of jobs that cannot be read are never taken for absent

Cause: a head, a progress, an item or a result that another writer had spoilt was absent to its reader (404 to a caller, no failure for a taker), or raised TypeError, KeyError or ValueError: one head ended the follower's step for all heads, one member's row ended the reading of all members, one wrong result row was left out and the next moved up into its place.

A taker reads items and progress before it writes, and tries such a job again after 5 s only. A head that cannot be read leaves the job unknown to takers and janitor while its holder goes on. Results end before one that is spoilt or missing; positions and pieces have to follow each other. Unfinished outputs are left out alone, their items start anew. A member's row neither renews a lease nor ends one early. Rows of our tables whose keys are none of ours are left out, and their removal takes nothing away.

--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -25,6 +25,7 @@
     Result,
 )
 from cactusridge.jobs.step import ItemEnd, Step
+from cactusridge.store.unreadable import UnreadableRecord
 
 RETRY_S = 0.3
 # How often unfinished outputs are stored, in seconds: what a holder that
@@ -201,9 +202,15 @@
 ) -> HeldJob:
     """Return a job as its holders before this one left it.
 
-    Raises NotFound, StoreUnavailable.
+    Raises NotFound, StoreUnavailable, UnreadableRecord.
     """
     progress = ledger.progress(head.id)
+    last = max(progress.listed, default=0)
+    if len(items) != head.items or last >= head.items:
+        raise UnreadableRecord(
+            f'job {head.id} of {head.items} items has {len(items)},'
+            f' listed up to the one at {last}',
+        )
     partials = ledger.partials(head.id)
     return HeldJob(head, progress, items, partials, ledger, clock)
 
--- a/cactusridge/jobs/hold_writer.py
+++ b/cactusridge/jobs/hold_writer.py
@@ -92,6 +92,9 @@
     ) -> int:
         key, write_id = mark or (writes[0].key, '')
         row = self._table.read([key], Priority.lease)[0]
+        if row.unreadable:
+            # It may have been written over after this write took effect.
+            raise OutcomeUnknown(f'{key} cannot be read') from exc
         found = row.value or {}
         mine = (
             found.get('write_id') == write_id
--- a/cactusridge/jobs/keys.py
+++ b/cactusridge/jobs/keys.py
@@ -2,6 +2,10 @@
 
 from cactusridge.jobs.model import SHARDS, shard_of
 
+# Digits in the keys of unfinished outputs and of results.
+INDEX_DIGITS = 4
+POSITION_DIGITS = 6
+
 
 def head_prefixes() -> list[str]:
     """Return the prefixes below which the heads of all jobs are."""
@@ -30,7 +34,7 @@
 
 def partial_key(job_id: str, index: int) -> str:
     """Return the key of an item's unfinished output."""
-    return f'{partial_prefix(job_id)}{index:04}'
+    return f'{partial_prefix(job_id)}{index:0{INDEX_DIGITS}}'
 
 
 def partial_prefix(job_id: str) -> str:
--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -16,6 +16,7 @@
     StoreUnavailable,
 )
 from cactusridge.identity import new_id
+from cactusridge.jobs.heads import head_in
 from cactusridge.jobs.hold_writer import HoldLost, HoldWriter
 from cactusridge.jobs.keys import (
     head_key,
@@ -30,22 +31,20 @@
     Partial,
     Progress,
     Result,
-    head_of,
     head_value,
 )
 from cactusridge.jobs.payloads import Payloads
-from cactusridge.jobs.result_rows import (
-    results_in,
-    start_after,
-    without_last,
-)
+from cactusridge.jobs.result_rows import ResultReader
 from cactusridge.jobs.step import (
     Step,
+    partial_in,
     progress_after,
+    progress_in,
     progress_value,
     step_writes,
 )
 from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import (
     ABSENT,
     Condition,
@@ -54,6 +53,7 @@
     Write,
     scan_all,
 )
+from cactusridge.store.unreadable import UnreadableRecord
 from cactusridge.store.writer import insert_once
 
 # Results in one transaction; of at most some 23 KB each they stay well
@@ -62,8 +62,6 @@
 # Readings of a head that changes while its job is ended; only a take-over
 # changes it, and that seldom twice in a row.
 END_TRIES = 8
-# Results in one answer to a reader.
-PAGE_RESULTS = 30
 # Rows removed in one transaction; the store takes a hundred.
 MAX_REMOVED = 90
 # Characters of unfinished output that a row takes, whatever they are.
@@ -84,6 +82,8 @@
         self._writer = HoldWriter(table)
         self._payloads = Payloads(table, objects)
         self._clock = clock
+        self._reader = RowReader()
+        self._results = ResultReader(table, self._reader)
 
     def accept(
         self,
@@ -108,37 +108,46 @@
             return head._replace(version=version)
         try:
             return self.head(head.id)
-        except StoreUnavailable as exc:
+        except (StoreUnavailable, UnreadableRecord) as exc:
             # It is stored: nothing may be said that means it is not.
             raise OutcomeUnknown(str(exc), retry_after_s=1) from exc
 
     def head(self, job_id: str) -> JobHead:
-        """Return a job's head; raise NotFound, StoreUnavailable."""
+        """Return a job's head.
+
+        Raises NotFound, StoreUnavailable, UnreadableRecord.
+        """
         row = self._table.read([head_key(job_id)], Priority.acceptance)[0]
-        if row.value is None:
+        head = self._reader.read(row, head_in)
+        if head is None:
             raise NotFound(f'no job {job_id}')
-        return head_of(job_id, row.value, row.version)
+        return head
 
     def progress(self, job_id: str) -> Progress:
-        """Return what is committed of a job."""
+        """Return what is committed of a job.
+
+        Raises NotFound, StoreUnavailable, UnreadableRecord.
+        """
         row = self._table.read([progress_key(job_id)], Priority.lease)[0]
-        if row.value is None:
+        progress = self._reader.read(row, progress_in)
+        if progress is None:
             raise NotFound(f'no job {job_id}')
-        return Progress(version=row.version, **row.value)
+        return progress
 
     def items(self, job_id: str) -> list[JobItem]:
-        """Return the items of a job; raise NotFound."""
+        """Return the items of a job.
+
+        Raises NotFound, StoreUnavailable, UnreadableRecord.
+        """
         return self._payloads.read(job_id)
 
     def partials(self, job_id: str) -> list[Partial]:
-        """Return the unfinished outputs of a job's items."""
-        prefix = partial_prefix(job_id)
-        rows = self._table.scan(prefix, Priority.commit)
-        return [
-            Partial(int(row.key.removeprefix(prefix)), **row.value)
-            for row in rows
-            if row.value is not None
-        ]
+        """Return the unfinished outputs of a job's items.
+
+        One that cannot be read is left out: its item starts anew.
+        """
+        rows = self._table.scan(partial_prefix(job_id), Priority.commit)
+        return list(self._reader.readable(rows, partial_in))
 
     def take(self, head: JobHead, holder: str, life: str) -> JobHead:
         """Become the holder; raise HoldLost if another was faster."""
@@ -198,17 +207,12 @@
         return self._put_head(head._replace(state=JobState.closed))
 
     def results(self, job_id: str, after: int) -> list[Result]:
-        """Return results from position ``after`` on, one if there is one."""
-        start = start_after(job_id, after)
-        rows = self._table.scan(
-            result_prefix(job_id),
-            Priority.report,
-            start,
-            PAGE_RESULTS,
-        )
-        if len(rows) == PAGE_RESULTS:
-            rows = without_last(rows)
-        return list(results_in(rows))
+        """Return results from position ``after`` on, one if there is one.
+
+        Raises StoreUnavailable, and UnreadableRecord if the first cannot
+        be read.
+        """
+        return self._results.page(job_id, after)
 
     def remove(self, head: JobHead) -> None:
         """Remove a job that nobody may read any more, its head last."""
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -163,15 +163,16 @@
         """Become the holder of an orphaned job and run it."""
         me = self._session.me
         try:
-            taken = self.ledger.take(head, me.name, me.life)
+            # Read first: who cannot run a job does not become its holder.
             items = self.ledger.items(head.id)
+            taken = self.ledger.take(head, me.name, me.life)
         except HoldLost:
             self._taking.discard(head.id)
             self._refresh(head.id)
             return
         except CactusridgeError as exc:
             self._taking.discard(head.id)
-            logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
+            self._orphans.not_taken(head, exc)
             return
         self._tell_peers(taken.id, taken.version)
         logs.emit(
@@ -202,8 +203,7 @@
         try:
             held = restored_job(head, items, self.ledger, self._clock)
         except CactusridgeError as exc:
-            # The next look finds it orphaned, with this entry as holder.
-            logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
+            self._orphans.not_taken(head, exc)
             return
         finally:
             self._taking.discard(head.id)
--- a/cactusridge/jobs/model.py
+++ b/cactusridge/jobs/model.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from cactusridge.hashing import hash64
+from cactusridge.store.fields import Fields
 
 SHARDS = 8
 
@@ -97,9 +98,20 @@
 
 
 def head_of(job_id: str, raw: dict[str, Any], version: int) -> JobHead:
-    """Return the head in a row's value."""
-    fields = {**raw, 'state': JobState(raw['state'])}
-    return JobHead(id=job_id, version=version, **fields)
+    """Return the head in a row's value; raise UnreadableField."""
+    fields = Fields(raw)
+    return JobHead(
+        id=job_id,
+        host=fields.text('host'),
+        path=fields.text('path'),
+        items=fields.whole('items'),
+        created_ms=fields.whole('created_ms'),
+        holder=fields.text('holder'),
+        life=fields.text('life'),
+        state=fields.word('state', JobState),
+        version=version,
+        catalog_version=fields.whole('catalog_version', 0),
+    )
 
 
 def head_value(head: JobHead) -> dict[str, Any]:
--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -1,13 +1,20 @@
 """Jobs without a living holder, and whose turn it is to take them."""
 
+from cactusridge import events, logs
 from cactusridge.clock import Clock
+from cactusridge.errors import CactusridgeError
 from cactusridge.hashing import hash64, rendezvous
 from cactusridge.jobs.model import JobHead, JobState
 from cactusridge.jobs.session import Session
+from cactusridge.store.unreadable import UnreadableRecord
 
 # The entry that ranks first for a job takes it at once; each next one
 # waits this much longer, a write and its news at the others.
 RANK_DELAY_S = 0.4
+# A job whose rows cannot be read is tried again after this long, in
+# seconds: without a pause, each look of the entry that ranks first, four
+# a second.
+UNREADABLE_PAUSE_S = 5.0
 
 
 class Orphans:
@@ -37,6 +44,16 @@
         since = self._since.setdefault(head.id, now)
         return now - since >= self.rank(head) * RANK_DELAY_S
 
+    def not_taken(self, head: JobHead, exc: CactusridgeError) -> None:
+        """Note that a job could not be taken, and say why.
+
+        One whose rows cannot be read is tried again only after a while:
+        until somebody repairs them each try fails after some reads.
+        """
+        logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
+        if isinstance(exc, UnreadableRecord):
+            self._since[head.id] = self._clock.monotonic() + UNREADABLE_PAUSE_S
+
     def rank(self, head: JobHead) -> int:
         """Return this entry's place among those that may see to a job."""
         live = [member.name for member in self._session.members()]
--- a/cactusridge/jobs/result_rows.py
+++ b/cactusridge/jobs/result_rows.py
@@ -1,18 +1,24 @@
 """Results as rows: a first row for each position, more for long outputs."""
 
+import itertools
 from collections.abc import Iterable
-from typing import Any
 
-from cactusridge.jobs.keys import result_prefix
+from cactusridge.jobs.keys import POSITION_DIGITS, result_prefix
 from cactusridge.jobs.model import ItemState, Result
 from cactusridge.jobs.pieces import cut
-from cactusridge.store.table import Row, Write
+from cactusridge.store.fields import Fields
+from cactusridge.store.row_reader import RowReader
+from cactusridge.store.table import Priority, Row, Table, Write
+from cactusridge.store.unreadable import UnreadableField, UnreadableRecord
+
+# Rows of results in one answer to a reader.
+PAGE_RESULTS = 30
 
 
 def rows_of(job_id: str, position: int, result: Result) -> Iterable[Write]:
     """Yield the rows of a result; all but the first only go on its output."""
     first, *others = cut(result.output)
-    key = f'{result_prefix(job_id)}{position:06}'
+    key = f'{result_prefix(job_id)}{position:0{POSITION_DIGITS}}'
     yield Write(
         key,
         {'id': result.id, 'state': result.state, 'output': first},
@@ -25,25 +31,99 @@
     """Return a key after all rows of the results before ``position``."""
     if not position:
         return ''
-    return f'{result_prefix(job_id)}{position - 1:06}~'
+    return f'{result_prefix(job_id)}{position - 1:0{POSITION_DIGITS}}~'
 
 
 def without_last(rows: list[Row]) -> list[Row]:
     """Drop the last result, whose rows may not all be on the page."""
-    firsts = [
-        number for number, row in enumerate(rows) if 'id' in (row.value or {})
-    ]
-    return rows[: firsts[-1]] if len(firsts) > 1 else rows
-
-
-def results_in(rows: Iterable[Row]) -> Iterable[Result]:
-    """Yield the results in rows that are sorted by key."""
-    found: list[dict[str, Any]] = []
-    for row in rows:
-        raw = row.value or {}
-        if 'id' in raw:
-            found.append({**raw})
-        elif found:
-            found[-1]['output'] += raw.get('more', '')
-    for fields in found:
-        yield Result(fields['id'], ItemState(fields['state']), fields['output'])
+    last = _position(rows[-1])
+    kept = [row for row in rows if _position(row) != last]
+    return kept or rows
+
+
+class ResultReader:
+    """Puts results together from their rows.
+
+    A position holds one result for good, so nothing may move up into the
+    place of one that cannot be read.
+    """
+
+    def __init__(self, table: Table, reader: RowReader) -> None:
+        """Read the rows of ``table`` with ``reader``."""
+        self._table = table
+        self._reader = reader
+
+    def page(self, job_id: str, after: int) -> list[Result]:
+        """Return results from position ``after`` on.
+
+        Raises StoreUnavailable, UnreadableRecord.
+        """
+        rows = self._table.scan(
+            result_prefix(job_id),
+            Priority.report,
+            start_after(job_id, after),
+            PAGE_RESULTS,
+        )
+        if len(rows) == PAGE_RESULTS:
+            rows = without_last(rows)
+        return self.read(rows, after)
+
+    def read(self, rows: Iterable[Row], first: int) -> list[Result]:
+        """Return the results in sorted rows, from position ``first`` on.
+
+        It ends before a result that cannot be read, or that is missing
+        before others. Raises UnreadableRecord if that is the first.
+        """
+        found: list[Result] = []
+        ours = filter(self._is_ours, rows)
+        for place, group in itertools.groupby(ours, _position):
+            wanted = f'{first + len(found):0{POSITION_DIGITS}}'
+            try:
+                found.append(self._result(list(group), place, wanted))
+            except UnreadableRecord:
+                if not found:
+                    raise
+                break
+        return found
+
+    def _is_ours(self, row: Row) -> bool:
+        """Tell whether a row's key is one of a result's; log others."""
+        position = _position(row)
+        ours = position.isdecimal() and len(position) == POSITION_DIGITS
+        if not ours:
+            self._reader.report(row, 'no place of a result')
+        return ours
+
+    def _result(self, rows: list[Row], place: str, wanted: str) -> Result:
+        """Return the result at a position; raise UnreadableRecord."""
+        if place != wanted:
+            self._reader.refuse(rows[0], f'{wanted} is missing before it')
+        result = self._reader.read(rows[0], _first)
+        others = [self._reader.read(row, _more) for row in rows[1:]]
+        if result is None or None in others:
+            self._reader.refuse(rows[0], 'it was removed')
+        numbers = [row.key.rpartition('.')[-1] for row in rows[1:]]
+        if numbers != [f'{number:04}' for number in range(len(others))]:
+            self._reader.refuse(rows[0], f'it goes on in {numbers}')
+        output = ''.join((result.output, *others))
+        return result._replace(output=output)
+
+
+def _position(row: Row) -> str:
+    """Return the position in the key of a result's row, as it stands."""
+    return row.key.split('.', 2)[1]
+
+
+def _first(row: Row) -> Result:
+    if row.key.count('.') != 1:
+        raise UnreadableField('the first row is missing')
+    fields = Fields(row.value)
+    return Result(
+        fields.text('id'),
+        fields.word('state', ItemState),
+        fields.text('output'),
+    )
+
+
+def _more(row: Row) -> str:
+    return Fields(row.value).text('more')
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -6,7 +6,10 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
+from cactusridge.store.fields import Fields
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import Priority, Row, Table, Write, WriteUnknown
+from cactusridge.store.unreadable import UnreadableField, UnreadableRecord
 
 PREFIX = 'members//'
 # Renewals and readings, one of each a second and entry: two of the
@@ -17,6 +20,7 @@
 LEASE_S = 3.2
 # A holder sends nothing more this long before others may take its jobs.
 MARGIN_S = 0.7
+MAX_PORT = 65_535
 
 
 class Member(NamedTuple):
@@ -30,9 +34,13 @@
 
 
 class Seen(NamedTuple):
-    """A member's row version and when it was first read."""
+    """A member's row version and when it was first read.
 
-    member: Member
+    Without a member its row could never be read; whose it is lives, in
+    whatever incarnation, until a lease has passed.
+    """
+
+    member: Member | None
     version: int
     seen_at: float
 
@@ -54,6 +62,7 @@
         self._table = table
         self._clock = clock
         self._seen: dict[str, Seen] = {}
+        self._reader = RowReader()
         self._read_at: float | None = None
         self._left = False
 
@@ -88,7 +97,9 @@
         others = [
             seen.member
             for seen in self._seen.values()
-            if seen.member.name != self.me.name and not self._is_silent(seen)
+            if seen.member is not None
+            and seen.member.name != self.me.name
+            and not self._is_silent(seen)
         ]
         return [self.me, *others]
 
@@ -102,7 +113,9 @@
         if self._read_at is None:
             return True
         seen = self._seen.get(name)
-        if seen is None or seen.member.life != life:
+        if seen is None:
+            return False
+        if seen.member is not None and seen.member.life != life:
             return False
         return not self._is_silent(seen)
 
@@ -133,7 +146,7 @@
         self._seen = {
             row.key.removeprefix(PREFIX): self._note(row, now, anew)
             for row in rows
-            if row.value is not None
+            if row.unreadable or row.value is not None
         }
         self._read_at = now
         for name in set(self._seen) - known:
@@ -143,19 +156,46 @@
 
     def _note(self, row: Row, now: float, anew: bool) -> Seen:
         known = self._seen.get(row.key.removeprefix(PREFIX))
-        if known is None or anew or known.version != row.version:
-            return Seen(_member(row.value or {}), row.version, now)
-        return known
-
-
-def _member(raw: dict[str, Any]) -> Member:
-    return Member(
-        raw['name'],
-        raw['life'],
-        raw['host'],
-        raw['port'],
-        raw['zone'],
+        if known and not anew and known.version == row.version:
+            return known
+        try:
+            member = self._reader.read(row, _member)
+        except UnreadableRecord:
+            return self._unreadable(known, row, now, anew)
+        return Seen(member, row.version, now)
+
+    def _unreadable(
+        self,
+        known: Seen | None,
+        row: Row,
+        now: float,
+        anew: bool,
+    ) -> Seen:
+        """Return what a row that cannot be read leaves known.
+
+        It neither renews a lease nor ends one early: somebody else may
+        have written over the row of an entry that lives.
+        """
+        if known is None:
+            return Seen(None, row.version, now)
+        seen_at = now if anew else known.seen_at
+        return Seen(known.member, row.version, seen_at)
+
+
+def _member(row: Row) -> Member:
+    fields = Fields(row.value)
+    member = Member(
+        fields.text('name'),
+        fields.text('life'),
+        fields.text('host'),
+        fields.whole('port'),
+        fields.text('zone'),
     )
+    if member.name != row.key.removeprefix(PREFIX):
+        raise UnreadableField(f'it names {member.name}')
+    if not 0 < member.port <= MAX_PORT:
+        raise UnreadableField(f'port {member.port}')
+    return member
 
 
 def ignore_store_errors(action: Any) -> None:
--- a/cactusridge/jobs/step.py
+++ b/cactusridge/jobs/step.py
@@ -4,10 +4,12 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-from cactusridge.jobs.keys import partial_key, progress_key
+from cactusridge.jobs.keys import INDEX_DIGITS, partial_key, progress_key
 from cactusridge.jobs.model import Partial, Progress, Result
 from cactusridge.jobs.result_rows import rows_of
-from cactusridge.store.table import Write
+from cactusridge.store.fields import Fields
+from cactusridge.store.table import Row, Write
+from cactusridge.store.unreadable import UnreadableField
 
 
 class ItemEnd(NamedTuple):
@@ -46,6 +48,32 @@
     return fields
 
 
+def progress_in(row: Row) -> Progress:
+    """Return the progress in a row; raise UnreadableField."""
+    fields = Fields(row.value)
+    listed = fields.wholes('listed')
+    if len(set(listed)) != len(listed):
+        raise UnreadableField('an item is listed twice')
+    return Progress(
+        listed,
+        fields.counts('failures'),
+        fields.text('write_id'),
+        row.version,
+    )
+
+
+def partial_in(row: Row) -> Partial:
+    """Return the unfinished output in a row; raise UnreadableField."""
+    index = row.key.partition('.')[-1]
+    fields = Fields(row.value)
+    last_id = fields.text('last_id')
+    if not last_id.isdecimal():
+        raise UnreadableField(f'its last event is {last_id!r}')
+    if not index.isdecimal() or len(index) != INDEX_DIGITS:
+        raise UnreadableField(f'its index is {index!r}')
+    return Partial(int(index), last_id, fields.text('output'))
+
+
 def step_writes(
     job_id: str,
     progress: Progress,
--- a/cactusridge/store/fields.py
+++ b/cactusridge/store/fields.py
@@ -41,6 +41,13 @@
             raise UnreadableField(f'{name} is no whole number from 0 on')
         return found
 
+    def signed(self, name: str) -> int:
+        """Return a whole number, under 0 or not."""
+        found = self._of(int, name, REQUIRED)
+        if isinstance(found, bool):
+            raise UnreadableField(f'{name} is a bool')
+        return found
+
     def number(self, name: str, default: Any = REQUIRED) -> float:
         """Return a number from 0 on."""
         found = self._of((int, float), name, default)
--- /dev/null
+++ b/tests/test_spoilt_members.py
@@ -0,0 +1,172 @@
+"""Members' rows that cannot be read, and jobs that cannot be taken."""
+
+import unittest
+from types import SimpleNamespace
+
+import gevent
+from nose2.tools import params
+
+from cactusridge import events
+from cactusridge.clock import ManualClock
+from cactusridge.jobs.heads import JobHeads
+from cactusridge.jobs.keys import head_key, payload_prefix, progress_key
+from cactusridge.jobs.ledger import JobLedger
+from cactusridge.jobs.manager import JobManager
+from cactusridge.jobs.model import JobHead, JobItem
+from cactusridge.jobs.orphans import UNREADABLE_PAUSE_S, Orphans
+from cactusridge.jobs.session import LEASE_S, PREFIX, Session
+from cactusridge.store.table import Priority
+from tests.emitted import emitted
+from tests.memory_objects import MemoryObjects
+from tests.spoilt_table import SpoiltTable, spoilings
+
+MEMBER = {'name': 'two', 'life': 'x', 'host': 'h', 'port': 1, 'zone': 'z'}
+OUT_OF_RANGE = (
+    ('port=0', {**MEMBER, 'port': 0}),
+    ('port=65536', {**MEMBER, 'port': 65_536}),
+    ('another name', {**MEMBER, 'name': 'three'}),
+)
+
+
+class MemberCase(unittest.TestCase):
+    """Entries over a table that others write too."""
+
+    def setUp(self):
+        """Let three entries read each other."""
+        self.table = SpoiltTable()
+        self.clock = ManualClock()
+        self.one = self.session('one')
+        self.two = self.session('two')
+        self.three = self.session('three')
+        for each in (self.two, self.three, self.one):
+            each.step()
+
+    def session(self, name):
+        """Return the session of an entry."""
+        return Session(self.table, self.clock, name, ('127.0.0.1', 1), 'z')
+
+    def names(self):
+        """Return whom the first takes to live."""
+        return [member.name for member in self.one.members()]
+
+
+class TestSpoiltMembers(MemberCase):
+    """A row that cannot be read costs that entry alone."""
+
+    @params(*spoilings(MEMBER), *OUT_OF_RANGE)
+    def test_lease(self, name, value):
+        """It ends no lease early and renews none."""
+        life = self.two.me.life
+        with emitted() as found:
+            for _ in range(3):
+                self.table.spoil(f'{PREFIX}two', value)
+                self.clock.advance(1)
+                self.three.step()
+                self.one.step()
+                self.assertEqual({'one', 'two', 'three'}, set(self.names()))
+                self.assertTrue(self.one.lives('two', life))
+            self.clock.advance(LEASE_S - 3)
+            self.three.step()
+            self.one.step()
+        self.assertEqual({'one', 'three'}, set(self.names()))
+        self.assertFalse(self.one.lives('two', life))
+        # Two read three versions of it.
+        self.assertEqual(6, found.count(events.ROW_UNREADABLE))
+
+    @params(*spoilings(MEMBER), *OUT_OF_RANGE)
+    def test_first_reading(self, name, value):
+        """Whose row was never read may live for one lease."""
+        self.table.spoil(f'{PREFIX}two', value)
+        fresh = self.session('four')
+        fresh.step()
+        names = {member.name for member in fresh.members()}
+        self.assertEqual({'one', 'three', 'four'}, names)
+        self.assertTrue(fresh.lives('two', 'any'))
+        self.clock.advance(LEASE_S)
+        with emitted() as found:
+            fresh.step()
+        self.assertFalse(fresh.lives('two', 'any'))
+        self.assertNotIn(events.ROW_UNREADABLE, found)
+
+    def test_mended(self):
+        """Its next renewal makes it a member as before."""
+        self.table.spoil(f'{PREFIX}two')
+        self.one.step()
+        self.table.unreadable.clear()
+        self.clock.advance(LEASE_S - 1)
+        self.two.step()
+        self.one.step()
+        self.clock.advance(LEASE_S - 1)
+        self.one.step()
+        self.assertIn('two', self.names())
+
+
+class TestSpoiltOrphans(MemberCase):
+    """Jobs of an entry that is gone, with rows that cannot be read."""
+
+    def setUp(self):
+        """Have the first entry look after two jobs without a holder."""
+        super().setUp()
+        objects = MemoryObjects()
+        self.ledger = JobLedger(self.table, objects, self.clock)
+        self.heads = JobHeads()
+        for name in ('job1', 'job2'):
+            head = JobHead(name, 'h', '/p/', 1, 0, '', '')
+            self.ledger.accept(head, [JobItem('i', '/p/', {}, 'YQ==', 3)])
+        self.scheduler = SimpleNamespace(
+            jobs={},
+            may_dispatch=gevent.event.Event(),
+            wake=gevent.event.Event(),
+            stop_job=lambda job: None,
+        )
+        self.manager = JobManager(
+            self.ledger,
+            self.heads,
+            self.one,
+            self.scheduler,
+            Orphans(self.one, self.clock),
+            self.clock,
+            lambda: True,
+        )
+
+    def look(self):
+        """Renew, hear of all heads, and look for orphans until it is done."""
+        self.one.step()
+        for row in self.table.scan('jobs/', Priority.lease):
+            self.heads.put(row)
+        self.manager.look()
+        gevent.sleep(0.01)
+
+    @params('progress', 'payload', 'head')
+    def test_not_taken(self, table):
+        """Nothing is written over it; the other job is taken at once."""
+        key = {
+            'progress': progress_key('job1'),
+            'payload': f'{payload_prefix("job1")}0000',
+            'head': head_key('job1'),
+        }[table]
+        self.table.spoil(key)
+        before = self.table.store.row(head_key('job1'))
+        with emitted() as found:
+            for _ in range(20):
+                self.look()
+                self.clock.advance(0.1)
+        self.assertEqual(before, self.table.store.row(head_key('job1')))
+        self.assertEqual({'job2'}, set(self.scheduler.jobs))
+        failures = found.count(events.TAKE_FAILED)
+        self.assertEqual(0 if table == 'head' else 1, failures)
+        self.assertEqual(1, found.count(events.ROW_UNREADABLE))
+
+    def test_mended(self):
+        """Once its rows can be read it is taken."""
+        self.table.spoil(progress_key('job1'))
+        mended = self.table.store.row(progress_key('job2'))[1]
+        self.clock.advance(2)
+        self.look()
+        self.clock.advance(2)
+        self.look()
+        self.table.unreadable.clear()
+        self.table.spoil(progress_key('job1'), mended)
+        self.clock.advance(UNREADABLE_PAUSE_S + 2)
+        self.look()
+        self.assertIn('job1', self.scheduler.jobs)
