--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,7 +38,7 @@
     check_always(record)
     runs = record.runs_by_id()
     _check_ended_jobs(record, runs)
-    _check_draining(record)
+    _check_withheld(record)
     _check_configuration(record)
     _check_planned_cuts(record, runs)
 
@@ -61,6 +61,8 @@
         record.broke('refused is not run', f'{call.id} {call.status} ran')
     if call.status in {404, 400} and call.kind != 'version':
         record.broke('not denied', f'{call.id} got {call.status}')
+    if call.status == 500 and 'X-Response-Signature' not in call.headers:
+        record.broke('no fault of its own', f'{call.id} got {call.body!r}')
     if call.status == 503 and 'Retry-After' not in call.headers:
         record.broke('says when to come back', f'{call.id}: {call.body!r}')
 
@@ -109,13 +111,16 @@
                 record.broke('ended jobs stop', f'{each.id} at {each.at}')
 
 
-def _check_draining(record: Record) -> None:
-    for began in record.began:
-        told_at = record.draining.get(began.replica)
-        if told_at is None or began.at <= told_at + DRAIN_BOUND_S:
+def _check_withheld(record: Record) -> None:
+    """Check that lives that may be given nothing got nothing."""
+    for began, withheld in itertools.product(record.began, record.withheld):
+        settled = withheld.since + DRAIN_BOUND_S
+        late = settled < began.at <= withheld.until
+        if began.life != withheld.life or not late:
             continue
         if record.calm(began.at - TOUCH_S, began.at, planned_too=False):
-            record.broke('leaving gets nothing', f'{began.id} at {began.at}')
+            text = f'{began.id} at {began.life} at {began.at}'
+            record.broke(withheld.promise, text)
 
 
 def _check_configuration(record: Record) -> None:
@@ -163,4 +168,4 @@
 
 
 def _places(runs: list[Began]) -> str:
-    return ', '.join(f'{each.replica} at {each.at:.3f}' for each in runs)
+    return ', '.join(f'{each.life} at {each.at:.3f}' for each in runs)
