The product's own interface: unreadable rows cost themselves alone

One row that was no [key, object, version] made a whole answer StoreUnavailable; a span without its fields ended every entry's scan of open spans; a count, a closed span or the head of the settings that could not be read counted as absent and was written over (a count from 0, settings from version 1); a cancel row that could not be read showed the job as going on; a spoilt change of the history kept all later ones away for good; a listener's exception kept the others from hearing.

Change: HttpTable reads each entry by itself and never takes for absent what its answer does not name. The settings' follower takes the nodes where a change cannot be read; a node that cannot be read stays as it was. The object store's answers have their status checked, its lists of names their type.

A count in Span.started may be under 0: unbegin takes one off chunks that an earlier holder had handed back. test_span_ledger found it when the new check refused it; whole numbers of either sign are read, the count itself is as it was.

--- /dev/null
+++ b/bench/unreadable_rows.py
@@ -0,0 +1,127 @@
+"""Time and memory of reading a list of rows with some unreadable.
+
+``python -m bench.unreadable_rows`` says medians over REPEATS readings of
+ROWS rows, every SPOILT_EVERY-th of which is not base64, and the peak of what
+Python allocates during one, without the answers themselves.
+"""
+
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from cactusridge import wire
+from cactusridge.platform import row_codec
+from cactusridge.platform.rows import PlatformRows
+from cactusridge.store.link import PlatformAnswer
+from cactusridge.store.table import PAGE, Row
+from tests.scripted_link import ScriptedLink, packed, page, rows_over
+
+ROWS = 12_000
+SPOILT_EVERY = 100
+REPEATS = 9
+US = 1_000_000
+MS = 1_000
+MIB = 1 << 20
+HEAD = {
+    'host': 'api.example',
+    'path': '/lots/',
+    'items': 40,
+    'created_ms': 123_456_789,
+    'holder': 'entry-1',
+    'life': 'a' * 16,
+    'state': 'open',
+    'catalog_version': 7,
+}
+
+
+class StrictEntry(BaseModel):
+    """An entry as a strict model, for comparison with checks by hand."""
+
+    model_config = ConfigDict(strict=True)
+
+    table: str
+    part: str = ''
+    key: str
+    ver: int = 0
+    value: str | None = None
+    deleted: bool | None = None
+
+
+def by_model(raw: Any) -> Row:
+    """Return a row, its entry checked by the model."""
+    try:
+        entry = StrictEntry.model_validate(raw)
+    except ValidationError:
+        return row_codec.row_in(raw)
+    key = f'{entry.table}/{entry.part}/{entry.key}'
+    held = row_codec.unpacked(entry.value)
+    return Row(key, held, entry.ver, unreadable=held is None)
+
+
+def entries() -> list[dict[str, Any]]:
+    """Return the rows of a table as the store shows them."""
+    return [
+        {
+            'table': 'jobs',
+            'part': 's1',
+            'key': f'{number:016x}',
+            'value': packed(HEAD) if number % SPOILT_EVERY else '***',
+            'ver': number + 1,
+        }
+        for number in range(ROWS)
+    ]
+
+
+def median_s(act: Callable[[], object]) -> float:
+    """Return the median time of an action in seconds."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        act()
+        times.append(time.perf_counter() - began)
+    return statistics.median(times)
+
+
+def filled(listed: list[dict[str, Any]]) -> PlatformRows:
+    """Return rows that are answered in pages."""
+    link = ScriptedLink()
+    for start in range(0, ROWS, PAGE):
+        more = start + PAGE < ROWS
+        message = page(listed[start : start + PAGE], more=more)
+        link.answers.append(PlatformAnswer(200, wire.encode(message)))
+    return rows_over(link)
+
+
+def peak_mib(rows: PlatformRows) -> float:
+    """Return the peak of allocated memory of one reading."""
+    tracemalloc.start()
+    rows.snapshot(['jobs/s1/'])
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return peak / MIB
+
+
+def say(line: str) -> None:
+    """Write a line."""
+    sys.stdout.write(f'{line}\n')
+
+
+def main() -> None:
+    """Print the figures."""
+    listed = entries()
+    for name, read in (('hand', row_codec.row_in), ('model', by_model)):
+        row_us = median_s(lambda: list(map(read, listed))) / ROWS * US
+        say(f'{name}: {row_us:.2f} us a row')
+    pages = [filled(listed) for _ in range(REPEATS)]
+    whole_ms = median_s(lambda: pages.pop().snapshot(['jobs/s1/'])) * MS
+    say(f'{ROWS} rows read whole: {whole_ms:.0f} ms')
+    say(f'peak: {peak_mib(filled(listed)):.1f} MiB')
+
+
+if __name__ == '__main__':
+    main()
--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -19,6 +19,7 @@
 from cactusridge.entry.policies import make_order
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import Priority, Row, scan_all
 
 URGENT_S = 600
@@ -46,6 +47,7 @@
         self._greenlets: dict[str, gevent.Greenlet] = {}
         self._foreign = itertools.count(self._rng.randrange(self._cfg.shards))
         self._stopping = False
+        self._reader = RowReader()
         self._placer = BatchPlacer(
             parts.fleet,
             parts.dispatcher.outliers,
@@ -69,13 +71,16 @@
         """Scan once and take what there is room for."""
         if self._stopping:
             return
-        rows = self._open_rows()
-        free = {row.key: row for row in rows if self._watch.free(row)}
-        spans = {span_of(row).name: row for row in free.values()}
+        readable = self._reader.readable(
+            self._open_rows(),
+            lambda row: (row, span_of(row)),
+        )
+        free = [each for each in readable if self._watch.free(each[0])]
+        spans = {span.name: row for row, span in free}
         room = self._cfg.max_spans - len(self._runners)
         held = [runner.held.span for runner in self._runners.values()]
         ranked = self._order.rank(
-            [span_of(row) for row in spans.values()],
+            [span for _, span in free],
             held,
             self._parts.clock.wall(),
         )
--- a/cactusridge/batch/file_store.py
+++ b/cactusridge/batch/file_store.py
@@ -7,17 +7,21 @@
 from cactusridge.batch.ingest import Ingest
 from cactusridge.batch.manifest import Manifest, decode
 from cactusridge.clock import Clock
-from cactusridge.errors import NotFound
+from cactusridge.errors import BadRequest, NotFound
 from cactusridge.settings.catalog import ServiceCatalog
 from cactusridge.startup.models import BatchSettings
+from cactusridge.store.fields import Fields
 from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import (
     ABSENT,
     Condition,
     Priority,
+    Row,
     Table,
     Write,
 )
+from cactusridge.store.unreadable import UnreadableField
 from cactusridge.store.writer import insert_once
 
 ID_CHARS = 32
@@ -56,6 +60,7 @@
         self._objects = objects
         self._catalog = catalog
         self._clock = clock
+        self._reader = RowReader()
 
     def accept(
         self,
@@ -104,9 +109,9 @@
         return found
 
     def names(self, team: str) -> list[dict[str, object]]:
-        """Return a page of the team's files."""
+        """Return a page of the team's files, of those it can read."""
         rows = self._table.scan(row_key(team, ''), Priority.report)
-        return [row.value for row in rows if row.value]
+        return list(self._reader.readable(rows, _listed))
 
     def blocks(self, manifest: Manifest) -> Iterator[bytes]:
         """Yield the file's lines, a segment at a time."""
@@ -116,7 +121,18 @@
     def _find(self, team: str, name: str) -> Manifest | None:
         key = row_key(team, name)
         row = self._table.read([key], Priority.acceptance)[0]
-        if row.value is None:
+        if not self._reader.there(row):
             return None
         raw = self._objects.get(manifest_name(team, name))
-        return decode(wire.decode(raw))
+        try:
+            return decode(wire.decode(raw))
+        except (BadRequest, UnreadableField) as exc:
+            self._reader.refuse(row, f'its manifest: {exc}')
+
+
+def _listed(row: Row) -> dict[str, object]:
+    """Return what is listed of a file; raise UnreadableField."""
+    fields = Fields(row.value)
+    texts = {name: fields.text(name) for name in ('id', 'filename', 'model')}
+    wholes = {name: fields.whole(name) for name in ('bytes', 'created')}
+    return {**(row.value or {}), **texts, **wholes}
--- a/cactusridge/batch/held_span.py
+++ b/cactusridge/batch/held_span.py
@@ -7,13 +7,19 @@
 from gevent.lock import RLock
 
 from cactusridge import events, logs, metrics
-from cactusridge.batch.jobs import Progress, cancel_key, progress_key
+from cactusridge.batch.jobs import (
+    Progress,
+    cancel_key,
+    progress_in,
+    progress_key,
+)
 from cactusridge.batch.lease import Lease
 from cactusridge.batch.span import ChunkResult, Span, done_key, span_key
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
 from cactusridge.startup.models import BatchSettings
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import (
     ABSENT,
     Condition,
@@ -74,14 +80,15 @@
         self._version = version
         self._lock = RLock()
         self._rng = random.Random()  # noqa: S311
+        self._reader = RowReader()
 
     def take(self, holder: str, first: Sequence[int]) -> None:
         """Take the lease and note the chunks that begin at once."""
         self._write(
-            lambda span: _begin(
-                span._replace(holder=holder, holders=span.holders + 1),
-                first,
-            ),
+            lambda span: span._replace(
+                holder=holder,
+                holders=span.holders + 1,
+            ).begin(first),
         )
         self.fence = self._version
 
@@ -97,10 +104,9 @@
     ) -> None:
         """Point the row at a chunk's result; note the chunks begun next."""
         self._write(
-            lambda span: _begin(
-                span._replace(done={**span.done, str(chunk): list(found)}),
-                following,
-            ),
+            lambda span: span._replace(
+                done={**span.done, str(chunk): list(found)},
+            ).begin(following),
         )
 
     def mark(self, chunk: int, item: int) -> None:
@@ -118,7 +124,7 @@
         The chunks in work were ended on purpose, so they do not count
         as begun by a holder that was lost.
         """
-        self._write(lambda span: _unbegin(span._replace(holder='')))
+        self._write(lambda span: span._replace(holder='').unbegin())
         logs.emit(events.SPAN_HANDED_BACK, span=self.span.name)
 
     def close(self, cancelled: bool) -> None:
@@ -156,8 +162,9 @@
         """Return the version if an earlier try took effect; else raise."""
         if cancel_key(span.job) in exc.rows:
             raise JobCancelled from exc
-        row = exc.rows[self.key]
-        if row.value is not None and row.value['write_id'] == span.write_id:
+        row = exc.rows.get(self.key)
+        held = row.value if row and row.value else {}
+        if row and held.get('write_id') == span.write_id:
             logs.emit(events.WRITE_RESOLVED, key=self.key)
             return row.version
         metrics.LEASE_LOST.inc({})
@@ -165,10 +172,11 @@
 
     def _close(self, cancelled: bool) -> None:
         progress_row, done_row = self._closing_rows()
-        if done_row.value is not None:
+        if self._reader.there(done_row):
             # An earlier try took effect, or another closed the span.
             return
-        progress = Progress(**(progress_row.value or {}))
+        counted = self._reader.read(progress_row, progress_in)
+        progress = counted or Progress()
         results = self.span.results()
         now = self._clock.wall()
         counted = Progress(
@@ -210,7 +218,7 @@
             raise JobCancelled from exc
         if self.key in exc.rows:
             done_row = self._closing_rows()[1]
-            if done_row.value is None:
+            if not self._reader.there(done_row):
                 raise LeaseLost from exc
             return
         # Only the count moved: another span of the job was closed.
@@ -231,18 +239,3 @@
                 pause_s = min(MAX_PAUSE_S, pause_s * GROWTH)
                 continue
             return
-
-
-def _begin(span: Span, chunks: Sequence[int]) -> Span:
-    counts = {
-        str(chunk): span.started.get(str(chunk), 0) + 1 for chunk in chunks
-    }
-    return span._replace(started={**span.started, **counts})
-
-
-def _unbegin(span: Span) -> Span:
-    started = {
-        chunk: count if chunk in span.done else count - 1
-        for chunk, count in span.started.items()
-    }
-    return span._replace(started=started)
--- a/cactusridge/batch/job_reader.py
+++ b/cactusridge/batch/job_reader.py
@@ -1,7 +1,6 @@
 """What has become of a job: status, results, output."""
 
 from collections.abc import Iterator
-from typing import Any
 
 from cactusridge.batch.jobs import (
     Job,
@@ -9,6 +8,8 @@
     JobStatus,
     Progress,
     cancel_key,
+    cancelled_at,
+    progress_in,
     progress_key,
 )
 from cactusridge.batch.span import (
@@ -20,6 +21,7 @@
 )
 from cactusridge.clock import Clock
 from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import Priority, Table, by_key
 
 KEYS_A_READ = 200
@@ -40,13 +42,18 @@
         self._table = table
         self._objects = objects
         self._clock = clock
+        self._reader = RowReader()
 
     def status(self, job: Job) -> JobStatus:
-        """Return what has become of ``job`` so far."""
+        """Return what has become of ``job`` so far.
+
+        Raises UnreadableRecord rather than counts that lack a row's.
+        """
         keys = [progress_key(job.id), cancel_key(job.id)]
         rows = by_key(self._table.read(keys, Priority.report))
-        progress = Progress(**(rows[keys[0]].value or {}))
-        cancelled = rows[keys[1]].value
+        counted = self._reader.read(rows[keys[0]], progress_in)
+        progress = counted or Progress()
+        cancelled = self._reader.read(rows[keys[1]], cancelled_at)
         ok, failed = progress.ok, progress.failed
         closed = progress.spans >= job.spans
         if not closed:
@@ -55,10 +62,14 @@
                 failed += sum(each.failed for each in span.results())
         return JobStatus(
             job=job,
-            state=_state(closed, cancelled, ok + failed == job.items),
+            state=_state(
+                closed,
+                cancelled is not None,
+                ok + failed == job.items,
+            ),
             ok=ok,
             failed=failed,
-            cancelled_at=cancelled['when'] if cancelled else 0,
+            cancelled_at=cancelled or 0,
             finished_at=progress.finished,
             at_risk=not closed and self._at_risk(job, ok + failed),
         )
@@ -102,10 +113,11 @@
         found = []
         for number in numbers:
             row = rows[open_keys[number]]
-            if row.value is None and not only_open:
+            if not only_open and not self._reader.there(row):
                 row = rows[done_keys[number]]
-            if row.value is not None:
-                found.append(span_of(row))
+            span = self._reader.read(row, span_of)
+            if span is not None:
+                found.append(span)
         return found
 
     def _at_risk(self, job: Job, done: int) -> bool:
@@ -122,7 +134,7 @@
 
 def _state(
     closed: bool,
-    cancelled: dict[str, Any] | None,
+    cancelled: bool,
     whole: bool,
 ) -> JobState:
     if closed and (whole or not cancelled):
--- a/cactusridge/batch/job_store.py
+++ b/cactusridge/batch/job_store.py
@@ -9,8 +9,8 @@
     Job,
     Progress,
     cancel_key,
+    job_in,
     job_key,
-    job_of,
     progress_key,
 )
 from cactusridge.batch.manifest import Manifest
@@ -19,10 +19,11 @@
     span_key,
 )
 from cactusridge.clock import Clock
-from cactusridge.errors import IdempotencyMismatch, NotFound
+from cactusridge.errors import IdempotencyMismatch, NotFound, OutcomeUnknown
 from cactusridge.settings.catalog import Service
 from cactusridge.settings.schema import JobSettings
 from cactusridge.store.object_store import ObjectStore
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import (
     ABSENT,
     Condition,
@@ -30,6 +31,7 @@
     Table,
     Write,
 )
+from cactusridge.store.unreadable import UnreadableRecord
 from cactusridge.store.writer import insert_once
 
 ID_CHARS = 32
@@ -74,6 +76,7 @@
         self._table = table
         self._objects = objects
         self._clock = clock
+        self._reader = RowReader()
 
     def accept(self, asked: Submission) -> Job:
         """Accept a job once; the same request again gets the same job.
@@ -83,7 +86,7 @@
         job = self._job(asked)
         key = job_key(asked.team, job.id)
         row = self._table.read([key], Priority.acceptance)[0]
-        if row.value is None:
+        if row.absent:
             writes = [
                 Write(key, job._asdict()),
                 Write(progress_key(job.id), Progress()._asdict()),
@@ -91,7 +94,13 @@
             ]
             insert_once(self._table, [Condition(key, ABSENT)], writes)
             row = self._table.read([key], Priority.acceptance)[0]
-        stored = job_of(row.value or {})
+        try:
+            stored = self._reader.read(row, job_in)
+        except UnreadableRecord as exc:
+            # It is stored: nothing may be said that means it is not.
+            raise OutcomeUnknown(str(exc), retry_after_s=1) from exc
+        if stored is None:
+            raise OutcomeUnknown(f'{key} is gone again', retry_after_s=1)
         if stored.digest != job.digest:
             raise IdempotencyMismatch(
                 f'the key of {stored.id} was used with another body',
@@ -102,16 +111,17 @@
     def get(self, team: str, name: str) -> Job:
         """Return a job; raise NotFound when the team has none such."""
         row = self._table.read([job_key(team, name)], Priority.report)[0]
-        if row.value is None:
+        job = self._reader.read(row, job_in)
+        if job is None:
             raise NotFound(f'no batch {name}')
-        return job_of(row.value)
+        return job
 
     def page(self, team: str, after: str, limit: int) -> list[Job]:
-        """Return a page of the team's jobs by id."""
+        """Return a page of the team's jobs by id, of those it can read."""
         prefix = job_key(team, '')
         start = f'{prefix}{after}' if after else ''
         rows = self._table.scan(prefix, Priority.report, start, limit)
-        return [job_of(row.value) for row in rows if row.value]
+        return list(self._reader.readable(rows, job_in))
 
     def cancel(self, team: str, name: str) -> Job:
         """Cancel a job; from then on no chunk of it can be committed."""
--- a/cactusridge/batch/jobs.py
+++ b/cactusridge/batch/jobs.py
@@ -1,7 +1,10 @@
 """A job as it is stored, and what may be read of it."""
 
 import enum
-from typing import Any, NamedTuple
+from typing import NamedTuple
+
+from cactusridge.store.fields import Fields
+from cactusridge.store.table import Row
 
 
 class JobState(enum.StrEnum):
@@ -73,6 +76,38 @@
     return f'progress/{name}'
 
 
-def job_of(raw: dict[str, Any]) -> Job:
-    """Return the job in a row."""
-    return Job(**raw)
+def job_in(row: Row) -> Job:
+    """Return the job in a row; raise UnreadableField."""
+    fields = Fields(row.value)
+    texts = {
+        name: fields.text(name)
+        for name in (
+            *('id', 'team', 'file', 'service'),
+            *('model', 'url', 'window', 'digest'),
+        )
+    }
+    return Job(
+        **texts,
+        due=fields.number('due'),
+        created=fields.number('created'),
+        items=fields.whole('items'),
+        spans=fields.whole('spans'),
+        metadata=fields.texts('metadata'),
+        job_class=fields.text('job_class', ''),
+    )
+
+
+def progress_in(row: Row) -> Progress:
+    """Return the progress in a row; raise UnreadableField."""
+    fields = Fields(row.value)
+    return Progress(
+        fields.whole('spans'),
+        fields.whole('ok'),
+        fields.whole('failed'),
+        fields.number('finished'),
+    )
+
+
+def cancelled_at(row: Row) -> float:
+    """Return when a job was cancelled; raise UnreadableField."""
+    return Fields(row.value).number('when')
--- a/cactusridge/batch/manifest.py
+++ b/cactusridge/batch/manifest.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from cactusridge.store.fields import Fields
+
 
 class Segment(NamedTuple):
     """An object with the input of one span.
@@ -40,10 +42,25 @@
         return {**self._asdict(), 'segments': segments}
 
 
-def decode(raw: dict[str, Any]) -> Manifest:
-    """Return the manifest that was encoded."""
-    segments = tuple(
-        Segment(part['name'], part['items'], tuple(part['offsets']))
-        for part in raw['segments']
+def decode(raw: Any) -> Manifest:
+    """Return the manifest that was encoded; raise UnreadableField."""
+    fields = Fields(raw)
+    texts = {
+        name: fields.text(name)
+        for name in ('id', 'team', 'filename', 'model', 'url')
+    }
+    wholes = {
+        name: fields.whole(name)
+        for name in ('bytes', 'created', 'items', 'chunk_items')
+    }
+    segments = tuple(map(_segment, fields.listed('segments')))
+    return Manifest(**texts, **wholes, segments=segments)
+
+
+def _segment(raw: Any) -> Segment:
+    fields = Fields(raw)
+    return Segment(
+        fields.text('name'),
+        fields.whole('items'),
+        tuple(fields.wholes('offsets')),
     )
-    return Manifest(**{**raw, 'segments': segments})
--- a/cactusridge/batch/span.py
+++ b/cactusridge/batch/span.py
@@ -1,9 +1,12 @@
 """A span: the part of a job that one lease covers."""
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from cactusridge.hashing import hash64
+from cactusridge.store.fields import Fields, is_count
 from cactusridge.store.table import Row
+from cactusridge.store.unreadable import UnreadableField
 
 SPANS = 'spans/'
 DONE = 'done/'
@@ -72,6 +75,21 @@
             if str(number) not in self.done
         ]
 
+    def begin(self, chunks: Iterable[int]) -> 'Span':
+        """Return the span with ``chunks`` begun once more."""
+        counts = {
+            str(chunk): self.started.get(str(chunk), 0) + 1 for chunk in chunks
+        }
+        return self._replace(started={**self.started, **counts})
+
+    def unbegin(self) -> 'Span':
+        """Return the span as if the chunks in work were not begun."""
+        started = {
+            chunk: count if chunk in self.done else count - 1
+            for chunk, count in self.started.items()
+        }
+        return self._replace(started=started)
+
 
 def shard_of(job: str, number: int, shards: int) -> int:
     """Return the shard of a span."""
@@ -95,5 +113,40 @@
 
 
 def span_of(row: Row) -> Span:
-    """Return the span in ``row``."""
-    return Span(**(row.value or {}))
+    """Return the span in ``row``; raise UnreadableField."""
+    fields = Fields(row.value)
+    return Span(
+        job=fields.text('job'),
+        team=fields.text('team'),
+        number=fields.whole('number'),
+        service=fields.text('service'),
+        url=fields.text('url'),
+        segment=fields.text('segment'),
+        offsets=fields.wholes('offsets'),
+        items=fields.whole('items'),
+        due=fields.number('due'),
+        created=fields.number('created'),
+        repeatable=fields.flag('repeatable'),
+        holder=fields.text('holder', ''),
+        holders=fields.whole('holders', 0),
+        started=fields.integers('started', {}),
+        done=_done_in(fields),
+        marks=fields.counts('marks', {}),
+        write_id=fields.text('write_id', ''),
+    )
+
+
+def _done_in(span: Fields) -> dict[str, list[Any]]:
+    """Return the results of a span's chunks; raise UnreadableField."""
+    done = span.mapping('done', {})
+    for chunk, found in done.items():
+        if not chunk.isdecimal() or not _is_result(found):
+            raise UnreadableField(f'the result of chunk {chunk!r}')
+    return done
+
+
+def _is_result(found: Any) -> bool:
+    if not isinstance(found, list) or len(found) != len(ChunkResult._fields):
+        return False
+    name, *counts = found
+    return isinstance(name, str) and all(map(is_count, counts))
--- a/cactusridge/entry/peers.py
+++ b/cactusridge/entry/peers.py
@@ -13,6 +13,7 @@
 from cactusridge.settings.follower import PeerSource
 from cactusridge.settings.tree import Snapshot
 from cactusridge.startup.models import EntrySettings
+from cactusridge.store.fields import Fields
 
 IO_ERRORS = (OSError, HTTPParseError)
 ASKED = 3
@@ -54,9 +55,9 @@
             return None
         if not body:
             return None
-        raw = wire.decode(body)
-        nodes = [tuple(node) for node in raw['nodes']]
-        return Snapshot(raw['version'], nodes)
+        fields = Fields(wire.decode(body))
+        nodes = [tuple(node) for node in fields.listed('nodes')]
+        return Snapshot(fields.whole('version'), nodes)
 
     def _get(self, peer: Address, path: str) -> bytes:
         limit = gevent.Timeout(TIMEOUT_S)
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -146,7 +146,7 @@
         self._seen = {
             row.key.removeprefix(PREFIX): self._note(row, now, anew)
             for row in rows
-            if row.unreadable or row.value is not None
+            if not row.absent
         }
         self._read_at = now
         for name in set(self._seen) - known:
--- a/cactusridge/platform/objects.py
+++ b/cactusridge/platform/objects.py
@@ -5,9 +5,11 @@
 
 from cactusridge import wire
 from cactusridge.errors import BadRequest, NotFound, StoreUnavailable
+from cactusridge.store.fields import Fields
 from cactusridge.store.link import PlatformLink
 from cactusridge.store.object_store import ObjectStore
 from cactusridge.store.table import Priority
+from cactusridge.store.unreadable import UnreadableField
 
 RETRY_S = 0.5
 
@@ -52,12 +54,13 @@
         if answer.status != HTTPStatus.OK:
             raise _failure(answer.status)
         try:
-            return list(wire.decode(answer.body)['names'])
-        except (BadRequest, LookupError, TypeError) as exc:
+            names = Fields(wire.decode(answer.body)).listed('names')
+        except (BadRequest, UnreadableField) as exc:
             raise StoreUnavailable(
                 f'unreadable: {exc!r}',
                 retry_after_s=RETRY_S,
             ) from exc
+        return [name for name in names if isinstance(name, str)]
 
 
 def _path(call: str, name: str) -> str:
--- a/cactusridge/settings/follower.py
+++ b/cactusridge/settings/follower.py
@@ -6,6 +6,7 @@
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.settings.store import SettingsStore
 from cactusridge.settings.tree import Change, SettingsTree, Snapshot
+from cactusridge.store.unreadable import UnreadableRecord
 
 MAX_REPLAY = 2000
 
@@ -42,7 +43,7 @@
         """Take what is new, once."""
         try:
             self._from_store()
-        except StoreUnavailable:
+        except (StoreUnavailable, UnreadableRecord):
             self._from_peers()
         metrics.SETTINGS_VERSION.set({}, self.tree.version)
 
@@ -53,11 +54,22 @@
         if head - self.tree.version > MAX_REPLAY:
             self.tree.load(self._store.snapshot())
         while self.tree.version < head:
-            changes = self._store.changes(self.tree.version + 1, head)
-            if not self._apply(changes):
+            if not self._apply(self._next(head)):
                 # A stale read may lack the newest; the next step has it.
                 return
 
+    def _next(self, head: int) -> list[Change]:
+        """Return the changes that follow, past one that cannot be read.
+
+        Without the nodes as they are now, that one would keep all later
+        changes from this process.
+        """
+        try:
+            return self._store.changes(self.tree.version + 1, head)
+        except UnreadableRecord:
+            self.tree.load(self._store.snapshot())
+            return self._store.changes(self.tree.version + 1, head)
+
     def _apply(self, changes: list[Change]) -> bool:
         applied = [self.tree.apply(change) for change in changes]
         if any(applied):
--- a/cactusridge/settings/store.py
+++ b/cactusridge/settings/store.py
@@ -1,7 +1,7 @@
 """Settings in the platform's table: compare-and-set, history, reading."""
 
 import random
-from typing import Any, NamedTuple
+from typing import Any
 
 import gevent
 
@@ -10,7 +10,17 @@
 from cactusridge.errors import Conflict, OutcomeUnknown, StoreUnavailable
 from cactusridge.identity import new_id
 from cactusridge.settings import paths, schema
+from cactusridge.settings.rows import (
+    HEAD,
+    NODE_PREFIX,
+    NodeState,
+    history_key,
+    node_in,
+    past_in,
+    version_in,
+)
 from cactusridge.settings.tree import Change, Snapshot
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import (
     Condition,
     ConditionFailed,
@@ -22,10 +32,8 @@
     by_key,
     scan_all,
 )
+from cactusridge.store.unreadable import UnreadableRecord
 
-HEAD = 'settings/head'
-NODE_PREFIX = 'settings/node'
-HISTORY_PREFIX = 'settings/history/'
 TRIES = 30
 PAUSE_S = 0.05
 MAX_PAUSE_S = 1
@@ -38,33 +46,6 @@
     code = 'settings_conflict'
 
 
-def version_in(row: Row) -> int:
-    """Return the settings version that a row names; 0 when absent."""
-    return row.value['version'] if row.value else 0
-
-
-class NodeState(NamedTuple):
-    """The rows that a change is conditional on."""
-
-    head: Row
-    node: Row
-
-    @property
-    def version(self) -> int:
-        """Return the tree's version."""
-        return version_in(self.head)
-
-    @property
-    def node_version(self) -> int:
-        """Return the version that last set the node; 0 when none has."""
-        return version_in(self.node)
-
-
-def history_key(version: int) -> str:
-    """Return the key of the change that made ``version``."""
-    return f'{HISTORY_PREFIX}{version:012}'
-
-
 class SettingsStore:
     """Reads and changes the settings kept in the table."""
 
@@ -73,6 +54,7 @@
         self._table = table
         self._clock = clock
         self._rng = rng
+        self._reader = RowReader()
 
     def put(self, path: str, raw: Any, if_version: int, who: str) -> Change:
         """Set ``path`` if its version is ``if_version``; return the change.
@@ -97,7 +79,7 @@
             except WriteUnknown:
                 sent = True
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
-            except StoreUnavailable:
+            except (StoreUnavailable, UnreadableRecord):
                 if not sent:
                     raise
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
@@ -106,44 +88,47 @@
 
     def read(self, path: str) -> Change:
         """Return what is stored at ``path``, with its version."""
-        state = self._state(path)
-        stored = state.node.value or {'version': 0, 'raw': None}
-        return Change(
-            stored['version'],
-            path,
-            stored['raw'],
-            stored.get('who', ''),
-            stored.get('when', 0),
-        )
+        change = self._state(path).change or Change(0, path, None)
+        return change._replace(write_id='')
 
     def head(self) -> int:
         """Return the tree's version as the store says it."""
         row = self._table.read([HEAD], Priority.settings)[0]
-        return version_in(row)
+        return self._reader.read(row, version_in) or 0
 
     def changes(self, first: int, last: int) -> list[Change]:
-        """Return the changes ``first`` to ``last`` that could be read."""
-        last = min(last, first + CHANGES_A_READ - 1)
-        keys = [history_key(number) for number in range(first, last + 1)]
-        rows = self._table.read(keys, Priority.settings)
-        return [Change(**row.value) for row in rows if row.value]
+        """Return the changes ``first`` to ``last``, as far as is known.
+
+        Raises UnreadableRecord if the first is there and unreadable.
+        """
+        found = []
+        for row in self._past(first, last):
+            try:
+                change = self._reader.read(row, past_in)
+            except UnreadableRecord:
+                if not found:
+                    raise
+                break
+            if change is not None:
+                found.append(change)
+        return found
 
     def snapshot(self) -> Snapshot:
         """Return the whole tree, not older than when the call began."""
         version = self.head()
         rows = scan_all(self._table, f'{NODE_PREFIX}/', Priority.settings)
+        found = by_key(rows)
+        changes = list(self._reader.readable(found.values(), node_in))
         nodes = [
-            (
-                row.key.removeprefix(NODE_PREFIX),
-                row.value['raw'],
-                row.value['version'],
-            )
-            for row in rows
-            if row.value and row.value['raw'] is not None
+            (change.path, change.raw, change.version)
+            for change in changes
+            if change.raw is not None
         ]
+        paths_there = {key.removeprefix(NODE_PREFIX) for key in found}
+        unreadable = paths_there - {change.path for change in changes}
         # Nodes changed during the scan belong to later versions; those
         # changes are read again from the history and applied in order.
-        return Snapshot(version, nodes)
+        return Snapshot(version, nodes, tuple(unreadable))
 
     def history(self, path: str, limit: int) -> list[Change]:
         """Return the last changes at or below ``path``, newest first."""
@@ -151,9 +136,10 @@
         found: list[Change] = []
         while last > 0 and len(found) < limit:
             first = max(1, last - CHANGES_A_READ + 1)
+            past = self._reader.readable(self._past(first, last), past_in)
             found.extend(
                 change
-                for change in reversed(self.changes(first, last))
+                for change in reversed(list(past))
                 if change.path == path or change.path.startswith(f'{path}/')
             )
             last = first - 1
@@ -194,17 +180,21 @@
         if_version: int,
     ) -> Change | None:
         """Return this change if an earlier try of it took effect."""
-        stored = state.node.value
-        if stored is None or state.node_version == if_version:
+        stored = state.change
+        if stored is None or stored.version == if_version:
             return None
-        if stored['write_id'] == change.write_id:
-            return Change(**stored)
+        if stored.write_id == change.write_id:
+            return stored
         # It may have taken effect and then been changed by another.
         first = max(if_version + 1, state.version - CHANGES_A_READ + 1)
-        for past in self.changes(first, state.version):
+        rows = self._past(first, state.version)
+        found = list(self._reader.readable(rows, past_in))
+        for past in found:
             if past.write_id == change.write_id:
                 logs.emit(events.WRITE_RESOLVED, path=change.path)
                 return past
+        if len(found) < len([row for row in rows if not row.absent]):
+            raise OutcomeUnknown('the history of the change cannot be read')
         return None
 
     def _conflict(
@@ -213,7 +203,7 @@
         change: Change,
         if_version: int,
     ) -> SettingsConflict:
-        stored = state.node.value or {}
+        stored = state.change or Change(0, change.path, None)
         logs.emit(
             events.SETTINGS_REFUSED,
             path=change.path,
@@ -222,12 +212,23 @@
         )
         return SettingsConflict(
             f'{change.path} is at version {state.node_version}, not'
-            f' {if_version}; theirs: {stored.get("raw")!r}'
-            f' by {stored.get("who", "")}; yours: {change.raw!r}',
+            f' {if_version}; theirs: {stored.raw!r}'
+            f' by {stored.who}; yours: {change.raw!r}',
             param=str(state.node_version),
         )
 
     def _state(self, path: str) -> NodeState:
         key = f'{NODE_PREFIX}{path}'
         rows = by_key(self._table.read([HEAD, key], Priority.settings))
-        return NodeState(rows[HEAD], rows[key])
+        return NodeState(
+            rows[HEAD],
+            rows[key],
+            self._reader.read(rows[HEAD], version_in) or 0,
+            self._reader.read(rows[key], node_in),
+        )
+
+    def _past(self, first: int, last: int) -> list[Row]:
+        """Return the rows of some changes ``first`` to ``last``."""
+        last = min(last, first + CHANGES_A_READ - 1)
+        keys = [history_key(number) for number in range(first, last + 1)]
+        return self._table.read(keys, Priority.settings)
--- a/cactusridge/settings/tree.py
+++ b/cactusridge/settings/tree.py
@@ -7,7 +7,9 @@
 
 import orjson
 
+from cactusridge import events
 from cactusridge.settings import paths, schema
+from cactusridge.store.row_reports import RowReports
 
 MAX_MODELS = 512
 
@@ -31,10 +33,14 @@
 
 
 class Snapshot(NamedTuple):
-    """All nodes at one version: ``(path, raw, version)`` each."""
+    """All nodes at one version: ``(path, raw, version)`` each.
+
+    Nodes at the ``unreadable`` paths are there and could not be read.
+    """
 
     version: int
     nodes: list[tuple[str, Any, int]]
+    unreadable: tuple[str, ...] = ()
 
 
 class SettingsTree:
@@ -50,6 +56,7 @@
         self._nodes: dict[str, Node] = {}
         self._models: OrderedDict[str, Any] = OrderedDict()
         self._followers: list[Callable[[str], None]] = []
+        self._failures = RowReports(events.LISTENER_FAILED)
 
     def follow(self, on_change: Callable[[str], None]) -> None:
         """Call ``on_change`` with each path that changes, from now on."""
@@ -70,11 +77,18 @@
         return True
 
     def load(self, snapshot: Snapshot) -> bool:
-        """Replace all nodes if ``snapshot`` is newer; tell whether it was."""
+        """Replace all nodes if ``snapshot`` is newer; tell whether it was.
+
+        Where it could not be read the last good node stays.
+        """
         if snapshot.version <= self.version:
             return False
         before = set(self._nodes)
-        self._nodes = {
+        kept = {
+            path: self._nodes[path]
+            for path in before.intersection(snapshot.unreadable)
+        }
+        self._nodes = kept | {
             path: _node(raw, version) for path, raw, version in snapshot.nodes
         }
         self._models.clear()
@@ -126,7 +140,11 @@
 
     def _tell(self, changed: Iterable[str]) -> None:
         for path, on_change in itertools.product(changed, self._followers):
-            on_change(path)
+            try:
+                on_change(path)
+            except Exception as fault:
+                # What one cannot take costs it that path alone.
+                self._failures.note(path, self.version, repr(fault))
 
 
 def _node(raw: Any, version: int) -> Node:
--- a/cactusridge/slo/history.py
+++ b/cactusridge/slo/history.py
@@ -11,8 +11,11 @@
     hour_of,
     name_at,
 )
+from cactusridge.store.fields import Fields
 from cactusridge.store.object_store import ObjectStore
-from cactusridge.store.table import Priority, Table, scan_all
+from cactusridge.store.row_reader import RowReader
+from cactusridge.store.table import Priority, Row, Table, scan_all
+from cactusridge.store.unreadable import UnreadableField
 
 HOURS_PREFIX = 'slo-hours/'
 
@@ -22,6 +25,14 @@
     return f'{HOURS_PREFIX}{hour:012}'
 
 
+def _hour_in(row: Row) -> tuple[int, str]:
+    """Return an hour and its object; raise UnreadableField."""
+    hour = row.key.removeprefix(HOURS_PREFIX)
+    if not hour.isdecimal():
+        raise UnreadableField(f'no hour: {hour!r}')
+    return int(hour), Fields(row.value).text('object')
+
+
 class StoredName(NamedTuple):
     """The name of a single period and the hour it belongs to."""
 
@@ -36,6 +47,7 @@
         """Read periods from ``objects``; ``table`` names merged hours."""
         self._objects = objects
         self._table = table
+        self._reader = RowReader()
 
     def periods(self, since: float) -> Iterator[Period]:
         """Yield every period that ended after ``since``, none twice."""
@@ -53,11 +65,7 @@
         """
         after = hour_key(max(0, since - HOUR_S))
         rows = scan_all(self._table, HOURS_PREFIX, Priority.report, after)
-        return {
-            int(row.key.removeprefix(HOURS_PREFIX)): row.value['object']
-            for row in rows
-            if row.value
-        }
+        return dict(self._reader.readable(rows, _hour_in))
 
     def single(
         self,
--- a/cactusridge/store/fields.py
+++ b/cactusridge/store/fields.py
@@ -13,8 +13,12 @@
 
 def is_count(found: Any) -> bool:
     """Tell whether a decoded value is a whole number from 0 on."""
-    whole = isinstance(found, int) and not isinstance(found, bool)
-    return whole and found >= 0
+    return is_integer(found) and found >= 0
+
+
+def is_integer(found: Any) -> bool:
+    """Tell whether a decoded value is a whole number."""
+    return isinstance(found, int) and not isinstance(found, bool)
 
 
 class Fields:
@@ -44,7 +48,7 @@
     def signed(self, name: str) -> int:
         """Return a whole number, under 0 or not."""
         found = self._of(int, name, REQUIRED)
-        if isinstance(found, bool):
+        if not is_integer(found):
             raise UnreadableField(f'{name} is a bool')
         return found
 
@@ -91,6 +95,13 @@
             raise UnreadableField(f'{name} has more than whole numbers')
         return found
 
+    def integers(self, name: str, default: Any = REQUIRED) -> dict[str, int]:
+        """Return whole numbers, under 0 or not, by text."""
+        found = self.mapping(name, default)
+        if not all(map(is_integer, found.values())):
+            raise UnreadableField(f'{name} has more than whole numbers')
+        return found
+
     def texts(self, name: str, default: Any = REQUIRED) -> dict[str, str]:
         """Return texts by text."""
         found = self.mapping(name, default)
--- a/cactusridge/store/host_list.py
+++ b/cactusridge/store/host_list.py
@@ -69,7 +69,7 @@
         return self._known
 
 
-def _readable(entries: Iterable[dict[str, Any]]) -> Iterator[Host]:
+def _readable(entries: Iterable[Any]) -> Iterator[Host]:
     """Yield the hosts that can be read; one that cannot hides no other."""
     for entry in entries:
         try:
--- a/cactusridge/store/http_table.py
+++ b/cactusridge/store/http_table.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from cactusridge import wire
+from cactusridge import events, wire
 from cactusridge.errors import StoreUnavailable
 from cactusridge.store.link import PlatformAnswer, PlatformLink
 from cactusridge.store.replies import (
@@ -12,8 +12,11 @@
     UnreadableReply,
     VersionReply,
     parse_reply,
+    rows_in,
 )
+from cactusridge.store.row_reports import RowReports
 from cactusridge.store.table import (
+    ABSENT,
     PAGE,
     Condition,
     ConditionFailed,
@@ -22,6 +25,7 @@
     Table,
     Write,
     WriteUnknown,
+    by_key,
 )
 
 RETRY_S = 1
@@ -33,6 +37,7 @@
     def __init__(self, link: PlatformLink) -> None:
         """Send every call through ``link``."""
         self.link = link
+        self._reports = RowReports(events.ROW_UNNAMED)
 
     def transact(
         self,
@@ -58,7 +63,12 @@
 
     def read(self, keys: Sequence[str], priority: Priority) -> list[Row]:
         """Return the rows at ``keys``, in that order."""
-        return self._rows('/table/read', {'keys': keys}, priority)
+        found = by_key(self._rows('/table/read', {'keys': keys}, priority))
+        # What the answer does not name is not absent for that.
+        return [
+            found.get(key, Row(key, None, ABSENT, unreadable=True))
+            for key in keys
+        ]
 
     def scan(
         self,
@@ -73,7 +83,8 @@
 
     def _version(self, answer: PlatformAnswer) -> int:
         if answer.status == HTTPStatus.CONFLICT:
-            raise ConditionFailed(parse_reply(RowsReply, answer.body).rows)
+            found = parse_reply(RowsReply, answer.body).rows
+            raise ConditionFailed(list(rows_in(found)))
         if answer.status != HTTPStatus.OK:
             # Refused as a whole; nothing of it was applied.
             raise StoreUnavailable(
@@ -91,6 +102,11 @@
         raw = wire.encode(message)
         answer = self.link.ask('POST', path, raw, priority)
         try:
-            return parse_reply(RowsReply, answer.body).rows
+            found = parse_reply(RowsReply, answer.body).rows
         except UnreadableReply as exc:
             raise StoreUnavailable(str(exc), retry_after_s=RETRY_S) from exc
+        rows = list(rows_in(found))
+        if len(rows) != len(found):
+            lost = len(found) - len(rows)
+            self._reports.note(path, lost, f'{lost} entries name no key')
+        return rows
--- a/cactusridge/store/object_store.py
+++ b/cactusridge/store/object_store.py
@@ -1,12 +1,15 @@
 """The platform's object store: immutable objects under unique names."""
 
 import abc
+from http import HTTPStatus
 
 from cactusridge.errors import NotFound, StoreUnavailable
 from cactusridge.store.link import NOT_FOUND, PlatformLink
 from cactusridge.store.table import Priority, WriteUnknown
 
 PUT_TRIES = 4
+# An object, or the part of it that was asked for.
+FOUND = frozenset((HTTPStatus.OK, HTTPStatus.PARTIAL_CONTENT))
 
 
 class ObjectStore(abc.ABC):
@@ -86,7 +89,10 @@
         """Return a page of sorted names below ``prefix``."""
         path = f'/object-names?prefix={prefix}&after={after}'
         raw = self._ask(path, {}, Priority.report) or b''
-        return raw.decode().split()
+        try:
+            return raw.decode().split()
+        except UnicodeDecodeError as exc:
+            raise StoreUnavailable(str(exc), retry_after_s=1) from exc
 
     def _ask(
         self,
@@ -97,4 +103,9 @@
         answer = self.link.ask('GET', path, b'', priority, headers)
         if answer.status == NOT_FOUND:
             return None
+        if answer.status not in FOUND:
+            raise StoreUnavailable(
+                f'the object store answered {answer.status}',
+                retry_after_s=1,
+            )
         return answer.body
--- a/cactusridge/store/row_reader.py
+++ b/cactusridge/store/row_reader.py
@@ -1,7 +1,7 @@
 """Makes typed values of rows; one that cannot be read costs itself alone."""
 
 from collections.abc import Callable, Iterable, Iterator
-from typing import NoReturn, TypeVar
+from typing import Any, NoReturn, TypeVar
 
 from cactusridge.store.row_reports import RowReports
 from cactusridge.store.table import Row
@@ -38,6 +38,10 @@
         except UnreadableField as exc:
             self.refuse(row, str(exc))
 
+    def there(self, row: Row) -> bool:
+        """Tell whether a row is there; raise UnreadableRecord."""
+        return self.read(row, _value) is not None
+
     def readable(
         self,
         rows: Iterable[Row],
@@ -63,3 +67,7 @@
         """Log a row and raise UnreadableRecord."""
         self.report(row, error)
         raise UnreadableRecord(f'{row.key} cannot be read: {error}')
+
+
+def _value(row: Row) -> dict[str, Any] | None:
+    return row.value
--- a/cactusridge/store/table.py
+++ b/cactusridge/store/table.py
@@ -33,6 +33,11 @@
     version: int
     unreadable: bool = False
 
+    @property
+    def absent(self) -> bool:
+        """Whether there is no such row."""
+        return self.value is None and not self.unreadable
+
 
 class Condition(NamedTuple):
     """The row at ``key`` must have ``version``; 0 means absent."""
--- /dev/null
+++ b/tests/test_spoilt_batch.py
@@ -0,0 +1,251 @@
+"""Rows of the product's own batch jobs that cannot be read."""
+
+import unittest
+
+from nose2.tools import params
+
+from cactusridge import events
+from cactusridge.batch.held_span import HeldSpan, LeaseLost
+from cactusridge.batch.job_reader import JobReader
+from cactusridge.batch.job_store import JobStore
+from cactusridge.batch.jobs import (
+    Job,
+    Progress,
+    cancel_key,
+    job_key,
+    progress_key,
+)
+from cactusridge.batch.span import Span, done_key
+from cactusridge.clock import ManualClock
+from cactusridge.errors import CactusridgeError, StoreUnavailable
+from cactusridge.slo.history import SloHistory, hour_key
+from cactusridge.startup.models import BatchSettings
+from cactusridge.store.http_table import HttpTable
+from cactusridge.store.table import (
+    Condition,
+    ConditionFailed,
+    Priority,
+    Row,
+    Write,
+)
+from tests.emitted import emitted
+from tests.memory_objects import MemoryObjects
+from tests.rig_case import RigCase
+from tests.scripted_link import ScriptedLink
+from tests.spoilt_table import SpoiltTable, spoilings
+
+REPORT = Priority.report
+CFG = BatchSettings(shards=1)
+DONE = {'0': ['object', 1, 2, 1, 0]}
+SPAN = Span(
+    job='j',
+    team='t',
+    number=0,
+    service='/s',
+    url='/u',
+    segment='s',
+    offsets=[0, 1, 2],
+    items=2,
+    due=0.5,
+    created=0.5,
+    repeatable=True,
+    started={'0': 1},
+    done=DONE,
+    marks={'0/0': 1},
+)
+JOB = Job(
+    id='j',
+    team='t',
+    file='f',
+    service='/s',
+    model='m',
+    url='/u',
+    window='1h',
+    due=0.5,
+    created=0.5,
+    items=2,
+    spans=1,
+    digest='d',
+    metadata={},
+)
+WITH_DEFAULTS = ('holder', 'holders', 'started', 'done', 'marks', 'write_id')
+SPOILT_DONE = tuple(
+    (str(done), {**SPAN._asdict(), 'done': done})
+    for done in (
+        {'x': DONE['0']},
+        {'0': []},
+        {'0': ['object', 1, 2, 1]},
+        {'0': ['object', 1, 2, 1, '0']},
+        {'0': [5, 1, 2, 1, 0]},
+        {'0': ['object', 1, 2, 1, -1]},
+    )
+)
+
+
+class TestSpoiltAnswers(unittest.TestCase):
+    """Rows over the product's own protocol."""
+
+    def setUp(self):
+        """Prepare no answer."""
+        self.link = ScriptedLink()
+        self.table = HttpTable(self.link)
+
+    @params(
+        (['b', 5, 2], 2),
+        (['b', [1], 2], 2),
+        (['b', 'text', 2], 2),
+        (['b', {}, '2'], 0),
+        (['b', {}, -2], 0),
+        (['b', {}, True], 0),
+        (['b', {}], 0),
+        (['b', {}, 2, True], 0),
+        (['b'], 0),
+    )
+    def test_row(self, entry, version):
+        """One costs itself alone."""
+        self.link.say({'rows': [['a', {'x': 1}, 1], entry, ['c', None, 0]]})
+        wanted = [
+            Row('a', {'x': 1}, 1),
+            Row('b', None, version, unreadable=True),
+            Row('c', None, 0),
+        ]
+        self.assertEqual(wanted, self.table.read(['a', 'b', 'c'], REPORT))
+        self.assertEqual(wanted, self.table.scan('', REPORT))
+        self.link.answers[0] = self.link.answers[0]._replace(status=409)
+        with self.assertRaises(ConditionFailed) as caught:
+            self.table.transact([Condition('b', 1)], [], REPORT)
+        self.assertEqual(wanted, list(caught.exception.rows.values()))
+
+    @params(5, None, [], [5, {}, 1], {}, 'b')
+    def test_unnamed(self, entry):
+        """What names no key is not absent where it was asked for."""
+        self.link.say({'rows': [['a', {'x': 1}, 1], entry]})
+        wanted = [
+            Row('a', {'x': 1}, 1),
+            Row('b', None, 0, unreadable=True),
+        ]
+        with emitted() as found:
+            self.assertEqual(wanted, self.table.read(['a', 'b'], REPORT))
+        self.assertEqual([events.ROW_UNNAMED], found)
+        self.assertEqual(wanted[:1], self.table.scan('', REPORT))
+
+    @params({}, {'rows': 5}, [], None)
+    def test_answer(self, message):
+        """An answer without rows tells nothing."""
+        self.link.say(message)
+        with self.assertRaises(StoreUnavailable):
+            self.table.scan('', REPORT)
+
+
+class SpoiltBatchCase(unittest.TestCase):
+    """A job with one span over a table that others write too."""
+
+    def setUp(self):
+        """Store the rows of the job."""
+        self.table = SpoiltTable()
+        self.clock = ManualClock()
+        objects = MemoryObjects()
+        self.jobs = JobStore(1, self.table, objects, self.clock)
+        self.reader = JobReader(1, self.table, objects, self.clock)
+        self.held = HeldSpan(CFG, self.table, self.clock, SPAN, 1)
+        writes = [
+            Write(job_key('t', 'j'), JOB._asdict()),
+            Write(progress_key('j'), Progress()._asdict()),
+            Write(self.held.key, SPAN._asdict()),
+        ]
+        self.table.transact([], writes, REPORT)
+
+    def check_refused(self, act):
+        """Check that something fails as unreadable and writes nothing."""
+        before = self.table.store.version
+        with self.assertRaises(CactusridgeError) as caught:
+            act()
+        self.assertEqual('unreadable_record', caught.exception.code)
+        self.assertEqual(503, caught.exception.status)
+        self.assertEqual(before, self.table.store.version)
+
+
+class TestSpoiltBatch(SpoiltBatchCase):
+    """Jobs, their counts and their spans."""
+
+    @params(*spoilings(JOB._asdict(), ('job_class',)))
+    def test_job(self, name, value):
+        """No caller hears that the job is gone; the others are listed."""
+        other = JOB._replace(id='k')._asdict()
+        self.table.spoil(job_key('t', 'k'), other)
+        self.table.spoil(job_key('t', 'j'), value)
+        self.check_refused(lambda: self.jobs.get('t', 'j'))
+        self.check_refused(lambda: self.jobs.cancel('t', 'j'))
+        listed = [job.id for job in self.jobs.page('t', '', 9)]
+        self.assertEqual(['k'], listed)
+
+    @params(*spoilings(Progress(0, 0, 0, 0.5)._asdict()))
+    def test_progress(self, name, value):
+        """Nobody counts anew what is counted there."""
+        self.table.spoil(progress_key('j'), value)
+        self.check_refused(lambda: self.reader.status(JOB))
+        self.check_refused(lambda: self.held.close(cancelled=False))
+
+    @params(*spoilings({'when': 0.5}))
+    def test_cancel(self, name, value):
+        """A job that may be cancelled is not shown as one that goes on."""
+        self.table.spoil(cancel_key('j'), value)
+        self.check_refused(lambda: self.reader.status(JOB))
+
+    @params(*spoilings(SPAN._asdict(), WITH_DEFAULTS), *SPOILT_DONE)
+    def test_span(self, name, value):
+        """No count or result is shown without it; its holder has lost it."""
+        self.table.spoil(self.held.key, value)
+        self.check_refused(lambda: self.reader.status(JOB))
+        self.check_refused(lambda: list(self.reader.spans(JOB)))
+        with self.assertRaises(LeaseLost):
+            self.held.renew()
+
+    @params(*spoilings(SPAN._asdict(), WITH_DEFAULTS), *SPOILT_DONE)
+    def test_closed_span(self, name, value):
+        """Nor is a closed one written over."""
+        self.table.store.apply([[self.held.key, None]])
+        self.table.spoil(done_key('j', 0), value)
+        self.check_refused(lambda: list(self.reader.spans(JOB)))
+
+
+class TestSpoiltDone(SpoiltBatchCase):
+    """The row of a closed span whose bytes cannot be read."""
+
+    def test_close(self):
+        """It is not written over."""
+        self.table.spoil(done_key('j', 0))
+        self.check_refused(lambda: self.held.close(cancelled=False))
+
+
+class TestSpoiltHours(unittest.TestCase):
+    """Merged hours of the report."""
+
+    @params(*spoilings({'object': 'name'}))
+    def test_hour(self, name, value):
+        """One costs itself alone, and so does a foreign key."""
+        table = SpoiltTable()
+        for hour in (3600, 7200):
+            table.spoil(hour_key(hour), {'object': f'{hour}'})
+        table.spoil(hour_key(3600), value)
+        table.spoil('slo-hours/foreign', {'object': 'x'})
+        history = SloHistory(MemoryObjects(), table)
+        self.assertEqual({7200: '7200'}, history.merged_hours(0))
+
+
+class TestSpoiltScan(RigCase):
+    """Entries that look for open spans."""
+
+    @params({}, {'holder': ''}, {'holder': 5}, [1], 5, 'text')
+    def test_other_jobs_go_on(self, value):
+        """A row that is no span keeps nobody from those that are."""
+        rows = self.rig.platform.table
+        shards = self.rig.entries[0].subject.parts.cfg.batch.shards
+        for number in range(shards):
+            # Not a commit of ours: the history below has none of it.
+            rows._put(f'spans/{number:03}/odd/00000', value)
+        job = self.submit(['a', 'b'])
+        self.wait_state(job, 'completed')
+        self.check_exactly_once(job, 2)
+        left = rows.row('spans/000/odd/00000')
+        self.assertEqual(value, left[1])
