--- a/cactusridge/batch/driver.py
+++ b/cactusridge/batch/driver.py
@@ -19,6 +19,7 @@
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.identity import new_id
 from cactusridge.sidecar_dispatch.parts import Parts
+from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import Priority, Row, scan_all
 
 SPREAD = (0.8, 1.2)
@@ -45,6 +46,7 @@
         self._greenlets: dict[str, gevent.Greenlet] = {}
         self._foreign = itertools.count(self._rng.randrange(self._cfg.shards))
         self._stopping = False
+        self._reader = RowReader()
         self._placer = BatchPlacer(
             parts.fleet,
             parts.dispatcher.outliers,
@@ -73,12 +75,16 @@
             # Told to stop while the store was read: nobody would hand
             # back what is taken now.
             return
-        free = {row.key: row for row in rows if self._watch.free(row)}
-        spans = {span_of(row).name: row for row in free.values()}
+        readable = self._reader.readable(
+            rows,
+            lambda row: (row, span_of(row)),
+        )
+        free = [each for each in readable if self._watch.free(each[0])]
+        spans = {span.name: row for row, span in free}
         room = self._cfg.max_spans - len(self._runners)
         held = [runner.held.span for runner in self._runners.values()]
         ranked = self._order.rank(
-            [span_of(row) for row in spans.values()],
+            [span for _, span in free],
             held,
             self._parts.clock.wall(),
         )
