A stream broken before its first event is answered 502, not 500

Ruled out: sending the request again (it may have run).

Change: the first part of a stream is read before its head goes out, so that the failure is answered as any other, 502 with the outcome not known.

Measured: test_machine_failures: cut_before_the_first_event red before, green now; test_machine_path green.

--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -1,6 +1,6 @@
 """The WSGI application that the platform's clients reach."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any, NoReturn
 
@@ -22,6 +22,7 @@
 from cactusridge.platform.errors import failure_reply
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.operator import CatalogHolder
+from cactusridge.platform.started_stream import StartedStream
 from cactusridge.store.table_follower import TableFollower
 
 # A process that has just started knows its configuration within this
@@ -135,14 +136,14 @@
         if isinstance(answer.body, list):
             watch.stop()
             return Reply(answer.status, answer.headers, answer.body)
-        body_parts = self._watched(answer.body, watch)
+        body_parts = StartedStream(self._watched(answer.body, watch))
         return Reply(answer.status, answer.headers, body_parts)
 
     def _watched(
         self,
         parts: Iterator[bytes],
         watch: SocketWatch,
-    ) -> Iterator[bytes]:
+    ) -> Generator[bytes, None, None]:
         """Yield the parts of a stream; watch the caller to its end."""
         try:
             yield from parts
--- a/tests/test_machine_failures.py
+++ b/tests/test_machine_failures.py
@@ -84,6 +84,17 @@
             self.assertEqual(200, found[0])
         self.assertEqual([], self.site.replicas[0].targets)
 
+    def test_cut_before_the_first_event(self):
+        """The caller is told that the outcome is not known.
+
+        Nothing has gone out to it yet, so that a status still can.
+        """
+        for replica in self.site.replicas:
+            replica.cut_after = [1]
+        call = ('one', 'POST', '/on/', b'2 0.01', sent('cut'))
+        self.assertEqual(502, self.site.call(*call)[0])
+        self.assertEqual(1, self.runs('cut'))
+
     def test_address_of_another(self):
         """A request is not run by whoever has the address now."""
         self.site.replicas[0].id = 'i-other'
