A take-over that loses its race says so; unreadable bytes end to end

Cause: JobManager read a head again after another entry was first, and logged no line, so that a job's way could not be followed from its id.

Measured: test_stop_races: take_over_lost red before, green now; test_machine_lives 17 green.

--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -231,3 +231,7 @@
 
 def _counts(raw: dict[str, list[int]]) -> dict[str, Load]:
     return {key: Load(*pair) for key, pair in raw.items()}
+
+
+def tell_nobody(subject: str, version: int) -> None:
+    """Stand in for an exchange that is not there yet."""
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -6,6 +6,7 @@
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
+from cactusridge.dispatch.peers import tell_nobody
 from cactusridge.errors import CactusridgeError
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.held_job import HeldJob, restored_job
@@ -21,10 +22,6 @@
 LOOK_S = 0.25
 
 
-def tell_nobody(subject: str, version: int) -> None:
-    """Tell nobody: the peers are not there yet."""
-
-
 class JobManager:
     """Holds some of the jobs and looks after those that nobody holds."""
 
@@ -167,13 +164,11 @@
             # Read first: who cannot run a job does not become its holder.
             items = self.ledger.items(head.id)
             taken = self.ledger.take(head, me.name, me.life)
-        except HoldLost:
-            self._taking.discard(head.id)
-            self._refresh(head.id)
-            return
         except CactusridgeError as exc:
             self._taking.discard(head.id)
             self._orphans.not_taken(head, exc)
+            if isinstance(exc, HoldLost):
+                self._refresh(head.id)
             return
         self._tell_peers(taken.id, taken.version)
         logs.emit(
--- a/tests/test_machine_lives.py
+++ b/tests/test_machine_lives.py
@@ -109,6 +109,10 @@
         'port too large',
         'no born',
         'state not named',
+        'half of it',
+        'no text',
+        'nothing',
+        'null',
     )
     def test_left_out(self, how):
         """It gets nothing more until its entry can be read; others do."""
--- a/tests/test_stop_races.py
+++ b/tests/test_stop_races.py
@@ -24,9 +24,10 @@
 from cactusridge.http.exchange import json_reply
 from cactusridge.http.server import Server
 from cactusridge.jobs.heads import JobHeads
+from cactusridge.jobs.hold_writer import HoldLost
 from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.manager import JobManager
-from cactusridge.jobs.model import JobItem
+from cactusridge.jobs.model import JobHead, JobItem
 from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.session import PREFIX, Session
 from cactusridge.orders import RunOrder, WorkClass
@@ -155,6 +156,34 @@
         gevent.sleep(0.1)
         self.assertEqual(({}, ''), (scheduler.jobs, ledger.head('job').holder))
 
+    def test_take_over_lost(self):
+        """Who loses the race for a job says so and reads it anew."""
+        manager, ledger = self.manager_over_mocks()
+        ledger.take.side_effect = HoldLost('another entry was first')
+        with mock.patch('cactusridge.logs.emit') as emit:
+            manager.look()
+            gevent.sleep(0)
+        self.assertEqual(mock.call('job'), ledger.head.call_args)
+        said = {call.args[0] for call in emit.call_args_list}
+        self.assertEqual({events.TAKE_FAILED}, said)
+
+    def manager_over_mocks(self):
+        """Return a manager that sees an orphaned job, and its ledger."""
+        head = JobHead('job', 'h', '/p', 1, 0, '', '')
+        heads, ledger = mock.Mock(), mock.Mock()
+        heads.every.return_value = [head]
+        ledger.head.return_value = head
+        manager = JobManager(
+            ledger,
+            heads,
+            mock.Mock(),
+            mock.Mock(jobs={}),
+            Orphans(session_on(MemoryTable(), ManualClock()), ManualClock()),
+            ManualClock(),
+            lambda: True,
+        )
+        return manager, ledger
+
     def test_renewal_under_way(self):
         """An entry that has left is not brought back by its renewal."""
         table = SlowTable('transact')
