Four test files split by what they test

Change: the ends of lives, results and partials, answers of the table service, and what is served late in a stop have files of their own; no test is changed.

--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -1,28 +1,18 @@
 """Lives of replicas: one id, one process after another."""
 
 import unittest
-from unittest import mock
 
 from nose2.tools import params
 
 from cactusridge import events
-from cactusridge.clock import ManualClock
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.life_order import MAX_GONE
 from cactusridge.dispatch.life_rule import lives_told, names_replica
-from cactusridge.dispatch.load import Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import NOT_TOLD, life_key
-from cactusridge.dispatch.run import Runner
 from cactusridge.http.client import Address
-from cactusridge.platform.connections import Connections
-from cactusridge.routing.outliers import OutlierEjector
 from tests.discovery_case import BORN, ENTRY, UNTOLD, DiscoveryCase
 
 ID = 'i-0'
 OLD = life_key(ID, BORN)
-NEW = life_key(ID, BORN + 1)
 ELSEWHERE = '127.0.0.1:8001'
 GONE = 'gone'
 SPOILED = 'no zone'
@@ -187,123 +177,3 @@
             self.remove(f'o-{number}')
         self.put(ID, ENTRY)
         self.assertEqual(wanted, len(self.in_choice()))
-
-
-class Ends(LifeListener):
-    """Keeps the lives that have ended."""
-
-    def __init__(self):
-        """Start with none."""
-        self.lives = []
-
-    def life_ended(self, life):
-        """Keep it."""
-        self.lives.append(life)
-
-
-class TestEnds(DiscoveryCase):
-    """What ends a life, and what is told of it."""
-
-    def setUp(self):
-        """Listen."""
-        super().setUp()
-        self.ends = Ends()
-        self.fleet.on_life_end(self.ends)
-        self.put(ID, ENTRY)
-
-    def test_newer_life(self):
-        """A newer life ends the one before, once."""
-        for _ in range(2):
-            self.put(ID, ENTRY, born=BORN + 1)
-        self.assertEqual([OLD], self.ends.lives)
-        self.assertIsNone(self.fleet.get(OLD))
-        self.assertEqual(BORN + 1, self.fleet.get(NEW).born)
-        self.assertEqual(1, self.logged(events.REPLICA_REBORN))
-
-    def test_after_a_removal(self):
-        """Also where the one before was gone already."""
-        self.remove(ID)
-        self.assertEqual([], self.ends.lives)
-        self.put(ID, ENTRY, born=BORN + 1)
-        self.assertEqual([OLD], self.ends.lives)
-
-    def test_first_told_life(self):
-        """An id that begins to tell its lives has a new one."""
-        self.put('i-9', UNTOLD)
-        self.put('i-9', ENTRY)
-        self.assertEqual(['i-9'], self.ends.lives)
-
-    def test_nothing_else(self):
-        """A late entry, a spoiled one and a change of state end none."""
-        self.put(ID, ENTRY, born=BORN - 1)
-        self.put(ID, ENTRY, state='draining')
-        self.spoil(ID, SPOILED)
-        self.put(ID, ENTRY)
-        self.assertEqual([], self.ends.lives)
-
-
-class TestBeliefs(DiscoveryCase):
-    """What was believed of a former life says nothing of the next."""
-
-    def setUp(self):
-        """Know one life and what is believed of it."""
-        super().setUp()
-        self.loads = LoadTable(self.clock)
-        self.health = OutlierEjector(self.clock)
-        runner = Runner(None, self.loads, self.health, self.clock)
-        self.connections = Connections(self.clock)
-        self.fleet.on_life_end(runner)
-        self.fleet.on_life_end(self.connections)
-        self.put(ID, ENTRY)
-        self.put('i-1', ENTRY)
-
-    def reborn(self):
-        """Let a newer life be listed."""
-        self.put(ID, ENTRY, born=BORN + 1)
-
-    def test_counts(self):
-        """Requests at a former life hold no slot of the next."""
-        self.loads.heard('peer', {OLD: Load(5, 2, 1)})
-        with self.loads.running(OLD, WorkKind.online):
-            self.reborn()
-            self.assertEqual(Load(), self.loads.at(NEW))
-            self.assertEqual(Load(1), self.loads.at(OLD))
-            # A peer that has not heard of it yet.
-            self.loads.heard('peer', {OLD: Load(4)})
-            self.assertEqual(Load(), self.loads.at(NEW))
-        self.assertEqual({}, self.loads.all_own())
-
-    def test_verdict(self):
-        """An ejected life's successor is in choice at once."""
-        other = life_key('i-1', BORN)
-        self.health.failed(OLD, certain=True)
-        self.assertEqual({other}, self.health.allowed([OLD, other]))
-        self.reborn()
-        self.assertEqual({OLD, other}, self.health.allowed([OLD, other]))
-        self.assertEqual({NEW, other}, self.health.allowed([NEW, other]))
-        # What ran at the former one fails later.
-        self.health.failed(OLD, certain=True)
-        self.assertEqual({NEW, other}, self.health.allowed([NEW, other]))
-
-    def test_connections(self):
-        """A kept connection is closed and serves no other life."""
-        kept, fresh, late = (mock.Mock() for _ in range(3))
-        address = Address('127.0.0.1', 8000)
-        self.connections.give_back(OLD, kept, 5)
-        self.reborn()
-        kept.close.assert_called_once_with()
-        self.connections.give_back(OLD, late, 5)
-        with mock.patch.object(self.connections, 'connect', lambda _: fresh):
-            self.assertIs(fresh, self.connections.take(NEW, address))
-        self.clock.advance(5)
-        self.connections.trim()
-        late.close.assert_called_once_with()
-
-    def test_sharing(self):
-        """Batch is shared out by lives."""
-        names = tuple(f'10.0.0.{number}:1' for number in range(40))
-        sharing = BatchSharing(self.fleet, lambda: names, ManualClock())
-        self.assertTrue(sharing.of(OLD))
-        self.reborn()
-        self.assertFalse(sharing.of(OLD))
-        self.assertTrue(sharing.of(NEW))
--- /dev/null
+++ b/tests/test_spoilt_results.py
@@ -0,0 +1,94 @@
+"""Results and unfinished output that cannot be read are never made up."""
+
+from nose2.tools import params
+
+from cactusridge.jobs.keys import payload_prefix
+from cactusridge.jobs.model import (
+    Partial,
+)
+from cactusridge.jobs.step import Step
+from cactusridge.store.table import Priority
+from tests.spoilt_job_case import JOB, LONG, PARTIAL, RESULT, SpoiltJobCase, end
+from tests.spoilt_table import spoilings
+
+
+class TestSpoiltResults(SpoiltJobCase):
+    """Results by position."""
+
+    def setUp(self):
+        """List all items, the middle one with a long output."""
+        super().setUp()
+        ends = [end(0), end(1, LONG), end(2)]
+        self.ledger.commit(JOB, self.progress, Step(ends))
+        self.keys = [
+            row.key for row in self.table.scan('results/', Priority.report)
+        ]
+
+    def ids(self, after):
+        """Return the ids of the results from a position on."""
+        return [result.id for result in self.ledger.results(JOB, after)]
+
+    @params(*spoilings(RESULT))
+    def test_result(self, name, value):
+        """Those before it are read; it is refused and not skipped."""
+        self.table.spoil(self.keys[1], value)
+        self.assertEqual(['i0'], self.ids(0))
+        self.check_refused(lambda: self.ids(1))
+        self.assertEqual(['i2'], self.ids(2))
+
+    @params(*spoilings({'more': 'text'}))
+    def test_rest_of_an_output(self, name, value):
+        """An output is read whole or not at all."""
+        self.table.spoil(self.keys[2], value)
+        self.assertEqual(['i0'], self.ids(0))
+        self.check_refused(lambda: self.ids(1))
+
+    @params(0, 1, 2)
+    def test_removed_row(self, number):
+        """No result moves up into the place of one that is gone."""
+        self.table.store.apply([[self.keys[number], None]])
+        wanted = ['i0'] if number else []
+        if wanted:
+            self.assertEqual(wanted, self.ids(0))
+        self.check_refused(lambda: self.ids(1 if number else 0))
+
+    @params('note', 'note/x', '000000x', '000000/0', '5', '0000001')
+    def test_foreign_row(self, name):
+        """A row whose place is none of a result's is left out."""
+        prefix = self.keys[0].rpartition('.')[0]
+        self.table.spoil(f'{prefix}.{name}')
+        self.assertEqual(['i0', 'i1', 'i2'], self.ids(0))
+        self.assertEqual([], self.ids(3))
+
+    def test_removed_with_its_job(self):
+        """An old job is removed with what cannot be read of it."""
+        for key in self.keys:
+            self.table.spoil(key)
+        self.table.spoil(f'{payload_prefix(JOB)}0000')
+        self.ledger.remove(self.head)
+        left = [row.key for row in self.table.scan('', Priority.report)]
+        self.assertEqual([], [key for key in left if JOB in key])
+
+
+class TestSpoiltPartials(SpoiltJobCase):
+    """Unfinished outputs: an item can always begin anew."""
+
+    @params('note', '5', '0002.5', '00002', '000/2')
+    def test_foreign_row(self, name):
+        """A row whose place is none of an item's is left out."""
+        parts = [Partial(2, '3', 'b')]
+        self.ledger.commit(JOB, self.progress, Step(partials=parts))
+        key = self.table.scan('partial/', Priority.report)[0].key
+        prefix = key.rpartition('.')[0]
+        self.table.spoil(f'{prefix}.{name}', PARTIAL)
+        self.assertEqual(parts, self.ledger.partials(JOB))
+
+    @params(*spoilings(PARTIAL), ('last_id', {**PARTIAL, 'last_id': 'x'}))
+    def test_left_out(self, name, value):
+        """One that cannot be read costs itself alone."""
+        parts = [Partial(0, '7', 'a'), Partial(2, '3', 'b')]
+        self.ledger.commit(JOB, self.progress, Step(partials=parts))
+        keys = [row.key for row in self.table.scan('partial/', Priority.report)]
+        self.table.spoil(keys[0], value)
+        self.table.spoil(f'{keys[0]}x', PARTIAL)
+        self.assertEqual(parts[1:], self.ledger.partials(JOB))
