A silence that one entry or one watch met is no outage of the store

The grace followed any silence of the watch of the list, also one that other calls or the peers had not met, and each start.

Tests of each way back, red without it.

--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -31,15 +31,31 @@
         # everything again finds most rows as they were.
         self._taken: dict[str, int] = {}
 
-    def regained(self) -> None:
+    def regained(self, since: float) -> None:
         """Give entries that lapsed while the store was away time to return.
 
         The replicas lived on; without them every request would be
         refused until they have registered again.
         """
-        self._grace_until = self._clock.monotonic() + LAPSED_GRACE_S
+        self._grace_until = since + LAPSED_GRACE_S
         logs.emit(events.LAPSED_KEPT, replicas=len(self._fleet.ids()))
-        gevent.spawn_later(LAPSED_GRACE_S, self._drop_missing)
+        self._drop_missing()
+
+    def peer_answered(self, since: float) -> None:
+        """Shorten the grace: a peer has had the store since then.
+
+        Where the store was away for this entry alone, replicas without
+        an entry have left, and its peers have taken them for gone: used
+        for the whole grace, they would get requests for longer than a
+        replica that leaves may be sent any. Only a word that is heard
+        within the grace counts; an older one says nothing of the outage.
+        """
+        if self._clock.monotonic() >= self._grace_until:
+            return
+        if since + LAPSED_GRACE_S < self._grace_until:
+            logs.emit(events.GRACE_SHORTENED, missing=len(self._missing))
+            self._grace_until = since + LAPSED_GRACE_S
+            self._drop_missing()
 
     def put(self, row: Row) -> None:
         """Take a replica's entry; whatever it holds, the others hold."""
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -56,6 +56,7 @@
         self._store = StoreAccess(cfg.store, clock)
         self._holder = operator.CatalogHolder()
         self._fleet = FleetView()
+        self._discovery = discovery.Discovery(self._fleet, clock)
         self._upstream = HttpUpstream(clock)
         health = OutlierEjector(
             clock,
@@ -112,13 +113,12 @@
     def start(self) -> None:
         """Start following the store, the peers and the jobs."""
         self._peers.start()
-        discovered = discovery.Discovery(self._fleet, self._clock)
         followers = (
             self._catalog_follower,
             self._store.follower(
                 discovery.TABLE,
                 [discovery.PREFIX],
-                discovered,
+                self._discovery,
             ),
             self._store.follower(JOBS, head_prefixes(), self._jobs.heads),
         )
@@ -151,11 +151,18 @@
         return [(member.host, member.port) for member in members]
 
     def _word(self) -> Word:
-        return Word(self._catalogs.version(), not self._store.lost)
+        return Word(
+            self._catalogs.version(),
+            not self._store.lost,
+            self._store.contact.lasts_s(),
+        )
 
     def _heard(self, peer: Target, word: Word) -> None:
         self._catalogs.heard(peer, word.version)
         self._jobs.intake.heard(word.has_store)
+        if word.has_store:
+            now = self._clock.monotonic()
+            self._discovery.peer_answered(now - word.store_s)
 
     def _serve_at(self, listen: str, pattern: str, handler: object) -> None:
         app = App([route('GET', pattern, handler)], INNER_BODY, INNER_TIMEOUT_S)
--- a/cactusridge/platform/store_access.py
+++ b/cactusridge/platform/store_access.py
@@ -7,6 +7,7 @@
 from cactusridge.platform.objects import PlatformObjects
 from cactusridge.platform.rows import PlatformRows
 from cactusridge.startup.models import StoreSettings
+from cactusridge.store.contact import StoreContact
 from cactusridge.store.link import PlatformLink
 from cactusridge.store.reply_timeout import ReplyTimeout
 from cactusridge.store.store_clock import StoreClock
@@ -28,6 +29,7 @@
         """Reach the store as ``cfg`` says."""
         self._cfg = cfg
         self._host_clock = clock
+        self.contact = StoreContact(clock)
         address = parse_address(cfg.address)
         calls = ReplyTimeout(cfg.least_s, cfg.timeout_s)
         self._calls = self._link(address, calls)
@@ -55,6 +57,7 @@
             prefixes,
             listener,
             self._host_clock,
+            self.contact,
         )
 
     def _link(self, address: Address, timeout: ReplyTimeout) -> PlatformLink:
@@ -65,4 +68,5 @@
             self._host_clock,
             random.Random(),  # noqa: S311
             self._cfg.max_pause_s,
+            self.contact,
         )
--- a/cactusridge/store/link.py
+++ b/cactusridge/store/link.py
@@ -12,6 +12,7 @@
 from cactusridge.http.client import Address, Clients
 from cactusridge.store.breaker import MAX_PAUSE_S, Breaker
 from cactusridge.store.budget import StoreBudget
+from cactusridge.store.contact import StoreContact
 from cactusridge.store.reply_timeout import ReplyTimeout
 from cactusridge.store.table import Priority, WriteUnknown
 
@@ -41,14 +42,19 @@
         clock: Clock,
         rng: random.Random,
         max_pause_s: float = MAX_PAUSE_S,
+        contact: StoreContact | None = None,
     ) -> None:
-        """Bound each call by ``timeout`` and ``calls_per_s`` on average."""
+        """Bound each call by ``timeout`` and ``calls_per_s`` on average.
+
+        ``contact`` is told of each answer; links to one store share it.
+        """
         self.address = address
         self._timeout = timeout
         self._clock = clock
         self.breaker = Breaker(clock, rng, max_pause_s)
         self.budget = StoreBudget(clock, calls_per_s)
         self._clients = Clients(CONNECT_TIMEOUT_S, timeout.most_s)
+        self._contact = contact or StoreContact(clock)
 
     def call(
         self,
@@ -71,6 +77,7 @@
             self._failed()
             raise StoreUnavailable(retry_after_s=self.breaker.wait_s() + 1)
         self.breaker.succeeded()
+        self._contact.answered()
         metrics.STORE_CALLS.inc({'outcome': 'answered'})
         return answer
 
--- a/cactusridge/store/table_follower.py
+++ b/cactusridge/store/table_follower.py
@@ -9,6 +9,7 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import StoreUnavailable
+from cactusridge.store.contact import StoreContact
 from cactusridge.store.row_reports import RowReports
 from cactusridge.store.table import ABSENT, Row
 from cactusridge.store.unreadable import UnreadableRecord
@@ -17,9 +18,6 @@
 # A watch is answered at least this often, which tells a lost connection
 # from a table in which nothing changes.
 WAIT_S = 1.5
-# Silence for which the store counts as having been away: a watch that is
-# answered on time, and half a second.
-AWAY_S = 2.0
 # A watch may miss changes that the store made while it heard nothing;
 # everything is read again this often, at some rows a second.
 REREAD_S = 8
@@ -43,8 +41,11 @@
     def keep_only(self, keys: set[str]) -> None:
         """Forget every row whose key is not among ``keys``."""
 
-    def regained(self) -> None:
-        """Note that the store answers again after an outage."""
+    def regained(self, since: float) -> None:
+        """Note that the store answers again after an outage.
+
+        ``since`` is when its first answer came, on the process's clock.
+        """
 
 
 class TableFollower:
@@ -57,6 +58,7 @@
         prefixes: list[str],
         listener: TableListener,
         clock: Clock,
+        contact: StoreContact,
     ) -> None:
         """Tell ``listener`` of the rows of ``table`` below ``prefixes``."""
         self.heard_at: float | None = None
@@ -65,6 +67,9 @@
         self._prefixes = prefixes
         self._listener = listener
         self._clock = clock
+        self._contact = contact
+        # The outages whose end the listener was told of.
+        self._outages = contact.outages
         self._rng = random.Random()  # noqa: S311
         self._version: int | None = None
         self._read_at = float(0)
@@ -94,7 +99,6 @@
 
     def _read(self) -> None:
         now = self._clock.monotonic()
-        was_away = self.silent_s() > AWAY_S
         if self._version is None or now - self._read_at > REREAD_S:
             found = self._watch.snapshot(self._prefixes)
             self._read_at = now
@@ -102,8 +106,7 @@
         else:
             found = self._watch.changes(self._table, self._version, WAIT_S)
             whole = False
-        if was_away:
-            self._tell(self._table, ABSENT, self._listener.regained)
+        self._tell_of_outage()
         if whole:
             keys = {row.key for row in found.rows}
             self._tell(
@@ -115,6 +118,18 @@
             self._put(row)
         self._version = found.version
 
+    def _tell_of_outage(self) -> None:
+        """Tell the listener, before its rows, that an outage has ended."""
+        if self._contact.outages == self._outages:
+            return
+        self._outages = self._contact.outages
+        since = self._contact.since
+        self._tell(
+            self._table,
+            ABSENT,
+            lambda: self._listener.regained(since),
+        )
+
     def _put(self, row: Row) -> None:
         """Have the listener take a row."""
         self._tell(row.key, row.version, lambda: self._listener.put(row))
--- a/tests/discovery_case.py
+++ b/tests/discovery_case.py
@@ -79,6 +79,10 @@
         """Return how often an event was logged."""
         return sum(each == event for each, _ in self.events)
 
+    def back(self):
+        """Let the store be back after an outage, this very moment."""
+        self.list.regained(self.clock.monotonic())
+
     def put(self, replica_id, entry, **changes):
         """Let the list hold an entry; return its row."""
         self.version += 1
--- a/tests/list_play.py
+++ b/tests/list_play.py
@@ -90,7 +90,7 @@
     def away(self):
         """Let the store be back after an outage."""
         self.unheard = {}
-        self.list.regained()
+        self.list.regained(self.clock.monotonic())
         self.naive.regained()
         self.whole()
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,7 +21,7 @@
     @params(*SPOILED)
     def test_known_one_leaves_at_once(self, how):
         """It leaves the choice, also in a grace; the others hold."""
-        self.list.regained()
+        self.back()
         self.spoil('i-0', how)
         self.assertEqual({'i-1'}, self.in_choice())
         self.put('i-0', ENTRY)
@@ -102,7 +102,7 @@
 
     def test_a_removed_one_is_no_unreadable_one(self):
         """Removed in a grace, it stays; then it goes, without a word."""
-        self.list.regained()
+        self.back()
         self.remove('i-0')
         self.assertEqual({'i-0', 'i-1'}, self.in_choice())
         self.clock.advance(LAPSED_GRACE_S)
@@ -122,7 +122,7 @@
 
     def test_one_comes_back(self):
         """Who is back within the grace stays; the other goes after it."""
-        self.list.regained()
+        self.back()
         self.list.keep_only(set())
         self.assertEqual({'i-0', 'i-1'}, self.in_choice())
         self.put('i-0', ENTRY)
@@ -131,9 +131,9 @@
 
     def test_away_again(self):
         """A second outage has a grace of its own."""
-        self.list.regained()
+        self.back()
         self.advance(LAPSED_GRACE_S - 0.5)
-        self.list.regained()
+        self.back()
         self.remove('i-0')
         self.advance(1)
         self.assertEqual({'i-0', 'i-1'}, self.in_choice())
@@ -143,22 +143,65 @@
     @params('no zone', 'nothing')
     def test_spoiled_while_missing(self, how):
         """A spoiled entry ends the grace of its replica."""
-        self.list.regained()
+        self.back()
         self.remove('i-0')
         self.spoil('i-0', how)
         self.assertEqual({'i-1'}, self.in_choice())
 
     def test_next_life_while_missing(self):
         """A newer life is in choice at once and is not dropped."""
-        self.list.regained()
+        self.back()
         self.remove('i-0')
         self.put('i-0', ENTRY, born=BORN + 1)
         self.advance(LAPSED_GRACE_S)
         self.assertEqual({'i-0', 'i-1'}, self.in_choice())
 
+    @params(
+        # Cut off or turned away alone, or frozen: peers had it all along.
+        (100, 0),
+        # Away for all, and back for the peers some time before.
+        (1, LAPSED_GRACE_S - 1),
+        # Away for all, and back for this entry first.
+        (0, LAPSED_GRACE_S),
+    )
+    def test_peers_had_the_store(self, store_s, grace_s):
+        """A replica is kept for the grace from its earliest return on."""
+        self.back()
+        self.list.keep_only({f'{PREFIX}i-0'})
+        self.list.peer_answered(self.clock.monotonic() - store_s)
+        self.advance(max(0, grace_s - 0.01))
+        self.assertEqual(
+            {'i-0', 'i-1'} if grace_s else {'i-0'}, self.in_choice()
+        )
+        self.advance(0.01)
+        self.assertEqual({'i-0'}, self.in_choice())
+
+    def test_word_before_the_return(self):
+        """What a peer said in the outage says nothing of its end."""
+        self.list.peer_answered(self.clock.monotonic() - 100)
+        self.back()
+        self.list.keep_only(set())
+        self.assertEqual({'i-0', 'i-1'}, self.in_choice())
+
+    def test_leaves_after_a_peers_word(self):
+        """With the store known to be sound, who goes is gone at once."""
+        self.back()
+        self.list.peer_answered(self.clock.monotonic() - 100)
+        self.remove('i-0')
+        self.assertEqual({'i-1'}, self.in_choice())
+
+    def test_list_read_late(self):
+        """The grace counts from the store's return, not from the reading."""
+        since = self.clock.monotonic()
+        self.advance(1)
+        self.list.regained(since)
+        self.list.keep_only(set())
+        self.advance(LAPSED_GRACE_S - 1)
+        self.assertEqual(set(), self.in_choice())
+
     def test_former_life_while_missing(self):
         """An entry of a former life brings nobody back."""
-        self.list.regained()
+        self.back()
         self.remove('i-0')
         self.put('i-0', ENTRY, born=BORN - 1)
         self.assertEqual({'i-0', 'i-1'}, self.in_choice())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,12 +3,13 @@
 import random
 import unittest
 
+import orjson
 from nose2.tools import params
 
 from cactusridge.clock import SystemClock
 from cactusridge.dispatch.load import Load, WorkKind
 from cactusridge.dispatch.loads import FRESH_S, LoadTable
-from cactusridge.dispatch.peers import PeerExchange, Word
+from cactusridge.dispatch.peers import ALL, WORD, PeerExchange, Word
 from cactusridge.dispatch.placement import FEW, Choice, consider
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
@@ -33,11 +34,13 @@
             address,
             self.loads,
             lambda: addresses,
-            lambda: Word(3, True),
+            lambda: Word(3, True, 7),
             lambda replica_id: SLOTS,
             lambda replica_id: {str(each) for each in addresses},
         )
         self.exchange.on_news(lambda subject, _: self.heard.append(subject))
+        self.words: list[Word] = []
+        self.exchange.on_word(lambda _, word: self.words.append(word))
         self.exchange.start()
 
 
@@ -67,6 +70,16 @@
         self.one.exchange.tell('job', 7)
         wait_for('the news', lambda: 'job' in self.two.heard)
 
+    def test_word(self):
+        """A peer tells its configuration and for how long it has the store."""
+        wait_for('a word', lambda: Word(3, True, 7) in self.two.words)
+
+    def test_word_of_an_older_entry(self):
+        """Without the time it vouches for nothing; the rest counts."""
+        raw = orjson.dumps({ALL: {}, WORD: [4, True]})
+        self.one.exchange._send_raw(raw)
+        wait_for('the word', lambda: Word(4, True, 0) in self.two.words)
+
     def test_unlisted_peer_is_answered(self):
         """An entry that is heard is told the counts, listed or not."""
         addresses = self.addresses()
