--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 DEPS = $(VENV)/.installed
 
-.PHONY: install test codestyle format demo demo-check chaos soak bench bench-capacity clean
+.PHONY: install test codestyle format demo demo-check chaos soak bench bench-capacity decisions clean
 
 # Seeds of the soak: one, or a range.
 SEEDS = 101-150
@@ -41,6 +41,9 @@
 bench: install
 	$(PYTHON) -m bench.traces_report
 
+decisions: install
+	$(PYTHON) -m bench.decisions.page
+
 bench-capacity: install
 	$(PYTHON) -m bench.capacity_page
 
--- /dev/null
+++ b/bench/decisions/day.py
@@ -0,0 +1,150 @@
+"""A played day, read from its report, its log and its sheet.
+
+The names in the report and the sheet are those of the users' bench; they
+are turned into the types below here and nowhere else.
+"""
+
+import json
+import re
+import tomllib
+from pathlib import Path
+from typing import Any, NamedTuple
+
+# A line of a process in a day's output: seconds, process, what it wrote.
+LINE = re.compile(r'\s+(-?[0-9.]+) (\S+) (\{.*\})$')
+BATCH = 'batch'
+
+
+class Kind(NamedTuple):
+    """A kind of request on the sheet; times in seconds."""
+
+    name: str
+    batch: bool
+    worth: float
+    late_worth: float
+    aim_s: float
+
+
+class KindOutcome(NamedTuple):
+    """What the requests of a kind got in a day.
+
+    ``earned`` is the share of the worth owed that was earned.
+    """
+
+    kind: Kind
+    owed: int
+    late: int
+    refused: int
+    failed: int
+    earned: float
+
+
+class Line(NamedTuple):
+    """One line of a process's log; ``at_s`` from the start of traffic."""
+
+    at_s: float
+    process: str
+    event: str
+    fields: dict[str, Any]
+
+
+class Window(NamedTuple):
+    """Two seconds of a day."""
+
+    from_s: float
+    asked: int
+    earned: float
+
+
+class Day(NamedTuple):
+    """A played day.
+
+    ``unserved`` counts requests by how their last try ended, ``prices``
+    the worth taken off by what it was taken for.
+    """
+
+    worth: float
+    whole: float
+    worst_windows: float
+    broken: bool
+    outcomes: list[KindOutcome]
+    unserved: dict[str, int]
+    prices: dict[str, float]
+    processor_s: float
+    windows: list[Window]
+
+
+def read_kinds(sheet: Path) -> dict[str, Kind]:
+    """Return the kinds of request on a deployment's sheet."""
+    raw = tomllib.loads(_without_head(sheet))
+    return {each['name']: _kind(each) for each in raw['classes']}
+
+
+def read_slots(sheet: Path) -> int:
+    """Return the most requests that a replica on the sheet works on."""
+    raw = tomllib.loads(_without_head(sheet))
+    return max(each['slots'] for each in raw['services'])
+
+
+def read_day(report: Path, kinds: dict[str, Kind]) -> Day:
+    """Return the day that a report is of."""
+    raw = json.loads(report.read_text())
+    parts = {name: share for name, _, share in raw['parts']}
+    spent = {name: amount for name, amount, _ in raw['prices']}
+    return Day(
+        worth=raw['G'],
+        whole=parts['whole day'],
+        worst_windows=parts.get('worst windows', 1),
+        broken=bool(raw['breaks']),
+        outcomes=[
+            _outcome(each, kinds[each['name']])
+            for each in raw['classes']
+            if each['name'] in kinds
+        ],
+        unserved={name: count for name, count, *_ in raw['unserved_by']},
+        prices={name: worth for name, _, worth in raw['prices'] if worth},
+        processor_s=spent['processor seconds'],
+        windows=[
+            Window(float(each['name']), each['n'], each['worth'])
+            for each in raw['windows']
+        ],
+    )
+
+
+def read_log(output: Path) -> list[Line]:
+    """Return the lines of all processes in a day's output."""
+    found = (LINE.match(line) for line in output.read_text().splitlines())
+    return [_line(match) for match in found if match]
+
+
+def _without_head(sheet: Path) -> str:
+    """Return a sheet from its first setting on."""
+    lines = sheet.read_text().splitlines()
+    first = next(at for at, line in enumerate(lines) if ' = ' in line)
+    return '\n'.join(lines[first:])
+
+
+def _kind(raw: dict[str, Any]) -> Kind:
+    return Kind(
+        raw['name'],
+        raw['kind'] == BATCH if 'kind' in raw else False,
+        raw['worth'],
+        raw['late_worth'],
+        raw['aim_ms'] / 1000,
+    )
+
+
+def _outcome(raw: dict[str, Any], kind: Kind) -> KindOutcome:
+    return KindOutcome(
+        kind,
+        raw['n'] - raw['not_owed'],
+        raw['late'],
+        raw['refused'],
+        raw['failed'],
+        raw['worth'],
+    )
+
+
+def _line(match: re.Match[str]) -> Line:
+    fields = json.loads(match[3])
+    return Line(float(match[1]), match[2], fields.get('event', ''), fields)
--- /dev/null
+++ b/tests/test_paired.py
@@ -0,0 +1,70 @@
+"""Paired differences and their intervals."""
+
+import tempfile
+import unittest
+from operator import attrgetter
+from pathlib import Path
+
+from bench.decisions.paired import difference
+from bench.decisions.plays import Play, read_plays, save
+
+WORTH = attrgetter('worth')
+
+
+def play(variant, seed, worth):
+    """Return a play with nothing but its worth."""
+    rest = {'whole': 0, 'worst_windows': 0, 'prices': 0, 'processor_s': 0}
+    return Play(
+        variant,
+        'day',
+        seed,
+        worth,
+        **rest,
+        late=0,
+        unserved=0,
+        broken=False,
+        windows=[],
+    )
+
+
+class TestDifference(unittest.TestCase):
+    """Only what both variants played counts, play by play."""
+
+    def test_paired(self):
+        """A day that is better for both says nothing of either."""
+        plays = [
+            *(play('old', seed, 0.1 * seed) for seed in range(5)),
+            *(play('new', seed, 0.1 * seed + 0.02) for seed in range(5)),
+            play('new', 9, 0),
+        ]
+        found = difference(plays, 'old', 'new', WORTH)
+        self.assertEqual(5, found.pairs)
+        self.assertAlmostEqual(0.2, found.before)
+        self.assertAlmostEqual(0.02, found.mean)
+        self.assertAlmostEqual(0, found.half)
+        self.assertTrue(found.clear)
+
+    def test_interval(self):
+        """Differences of 1, 2 and 3: 2 with 4.3 standard errors."""
+        plays = [
+            *(play('old', seed, 0) for seed in range(3)),
+            *(play('new', seed, seed + 1) for seed in range(3)),
+        ]
+        found = difference(plays, 'old', 'new', WORTH)
+        self.assertAlmostEqual(2, found.mean)
+        self.assertAlmostEqual(4.3 / 3**0.5, found.half)
+        self.assertFalse(found.clear)
+
+    def test_one_pair_is_none(self):
+        """One pair has no interval."""
+        plays = [play('old', 1, 0), play('new', 1, 1)]
+        with self.assertRaises(ValueError):
+            difference(plays, 'old', 'new', WORTH)
+
+    def test_kept(self):
+        """What is saved is what is loaded."""
+        plays = [play('old', 1, 0.5), play('new', 1, 0.25)]
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'plays.jsonl'
+            save(plays, path)
+            self.assertEqual(plays, read_plays(path))
