Decisions of an entry on the platform by start settings, each alone

Cause: none could be switched off without touching code, so none could be shown to be worth anything; refusing, returning, retrying and placing were one class. Callers still come back when the wait for one slot is short (next_slot).

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of one call at replicas: choice, sending, time, and retries."""
+"""Attempts of one call at replicas: choice, sending and time."""
 
 import random
 
@@ -9,24 +9,22 @@
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.placement import (
-    QUEUE_SHARE,
     Choice,
-    choose,
     consider,
     expected_wait_s,
-    retry_after_s,
     silence_s,
 )
+from cactusridge.dispatch.policies import DispatchPolicies
 from cactusridge.dispatch.replica import Replica
+from cactusridge.dispatch.retries import NO_REPLICA_RETRY_S, may_go_again
+from cactusridge.dispatch.returns import Refusal
 from cactusridge.dispatch.run import NotRun, Run, Runner
 from cactusridge.dispatch.upstream import (
-    ConnectFailed,
     UpstreamHead,
     UpstreamRequest,
     UpstreamSilent,
 )
 from cactusridge.errors import (
-    CactusridgeError,
     CallerGone,
     DeadlineExceeded,
     NoReplica,
@@ -34,16 +32,9 @@
     Overloaded,
 )
 
-# Replicas that may turn a request away before its caller is told: one
-# more than a replica just full and another that has just left.
-MAX_TURNED_AWAY = 4
-# A wait for a replica to appear, in seconds; a caller that comes back
-# then finds the list of replicas read once more.
-NO_REPLICA_RETRY_S = 0.3
-
 
 class Attempts:
-    """Makes the attempts of calls and says when another is allowed."""
+    """Makes the attempts of calls."""
 
     def __init__(
         self,
@@ -52,6 +43,7 @@
         zone: str,
         clock: Clock,
         log: OnlineLog,
+        policies: DispatchPolicies,
     ) -> None:
         """Choose among ``fleet`` as seen from ``zone``."""
         self._fleet = fleet
@@ -59,6 +51,7 @@
         self._zone = zone
         self._clock = clock
         self._log = log
+        self._policies = policies
         self._rng = random.Random()  # noqa: S311
 
     def choose(self, call: OnlineCall, progress: Progress) -> Replica:
@@ -77,13 +70,8 @@
         loads = self._runner.loads
         few = consider(list(allowed or fresh), loads.fresh, self._rng)
         choices = [Choice(ready[key], loads.at(key)) for key in few]
-        best = choose(choices, self._zone, self._rng)
-        wait_s = expected_wait_s(best, self._runner.hold(service).mean_s)
-        if wait_s > QUEUE_SHARE * call.route.aim_s:
-            raise Overloaded(
-                f'{wait_s:.3f} s to wait',
-                retry_after_s=retry_after_s(wait_s, call.route.aim_s),
-            )
+        best = self._policies.placing.choose(choices, self._zone, self._rng)
+        self._check_wait(call, best)
         return best.replica
 
     def open(
@@ -122,7 +110,7 @@
         """Return the head; until it is known not to have run, it may have."""
         progress.may_have_run += 1
         limit_s = None
-        if self.may_go_again(call, progress):
+        if may_go_again(call, progress):
             limit_s = silence_s(
                 self._runner.loads.at(run.replica.life),
                 run.replica.slots,
@@ -140,31 +128,6 @@
                 run.failed()
             raise
 
-    def may_go_again(self, call: OnlineCall, progress: Progress) -> bool:
-        """Tell whether a request that may have run may be sent again."""
-        if not call.route.repeatable:
-            return False
-        return progress.may_have_run < call.route.attempts
-
-    def check_retry(
-        self,
-        call: OnlineCall,
-        progress: Progress,
-        exc: CactusridgeError,
-    ) -> None:
-        """Return if the call may go to another replica, else raise."""
-        if call.caller.gone:
-            raise CallerGone from exc
-        if isinstance(exc, NotRun | ConnectFailed):
-            progress.turned_away += 1
-            if progress.turned_away >= MAX_TURNED_AWAY:
-                raise Overloaded(retry_after_s=NO_REPLICA_RETRY_S) from exc
-            return
-        if isinstance(exc, Overloaded | NoReplica | DeadlineExceeded):
-            raise exc
-        if not self.may_go_again(call, progress):
-            raise exc
-
     def check_time(self, call: OnlineCall, progress: Progress) -> None:
         """Return if there is time left and the caller is there, else raise."""
         if call.caller.gone:
@@ -187,6 +150,22 @@
         held_s = self._clock.monotonic() - begun_at
         self._runner.hold(replica.service).ended(held_s)
 
+    def _check_wait(self, call: OnlineCall, best: Choice) -> None:
+        """Return if a call may wait at its best replica, else refuse it."""
+        hold = self._runner.hold(best.replica.service)
+        wait_s = expected_wait_s(best, hold.mean_s)
+        excess_s = self._policies.admission.excess_s(wait_s, call.route.aim_s)
+        service = best.replica.service
+        if excess_s <= 0:
+            self._policies.returns.let_in(service)
+            return
+        left_s = call.deadline_at - self._clock.monotonic()
+        refusal = Refusal(service, excess_s, left_s)
+        raise Overloaded(
+            f'{wait_s:.3f} s to wait',
+            retry_after_s=self._policies.returns.after_s(refusal),
+        )
+
     def _service(self, route: Route) -> str:
         """Return a service of the route, by the weights of its split."""
         if len(route.shares) == 1:
--- a/cactusridge/dispatch/claims.py
+++ b/cactusridge/dispatch/claims.py
@@ -8,6 +8,7 @@
 and sends only if its claim is among those that every entry finds kept.
 """
 
+import abc
 from collections import Counter
 from collections.abc import Mapping
 
@@ -22,11 +23,6 @@
 FAR_CLAIM_S = 0.015
 
 
-def claim_wait_s(fresh: bool) -> float:
-    """Return how long a claim waits, by whether counts are told at once."""
-    return CLAIM_S if fresh else FAR_CLAIM_S
-
-
 def claims_kept(
     slots: int,
     life: str,
@@ -48,3 +44,60 @@
         if loads[name].claims > number
     ]
     return Counter(claims[: max(0, free)])
+
+
+class ClaimRule(abc.ABC):
+    """Decides which of the entries that want a slot gets it."""
+
+    @abc.abstractmethod
+    def wait_s(self, fresh: bool) -> float:
+        """Return how long a claim waits for others, in seconds.
+
+        ``fresh`` is whether counts are told at once.
+        """
+
+    @abc.abstractmethod
+    def keeps(
+        self,
+        entry: str,
+        slots: int,
+        life: str,
+        loads: Mapping[str, Load],
+    ) -> bool:
+        """Tell whether a claim of ``entry`` on a replica is kept."""
+
+
+class ToldClaims(ClaimRule):
+    """Entries tell their claims and decide alike; see ``claims_kept``."""
+
+    def wait_s(self, fresh: bool) -> float:
+        """Return the time in which all claims must have come."""
+        return CLAIM_S if fresh else FAR_CLAIM_S
+
+    def keeps(
+        self,
+        entry: str,
+        slots: int,
+        life: str,
+        loads: Mapping[str, Load],
+    ) -> bool:
+        """Tell whether it is among those that everybody finds kept."""
+        return claims_kept(slots, life, loads)[entry] > 0
+
+
+class NoClaims(ClaimRule):
+    """Naive: whoever sees a free slot takes it; yielding sorts it out."""
+
+    def wait_s(self, fresh: bool) -> float:
+        """Return that there is nothing to wait for."""
+        return 0
+
+    def keeps(
+        self,
+        entry: str,
+        slots: int,
+        life: str,
+        loads: Mapping[str, Load],
+    ) -> bool:
+        """Tell that it is kept."""
+        return True
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -7,7 +7,9 @@
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.online_call import Answer, OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
+from cactusridge.dispatch.policies import DispatchPolicies
 from cactusridge.dispatch.replica import Replica
+from cactusridge.dispatch.retries import check_retry, may_go_again
 from cactusridge.dispatch.run import SERVER_FAULT, Run, Runner, is_success
 from cactusridge.dispatch.streams import Streams
 from cactusridge.dispatch.upstream import UpstreamHead
@@ -23,10 +25,18 @@
         runner: Runner,
         zone: str,
         clock: Clock,
+        policies: DispatchPolicies,
     ) -> None:
         """Choose among ``fleet`` as seen from ``zone``."""
         self._log = OnlineLog(runner.loads, clock)
-        self._attempts = Attempts(fleet, runner, zone, clock, self._log)
+        self._attempts = Attempts(
+            fleet,
+            runner,
+            zone,
+            clock,
+            self._log,
+            policies,
+        )
         self._streams = Streams(self._attempts, clock, self._log)
 
     def answer(self, call: OnlineCall) -> Answer:
@@ -46,7 +56,7 @@
             try:
                 return self._try(call, replica, progress)
             except CactusridgeError as exc:
-                self._attempts.check_retry(call, progress, exc)
+                check_retry(call, progress, exc)
                 metrics.RETRIES.inc({'service': replica.service})
 
     def _try(
@@ -97,4 +107,4 @@
         progress: Progress,
     ) -> bool:
         failed = head.status >= SERVER_FAULT
-        return failed and self._attempts.may_go_again(call, progress)
+        return failed and may_go_again(call, progress)
--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -5,6 +5,7 @@
 arrival, so what is sent to a full one waits behind what is there.
 """
 
+import abc
 import random
 from collections.abc import Sequence
 from typing import NamedTuple, TypeVar
@@ -16,11 +17,6 @@
 FIRST_GUESS_S = 0.5
 # Weight of the newest request in the mean time that one holds a slot.
 HOLD_WEIGHT = 0.05
-# Share of the wait up to which an answer is on time that may be spent in
-# the replica's queue. The rest is prefill, the network and the error of
-# the estimate, which is one slot's release.
-QUEUE_SHARE = 0.7
-MIN_RETRY_S = 0.05
 # Silence after which a request that may be repeated goes elsewhere: the
 # wait up to which its answer is on time, but not less than this many
 # seconds, ten times the longest way between availability zones.
@@ -114,6 +110,40 @@
     return usual_s * QUEUED_SILENCE if load.online > slots else usual_s
 
 
-def retry_after_s(wait_s: float, aim_s: float) -> float:
-    """Return when a refused request has a chance to start in time."""
-    return max(MIN_RETRY_S, wait_s - QUEUE_SHARE * aim_s)
+class Placing(abc.ABC):
+    """Chooses a replica for an online request."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        choices: Sequence[Choice],
+        zone: str,
+        rng: random.Random,
+    ) -> Choice:
+        """Return one of ``choices``, of which there is at least one."""
+
+
+class LeastOnline(Placing):
+    """The least online work by slots; see ``choose``."""
+
+    def choose(
+        self,
+        choices: Sequence[Choice],
+        zone: str,
+        rng: random.Random,
+    ) -> Choice:
+        """Return the choice with the least online work."""
+        return choose(choices, zone, rng)
+
+
+class AnyReplica(Placing):
+    """Naive: any replica, whatever is there."""
+
+    def choose(
+        self,
+        choices: Sequence[Choice],
+        zone: str,
+        rng: random.Random,
+    ) -> Choice:
+        """Return one of the choices at random."""
+        return rng.choice(choices)
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -7,6 +7,7 @@
 from cactusridge.dispatch.event_splitter import EventSplitter
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
+from cactusridge.dispatch.retries import check_retry, may_go_again
 from cactusridge.dispatch.run import Run, is_success
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import (
@@ -66,7 +67,7 @@
         progress: Progress,
     ) -> Iterator[bytes]:
         limit_s = None
-        if self._attempts.may_go_again(call, progress):
+        if may_go_again(call, progress):
             limit_s = STREAM_SILENCE_S
         received = run.read(self._attempts.wait_s(call, limit_s))
         while received:
@@ -89,7 +90,7 @@
         splitter.restart()
         req = call.req._replace(resume_after=splitter.last_id)
         while True:
-            self._attempts.check_retry(call, progress, exc)
+            check_retry(call, progress, exc)
             self._attempts.check_time(call, progress)
             try:
                 return self._run_on(call, req, progress)
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -1,7 +1,6 @@
 """Starts items where slots are free and ends them where they are not."""
 
 import contextlib
-from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -9,8 +8,8 @@
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.catalog import Catalog, Route
-from cactusridge.dispatch.claims import claim_wait_s, claims_kept
+from cactusridge.dispatch.catalog import Route
+from cactusridge.dispatch.claims import ClaimRule
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.load import Load, WorkKind
 from cactusridge.dispatch.loads import LoadTable
@@ -24,7 +23,6 @@
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.running import Running
 from cactusridge.jobs.waiting_line import Waiting, WaitingLine
-from cactusridge.store.store_clock import StoreClock
 from cactusridge.work_meter import METER, Part, PartGreenlet, spawn
 
 
@@ -37,11 +35,11 @@
         fleet: FleetView,
         runner: Runner,
         clock: Clock,
-        store_clock: StoreClock,
-        catalog: Callable[[], Catalog],
+        line: WaitingLine,
         sharing: BatchSharing,
+        claims: ClaimRule,
     ) -> None:
-        """Run items as the entry ``name`` by the ``catalog`` in force."""
+        """Run items as the entry ``name`` in the order of ``line``."""
         self._pacer = LookPacer(clock, runner.loads)
         self.wake = self._pacer.wake
         self.may_dispatch = Event()
@@ -51,7 +49,8 @@
         self._free = FreeReplicas(name, fleet, runner, sharing)
         self._runner = runner
         self._clock = clock
-        self._line = WaitingLine(clock, store_clock, catalog)
+        self._claims = claims
+        self._line = line
         self._running: list[Running] = []
 
     @property
@@ -134,9 +133,10 @@
         claim: contextlib.ExitStack,
     ) -> None:
         """Start an item if its claim is kept, else let it wait on."""
-        gevent.sleep(claim_wait_s(self.loads.fresh))
+        gevent.sleep(self._claims.wait_s(self.loads.fresh))
         loads = self._loads_at(replica)
-        kept = claims_kept(replica.slots, replica.life, loads)[self._name]
+        life = replica.life
+        kept = self._claims.keeps(self._name, replica.slots, life, loads)
         claim.close()
         if kept and self._may_start(waiting.job, replica):
             METER.steps['claims_kept'] += 1
--- a/cactusridge/jobs/waiting_line.py
+++ b/cactusridge/jobs/waiting_line.py
@@ -10,7 +10,7 @@
 from cactusridge.jobs.item_run import ItemTask
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.pace import Pace
-from cactusridge.jobs.urgency import ItemTimes, OnTimeFirst, Standing
+from cactusridge.jobs.urgency import ItemTimes, Standing, Urgency
 from cactusridge.store.store_clock import MS, StoreClock
 
 # Pause of an item whose run was interrupted, in seconds: a replica that
@@ -39,12 +39,13 @@
         clock: Clock,
         store_clock: StoreClock,
         catalog: Callable[[], Catalog],
+        urgency: Urgency,
     ) -> None:
         """Go by the routes of the ``catalog`` in force."""
         self._clock = clock
         self._store_clock = store_clock
         self._catalog = catalog
-        self._urgency = OnTimeFirst()
+        self._urgency = urgency
         self._paces: dict[str, Pace] = {}
         self._not_before: dict[str, float] = {}
         self._routes = RouteMatches()
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -17,8 +17,10 @@
 from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.manager import LOOK_S, JobManager
 from cactusridge.jobs.orphans import Orphans
+from cactusridge.jobs.policies import make_policies
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import RENEW_S, Session, ignore_store_errors
+from cactusridge.jobs.waiting_line import WaitingLine
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.operator import CatalogHolder
 from cactusridge.platform.store_access import StoreAccess
@@ -43,14 +45,15 @@
         self.heads = JobHeads()
         self.session = Session(store.rows, clock, cfg.name, address, cfg.zone)
         self.sharing = BatchSharing(fleet, self._entries, clock)
+        policies = make_policies(cfg.policy)
         self.scheduler = BatchScheduler(
             str(address),
             fleet,
             runner,
             clock,
-            store.clock,
-            holder.current,
+            WaitingLine(clock, store.clock, holder.current, policies.urgency),
             self.sharing,
+            policies.claims,
         )
         runner.loads.on_change(self.scheduler.loads_changed)
         ledger = JobLedger(store.rows, store.objects, clock)
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -11,6 +11,7 @@
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online import OnlineDispatcher
 from cactusridge.dispatch.peers import PeerExchange, Target, Word
+from cactusridge.dispatch.policies import make_outliers, make_policies
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
 from cactusridge.http.app import App, route
@@ -26,7 +27,6 @@
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.platform.upstream import HttpUpstream
-from cactusridge.routing.outliers import OutlierEjector
 from cactusridge.serving import Role
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.work_meter import METER, InnerCallGreenlet, Part, spawn
@@ -35,13 +35,6 @@
 # The largest body of a call between our own processes, in bytes.
 INNER_BODY = 65_536
 INNER_TIMEOUT_S = 2.0
-# A replica that broke off or fell silent is out of choice for this long,
-# in seconds, doubled by each failure that follows: one that is gone is
-# missed by the list of replicas for seconds, one that broke off once is
-# soon back. An answer of 500 may be the request's fault: two in a row.
-EJECT_FAILURES = 2
-EJECT_FIRST_S = 0.4
-EJECT_MOST_S = 4.0
 TRIM_S = 1.0
 
 
@@ -58,13 +51,8 @@
         self._fleet = FleetView()
         self._discovery = discovery.Discovery(self._fleet, clock)
         self._upstream = HttpUpstream(clock)
-        health = OutlierEjector(
-            clock,
-            EJECT_FAILURES,
-            EJECT_FIRST_S,
-            EJECT_MOST_S,
-        )
         loads = LoadTable(clock)
+        health = make_outliers(cfg.policy, clock)
         runner = Runner(self._upstream, loads, health, clock)
         self._fleet.on_life_end(runner)
         self._fleet.on_life_end(self._upstream.connections)
@@ -95,7 +83,13 @@
         self._app = CallerApp(
             self._holder,
             self._catalog_follower,
-            OnlineDispatcher(self._fleet, runner, cfg.zone, clock),
+            OnlineDispatcher(
+                self._fleet,
+                runner,
+                cfg.zone,
+                clock,
+                make_policies(cfg.policy),
+            ),
             self._jobs.calls,
             clock,
         )
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -137,6 +137,20 @@
     policy: EntryPolicy = EntryPolicy()
 
 
+class DirectPolicy(Model, frozen=True, kw_only=True):
+    """Which decision of each kind such an entry uses; the second is naive.
+
+    docs/DECISIONS.md tells what each is worth.
+    """
+
+    placing: Literal['least_online', 'any'] = 'least_online'
+    admission: Literal['in_time', 'everybody'] = 'in_time'
+    returns: Literal['after_burst', 'next_slot'] = 'next_slot'
+    outliers: Literal['eject', 'trust'] = 'eject'
+    items: Literal['on_time_first', 'due_first'] = 'on_time_first'
+    claims: Literal['told', 'none'] = 'told'
+
+
 class DirectEntrySettings(CommonSettings, frozen=True, kw_only=True):
     """Start settings of an entry that reaches upstreams itself.
 
@@ -155,6 +169,7 @@
     grace_s: PositiveSeconds = 8
     # Results can be read for this long after a job's submission.
     keep_jobs_s: PositiveSeconds = 120
+    policy: DirectPolicy = DirectPolicy()
 
     @property
     def drain_s(self) -> float:
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -6,13 +6,13 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
+from cactusridge.dispatch.admission import Everybody, InTime
 from cactusridge.dispatch.load import Load, WorkKind
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.placement import (
     Choice,
     choose,
     expected_wait_s,
-    retry_after_s,
     silence_s,
 )
 from cactusridge.dispatch.replica import Replica, ReplicaState
@@ -72,10 +72,11 @@
         """Behind a queue of online requests silence is no failure yet."""
         self.assertAlmostEqual(wanted, silence_s(load, SLOTS, 0.3))
 
-    def test_retry_after(self):
-        """A refused caller comes back when it could start in time."""
-        self.assertAlmostEqual(0.79, retry_after_s(1.0, 0.3))
-        self.assertAlmostEqual(0.05, retry_after_s(0.1, 0.3))
+    @params((1.0, 0.79), (0.21, 0), (0.1, -0.11))
+    def test_admission(self, wait_s, excess_s):
+        """Refused is who could not start in time, by how much is told."""
+        self.assertAlmostEqual(excess_s, InTime().excess_s(wait_s, 0.3))
+        self.assertEqual(0, Everybody().excess_s(wait_s, 0.3))
 
 
 class TestYielding(unittest.TestCase):
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -20,10 +20,12 @@
 from cactusridge.dispatch.load import Load
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online_call import Progress
+from cactusridge.dispatch.policies import make_policies
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.jobs.free_replicas import FreeReplicas
 from cactusridge.jobs.look_pacer import LookPacer
 from cactusridge.routing.outliers import TrustAll
+from cactusridge.startup.models import DirectPolicy
 
 FEW = 8
 MANY = 36
@@ -80,7 +82,14 @@
             kind=RouteKind.stream,
             aim_s=1,
         )
-        self.attempts = Attempts(fleet, runner, 'z', clock, None)
+        self.attempts = Attempts(
+            fleet,
+            runner,
+            'z',
+            clock,
+            None,
+            make_policies(DirectPolicy()),
+        )
         sharing = BatchSharing(fleet, lambda: names, clock)
         self.free = FreeReplicas(names[0], fleet, runner, sharing)
 
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -15,6 +15,7 @@
 )
 from cactusridge.jobs.item_run import ItemTask
 from cactusridge.jobs.model import ItemState, JobHead, JobItem
+from cactusridge.jobs.urgency import OnTimeFirst
 from cactusridge.jobs.waiting_line import WaitingLine
 
 ACCEPTED_UNDER = 5
@@ -77,7 +78,12 @@
         routes = (ROUTE,) if listed else ()
         catalog = Catalog(version, routes, CallerLimits())
         store_clock = SimpleNamespace(now_ms=lambda: NOW_MS + age_s * 1000)
-        line = WaitingLine(ManualClock(), store_clock, lambda: catalog)
+        line = WaitingLine(
+            ManualClock(),
+            store_clock,
+            lambda: catalog,
+            OnTimeFirst(),
+        )
         job = FakeJob()
         found = line.urgent_first([job])
         self.assertEqual((waiting, ends), (len(found), job.ends), what)
