Refused callers come back after a burst, not into it

Tried and reverted: back at once while under a quarter of the latest requests were refused, late otherwise.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -155,12 +155,10 @@
         hold = self._runner.hold(best.replica.service)
         wait_s = expected_wait_s(best, hold.mean_s)
         excess_s = self._policies.admission.excess_s(wait_s, call.route.aim_s)
-        service = best.replica.service
         if excess_s <= 0:
-            self._policies.returns.let_in(service)
             return
         left_s = call.deadline_at - self._clock.monotonic()
-        refusal = Refusal(service, excess_s, left_s)
+        refusal = Refusal(excess_s, left_s)
         raise Overloaded(
             f'{wait_s:.3f} s to wait',
             retry_after_s=self._policies.returns.after_s(refusal),
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,75 @@
+"""Each decision of an entry on the platform can be switched off alone."""
+
+import unittest
+from typing import get_args, get_type_hints
+
+import msgspec
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch import policies as online
+from cactusridge.dispatch.admission import Everybody, InTime
+from cactusridge.dispatch.claims import NoClaims, ToldClaims
+from cactusridge.dispatch.load import Load
+from cactusridge.dispatch.placement import AnyReplica, LeastOnline
+from cactusridge.dispatch.returns import AfterBurst, NextSlot
+from cactusridge.jobs import policies as batch
+from cactusridge.jobs.urgency import DueFirst, OnTimeFirst
+from cactusridge.routing.outliers import OutlierEjector, TrustAll
+from cactusridge.startup.models import DirectPolicy
+
+# By setting: ours, the naive one.
+CHOICES = {
+    'placing': (LeastOnline, AnyReplica),
+    'admission': (InTime, Everybody),
+    'returns': (AfterBurst, NextSlot),
+    'outliers': (OutlierEjector, TrustAll),
+    'items': (OnTimeFirst, DueFirst),
+    'claims': (ToldClaims, NoClaims),
+}
+
+
+def decisions(names):
+    """Return the class of each decision that is made of ``names``."""
+    made = online.make_policies(names)
+    of_items = batch.make_policies(names)
+    found = {
+        'placing': made.placing,
+        'admission': made.admission,
+        'returns': made.returns,
+        'outliers': online.make_outliers(names, ManualClock()),
+        'items': of_items.urgency,
+        'claims': of_items.claims,
+    }
+    return {name: type(each) for name, each in found.items()}
+
+
+class TestPolicies(unittest.TestCase):
+    """The table of the start settings."""
+
+    def test_ours_by_default(self):
+        """Nothing said, everything is ours; the table is whole."""
+        ours = {name: pair[0] for name, pair in CHOICES.items()}
+        self.assertEqual(ours, decisions(DirectPolicy()))
+        self.assertEqual(set(ours), set(get_type_hints(DirectPolicy)))
+
+    @params(*CHOICES)
+    def test_one_switched_off(self, name):
+        """The naive one in its place, all others ours."""
+        naive = get_args(get_type_hints(DirectPolicy)[name])[1]
+        names = msgspec.convert({name: naive}, DirectPolicy)
+        expected = {each: pair[0] for each, pair in CHOICES.items()}
+        expected[name] = CHOICES[name][1]
+        self.assertEqual(expected, decisions(names))
+
+
+class TestClaimRules(unittest.TestCase):
+    """Two entries that want one slot."""
+
+    def test_one_or_both(self):
+        """Told claims leave one of them; without both start."""
+        loads = {'a': Load(0, 7, 1), 'b': Load(0, 0, 1)}
+        kept = [ToldClaims().keeps(name, 8, 'life', loads) for name in loads]
+        self.assertEqual(1, sum(kept))
+        self.assertTrue(NoClaims().keeps('a', 8, 'life', loads))
+        self.assertTrue(NoClaims().keeps('b', 8, 'life', loads))
