--- a/bench/decisions/page.py
+++ b/bench/decisions/page.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).parent.parent.parent
 PLAYS = ROOT / 'bench' / 'data' / 'decisions'
 PAGE = ROOT / 'docs' / 'decisions'
+SHOWN = ('mended', 'start', 'returns')
 MEASURES = ('worth', 'worst_windows', 'unserved', 'late', 'processor_s')
 HEAD = ('comparison', 'days and seeds', *MEASURES)
 
@@ -36,7 +37,11 @@
         return f'{self.before} → {self.after}'
 
 
-ROUNDS = (Comparison('mended', 'start'), Comparison('start', 'returns'))
+ROUNDS = (
+    Comparison('mended', 'start'),
+    Comparison('start', 'returns'),
+    Comparison('start', 'returns by share'),
+)
 ABLATED = ('admission', 'claims', 'items', 'outliers', 'placing')
 ABLATION = tuple(Comparison('returns', f'no {each}') for each in ABLATED)
 
@@ -71,7 +76,7 @@
 def main() -> int:
     """Write the tables and the plot."""
     plays = read_plays(PLAYS / 'nilepulse-race.jsonl')
-    shown = [play for play in plays if not play.variant.startswith('no ')]
+    shown = [play for play in plays if play.variant in SHOWN]
     weakest = min(shown, key=attrgetter('worth'))
     PAGE.mkdir(exist_ok=True)
     plot(shown, weakest.day, weakest.seed, PAGE / 'weak-day.svg')
