--- a/tests/test_machine_links.py
+++ b/tests/test_machine_links.py
@@ -19,6 +19,11 @@
 AT_ONCE_S = 0.5
 IN_A_ROW = 6
 BETWEEN_S = 0.2
+# The list is read again within a second of the store's return, and a peer
+# says within half a second that it had the store.
+LEFT_S = 1.2
+# Requests of which a replica in choice gets some, with two to choose from.
+MANY = 16
 NEW_ROUTE = {'name': 'new', 'path_prefix': '/new/', 'kind': 'idempotent'}
 
 
@@ -83,6 +88,23 @@
         )
         self.assertEqual(['j9-0'], self.wait_done('two', 'j9', 1))
 
+    def test_left_meanwhile(self):
+        """A replica that left in the cut gets nothing after it.
+
+        The other entry has the store all along: that an entry is not
+        there says that its replica has left, not that it has lapsed.
+        """
+        gone = self.site.replicas[0]
+        self.site.store.remove(('servers', '', gone.id))
+        self.link.refusing = False
+        wait_for('it is back', lambda: self.site.is_ready('one'), LOST_S)
+        gevent.sleep(LEFT_S)
+        names = [f'after{number}' for number in range(MANY)]
+        for name in names:
+            found = self.site.call('one', 'POST', '/on/', b'1', sent(name))
+            self.assertEqual(200, found[0])
+        self.assertEqual([], [name for name in names if gone.runs[name]])
+
     def new_route_is_served(self):
         """Tell whether the first entry knows the new route."""
         call = ('one', 'POST', '/new/', b'1', sent('n'))
