--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -16,6 +16,13 @@
     '|/api/lots|/api/items|dead_letter|max_wait_s|expected_rev'
     '|traffic_split|target_latency_ms',
 )
+# What names a deployment, a day or a bench: decisions go by what is observed.
+FITTED = re.compile(
+    r'nilepulse|kalemlik|\bectl\b|narrator|fleetbench|split-call|wave-digest'
+    r'|\b(?:trouble|scale|quiet)-[0-9]',
+    re.IGNORECASE,
+)
+SETTINGS = PACKAGE.parent / 'deploy'
 # From the top: the interfaces, batch work, placing, policies, and what all
 # of them rest on. Packages of one line don't know each other.
 LAYERS = (
@@ -60,6 +67,17 @@
         ]
         self.assertEqual([], wrong)
 
+    def test_nothing_is_fitted(self):
+        """Neither code nor start settings know where they run."""
+        files = (*PACKAGE.rglob('*.py'), *SETTINGS.glob('*.*'))
+        known = {
+            path.name: found
+            for path in files
+            if (found := FITTED.findall(path.read_text()))
+        }
+        self.assertEqual({}, known)
+        self.assertTrue(FITTED.search('on trouble-2 of Nilepulse'))
+
     @params(*range(len(LAYERS)))
     def test_layers(self, level):
         """No package imports one beside it or above it."""
