--- a/cactusridge/dispatch/cells.py
+++ b/cactusridge/dispatch/cells.py
@@ -7,110 +7,23 @@
 other of every request at these replicas, and send theirs there first.
 """
 
-import abc
-import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
+from cactusridge import events, logs
 from cactusridge.clock import Clock
+from cactusridge.dispatch.cell_rules import WHOLE, CellRule, EntryPlace
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.replica import Replica
 from cactusridge.hashing import hash64, rendezvous
 
-# Entries that can tell each other of every request. A fleet of no more is
-# one cell, whatever its zones.
-MAX_ENTRIES = 20
 # Replicas that an entry has for batch on average at least, so that a job
 # spreads. Where cells have fewer, batch runs across cells.
 LEAST_REPLICAS = 4
 # The entries are listed anew this often, in seconds; they change when one
 # starts or stops.
 REFRESH_S = 0.25
-# The only cell of a small fleet.
-WHOLE = ''
-
-
-class EntryPlace(NamedTuple):
-    """The name of an entry, its address for peers, and its zone."""
-
-    name: str
-    zone: str
-
-
-class CellRule(abc.ABC):
-    """Divides entries and replicas into cells."""
-
-    @abc.abstractmethod
-    def of_entries(self, entries: Sequence[EntryPlace]) -> dict[str, str]:
-        """Return the cell of each entry by name; everybody finds the same."""
-
-    @abc.abstractmethod
-    def of_replicas(
-        self,
-        replicas: Sequence[Replica],
-        zones: Mapping[str, Sequence[str]],
-    ) -> dict[str, str]:
-        """Return the cell of each life; ``zones`` has the cells of each."""
-
-
-class ByZone(CellRule):
-    """Large fleets by availability zone, large zones in parts.
-
-    An entry that comes or goes moves no other. Replicas are dealt out
-    evenly: their slots are what a cell can bear.
-    """
-
-    def of_entries(self, entries: Sequence[EntryPlace]) -> dict[str, str]:
-        """Return the cell of each entry."""
-        if len(entries) <= MAX_ENTRIES:
-            return {each.name: WHOLE for each in entries}
-        zones = defaultdict(list)
-        for each in entries:
-            zones[each.zone].append(each.name)
-        found: dict[str, str] = {}
-        for zone, names in zones.items():
-            count = math.ceil(len(names) / MAX_ENTRIES)
-            cells = [f'{zone}/{number}' for number in range(count)]
-            found.update(
-                (name, rendezvous(cells, hash64(name))[0]) for name in names
-            )
-        return found
-
-    def of_replicas(
-        self,
-        replicas: Sequence[Replica],
-        zones: Mapping[str, Sequence[str]],
-    ) -> dict[str, str]:
-        """Return the cell of each replica; one without a zone's gets any."""
-        everywhere = sorted(
-            {cell for cells in zones.values() for cell in cells}
-        )
-        if not everywhere:
-            return {}
-        by_zone = defaultdict(list)
-        for replica in replicas:
-            by_zone[replica.zone].append(replica.life)
-        found: dict[str, str] = {}
-        for zone, lives in by_zone.items():
-            found.update(_dealt(lives, zones.get(zone, everywhere)))
-        return found
-
-
-class OneCell(CellRule):
-    """Naive: everybody tells everybody of everything."""
-
-    def of_entries(self, entries: Sequence[EntryPlace]) -> dict[str, str]:
-        """Return the one cell for each entry."""
-        return {each.name: WHOLE for each in entries}
-
-    def of_replicas(
-        self,
-        replicas: Sequence[Replica],
-        zones: Mapping[str, Sequence[str]],
-    ) -> dict[str, str]:
-        """Return the one cell for each replica."""
-        return {replica.life: WHOLE for replica in replicas}
 
 
 class Division(NamedTuple):
@@ -122,6 +35,14 @@
     zones: dict[str, tuple[str, ...]]
 
 
+class Shape(NamedTuple):
+    """What is logged of a division: cells, the own one, entries in it."""
+
+    cells: int
+    cell: str
+    near: int
+
+
 class ReplicaCells(NamedTuple):
     """The cells of a service's replicas, and what they were found from.
 
@@ -256,11 +177,26 @@
             self._listed_at = now
             entries = self._list_entries()
             if entries != self._division.entries:
-                self._division = _divide(entries, self._rule)
+                self._divide(entries)
         return self._division
 
+    def _divide(self, entries: tuple[EntryPlace, ...]) -> None:
+        before = self._shape()
+        self._division = _division_of(entries, self._rule)
+        shape = self._shape()
+        if shape != before:
+            logs.emit(events.CELLS_DIVIDED, **shape._asdict())
+
+    def _shape(self) -> Shape:
+        cells = self._division.names
+        cell = self._division.cells.get(self.name, WHOLE)
+        return Shape(len(cells), cell, len(cells.get(cell, ())))
+
 
-def _divide(entries: tuple[EntryPlace, ...], rule: CellRule) -> Division:
+def _division_of(
+    entries: tuple[EntryPlace, ...],
+    rule: CellRule,
+) -> Division:
     cells = rule.of_entries(entries)
     names = defaultdict(set)
     zones = defaultdict(set)
@@ -290,12 +226,3 @@
         cell: (*sorted(division.names.get(cell, ())), *without)
         for cell in served
     }
-
-
-def _dealt(names: Iterable[str], cells: Sequence[str]) -> dict[str, str]:
-    """Return a cell for each name, as many in each as in any other."""
-    order = sorted(names, key=hash64)
-    return {
-        name: cells[rank * len(cells) // len(order)]
-        for rank, name in enumerate(order)
-    }
--- a/cactusridge/dispatch/offers.py
+++ b/cactusridge/dispatch/offers.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from cactusridge.clock import Clock
 
@@ -50,6 +50,16 @@
     shared: list[str]
 
 
+def offer_in(raw: list[Any]) -> CellOffer:
+    """Return the offer in a datagram.
+
+    Raises ValueError, TypeError or AttributeError for what is none.
+    """
+    cell, slots, shared = raw
+    counts = {str(life): int(count) for life, count in slots.items()}
+    return CellOffer(str(cell), counts, [str(life) for life in shared])
+
+
 class Heard(NamedTuple):
     """An offer and until when it counts."""
 
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -23,7 +23,7 @@
 from cactusridge.dispatch.cells import Cells
 from cactusridge.dispatch.load import NO_LOAD, Load, WorkKind
 from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.offers import CellOffer
+from cactusridge.dispatch.offers import offer_in
 from cactusridge.dispatch.peer_socket import PeerSocket, Target
 from cactusridge.work_meter import Part, spawn
 
@@ -192,7 +192,7 @@
                 self._on_news(subject, version)
         offer = said.get(OFFER)
         if offer is not None:
-            self._loads.heard_offer(CellOffer(*offer))
+            self._loads.heard_offer(offer_in(offer))
         if ALL in said or CHANGED in said:
             self._take_counts(said, sender)
         if WORD in said and self._on_word is not None:
--- a/cactusridge/dispatch/policies.py
+++ b/cactusridge/dispatch/policies.py
@@ -6,7 +6,7 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.admission import Admission, Everybody, InTime
-from cactusridge.dispatch.cells import ByZone, CellRule, OneCell
+from cactusridge.dispatch.cell_rules import ByZone, CellRule, OneCell
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline, Placing
 from cactusridge.dispatch.returns import AfterBurst, NextSlot, Returns
 from cactusridge.routing.outliers import (
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -62,6 +62,7 @@
 REPLICA_REBORN: Final = Event(418, 'replica_reborn')
 LIFE_OUT_OF_ORDER: Final = Event(419, 'life_out_of_order', 'warning')
 LIVES_NOT_TOLD: Final = Event(420, 'lives_not_told', 'warning')
+CELLS_DIVIDED: Final = Event(422, 'cells_divided')
 PEER_UNREACHABLE: Final = Event(410, 'peer_unreachable', 'warning')
 PEER_UNREADABLE: Final = Event(411, 'peer_unreadable', 'warning')
 
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -6,7 +6,8 @@
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import Clock
 from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.cells import Cells, EntryPlace
+from cactusridge.dispatch.cell_rules import EntryPlace
+from cactusridge.dispatch.cells import Cells
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.dispatch.policies import make_cell_rule
--- a/tests/burst_play.py
+++ b/tests/burst_play.py
@@ -18,7 +18,8 @@
 from cactusridge.dispatch.audience import Audience
 from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import RouteKind
-from cactusridge.dispatch.cells import CellRule, Cells
+from cactusridge.dispatch.cell_rules import CellRule
+from cactusridge.dispatch.cells import Cells
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.loads import LoadTable
@@ -36,6 +37,8 @@
 AIM_S = 0.3
 TURN_S = 0.1
 FIRST_TURNS = 5
+# How the names of replicas begin that are added.
+NEW = 'new'
 
 
 class Fleet(NamedTuple):
@@ -46,13 +49,30 @@
     zones: int
 
 
+class Newcomers(NamedTuple):
+    """Replicas that are added ``after_s``, empty and slow for a while.
+
+    A request holds a slot of theirs ``slower`` times as long for
+    ``cold_s`` seconds.
+    """
+
+    count: int
+    after_s: float
+    slower: float
+    cold_s: float
+
+
 class Outcome(NamedTuple):
-    """What callers got, and how many datagrams each entry heard."""
+    """What callers got, and how many datagrams each entry heard.
+
+    ``abroad`` went to another availability zone, ``new`` to newcomers.
+    """
 
     asked: int
     late: int
     refused: int
     abroad: int
+    new: int
     heard: float
 
 
@@ -153,11 +173,27 @@
         self._todo: list[Any] = []
         self._queues = collections.defaultdict(list)
         self._counts = collections.Counter()
+        self._added = Newcomers(0, 0, 1, 0)
+        self._warm_at = float(0)
 
     def addresses(self):
         """Return where all entries are reached."""
         return list(self.entries)
 
+    def grow(self, added: Newcomers, zones: int) -> None:
+        """Let replicas come while requests are asked for."""
+        self._added = added
+        in_s = FIRST_TURNS * TURN_S + added.after_s
+        self._warm_at = self.clock.now + in_s + added.cold_s
+        self._at(
+            in_s,
+            put_replicas,
+            self.fleet,
+            added.count,
+            zones,
+            NEW,
+        )
+
     def ask(self, per_s: float, for_s: float) -> Outcome:
         """Play ``per_s`` requests a second; return what callers got."""
         begun_at = self.clock.now
@@ -178,6 +214,7 @@
             self._counts['late'],
             self._counts['refused'],
             self._counts['abroad'],
+            self._counts['new'],
             heard / len(self.entries) / for_s,
         )
 
@@ -207,7 +244,11 @@
         now = self.clock.now
         starts = now if len(free) < replica.slots else heapq.heappop(free)
         starts = max(now, starts)
-        ends = starts + self.rng.uniform(0.5, 1.5) * HOLD_S
+        hold_s = self.rng.uniform(0.5, 1.5) * HOLD_S
+        if replica.id.startswith(NEW):
+            self._counts['new'] += 1
+            hold_s *= self._added.slower if now < self._warm_at else 1
+        ends = starts + hold_s
         heapq.heappush(free, ends)
         self._counts['late'] += starts - now > AIM_S
         self._at(ends - now, running.__exit__, None, None, None)
--- a/tests/cells_play.py
+++ b/tests/cells_play.py
@@ -1,7 +1,8 @@
 """Cells of entries and replicas for tests."""
 
 from cactusridge.clock import Clock, ManualClock
-from cactusridge.dispatch.cells import ByZone, CellRule, Cells, EntryPlace
+from cactusridge.dispatch.cell_rules import ByZone, CellRule, EntryPlace
+from cactusridge.dispatch.cells import Cells
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
@@ -32,14 +33,18 @@
     return f'z{number}'
 
 
-def put_replicas(fleet: FleetView, count: int, zones: int = 1) -> None:
+def put_replicas(
+    fleet: FleetView,
+    count: int,
+    zones: int = 1,
+    prefix: str = 'i',
+) -> None:
     """Let there be ``count`` replicas, in turn in each of ``zones``."""
     for number in range(count):
         zone = zone_of(number % zones) if zones > 1 else ZONE
+        name = f'{prefix}-{number}'
         ready = ReplicaState.ready
-        fleet.put(
-            Replica(f'i-{number}', SERVICE, ADDRESS, zone, SLOTS, ready),
-        )
+        fleet.put(Replica(name, SERVICE, ADDRESS, zone, SLOTS, ready))
 
 
 def cells_of(
--- a/tests/test_batch_sharing.py
+++ b/tests/test_batch_sharing.py
@@ -11,12 +11,8 @@
     SHARERS,
     BatchSharing,
 )
-from cactusridge.dispatch.cells import (
-    LEAST_REPLICAS,
-    REFRESH_S,
-    ByZone,
-    Cells,
-)
+from cactusridge.dispatch.cell_rules import ByZone
+from cactusridge.dispatch.cells import LEAST_REPLICAS, REFRESH_S, Cells
 from cactusridge.dispatch.fleet_view import FleetView
 from tests.cells_play import SERVICE, places, put_replicas
 
--- a/tests/test_burst_play.py
+++ b/tests/test_burst_play.py
@@ -4,9 +4,9 @@
 
 from nose2.tools import params
 
-from cactusridge.dispatch.cells import ByZone, OneCell
+from cactusridge.dispatch.cell_rules import ByZone, OneCell
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
-from tests.burst_play import HOLD_S, BurstPlay, Fleet
+from tests.burst_play import HOLD_S, BurstPlay, Fleet, Newcomers
 from tests.cells_play import SLOTS
 
 LARGE = Fleet(entries=88, replicas=59, zones=6)
@@ -26,6 +26,13 @@
     return BurstPlay(size, rule, placing, SEED).ask(per_s, for_s)
 
 
+def grown(added, placing):
+    """Return what callers get in a burst in which replicas are added."""
+    burst = BurstPlay(LARGE, ByZone(), placing, SEED)
+    burst.grow(added, LARGE.zones)
+    return burst.ask(0.85 * LARGE.replicas * SLOTS / HOLD_S, FOR_S)
+
+
 class TestBurst(unittest.TestCase):
     """Cells against the naive versions beside them."""
 
@@ -41,6 +48,26 @@
             5 * (ours.late + ours.refused),
         )
 
+    @params(1, 1.5, 3)
+    def test_newcomers(self, slower):
+        """Twenty empty replicas at once: no herd, cold ones or not.
+
+        Answers entries that all see the same replicas come up empty. They
+        get no more than their share of the requests, and next to nobody
+        waits too long there.
+        """
+        added = Newcomers(20, after_s=0.3, slower=slower, cold_s=2)
+        found = grown(added, LeastOnline())
+        self.assertLess(found.late + found.refused, found.asked / 100)
+        share = added.count / (added.count + LARGE.replicas)
+        self.assertLess(found.new, found.asked * share)
+        self.assertGreater(found.new, found.asked * share / 4)
+        naive = grown(added, AnyReplica())
+        self.assertGreater(
+            naive.late + naive.refused,
+            5 * (found.late + found.refused),
+        )
+
     def test_one_cell(self):
         """Few more miss their time than where everybody hears of all.
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -2,19 +2,20 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 from nose2.tools import params
 
+from cactusridge import events, logs
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.cells import (
+from cactusridge.dispatch.cell_rules import (
     MAX_ENTRIES,
-    REFRESH_S,
     WHOLE,
     ByZone,
-    Cells,
     EntryPlace,
     OneCell,
 )
+from cactusridge.dispatch.cells import REFRESH_S, Cells
 from cactusridge.dispatch.fleet_view import FleetView
 from tests.cells_play import (
     SERVICE,
@@ -173,6 +174,19 @@
         after = ByZone().of_entries(entries[1:])
         self.assertEqual(before, {**before, **after})
 
+    def test_logged(self):
+        """A new division is logged once, with this entry's part in it."""
+        with mock.patch.object(logs, 'emit') as emit:
+            self.cells.near()
+            self.clock.advance(REFRESH_S)
+            self.cells.near()
+        emit.assert_called_once_with(
+            events.CELLS_DIVIDED,
+            cells=6,
+            cell='z0/0',
+            near=15,
+        )
+
     def test_same_until_a_change(self):
         """What is found is kept until an entry or a replica comes."""
         found = self.cells.of_service(SERVICE)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,14 +4,16 @@
 import itertools
 import random
 import unittest
+from unittest import mock
 
 import orjson
 from nose2.tools import params
 
+from cactusridge import events
 from cactusridge.clock import SystemClock
 from cactusridge.dispatch.audience import Audience
 from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.cells import EntryPlace
+from cactusridge.dispatch.cell_rules import EntryPlace
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.load import Load, WorkKind
 from cactusridge.dispatch.loads import LoadTable
@@ -39,7 +41,10 @@
     spread,
     zone_of,
 )
+from tests.emitted import emitted
 
+# Where a datagram from another cell seems to come from.
+FAR = ('10.0.0.9', 1)
 # Several repeats of all counts, in seconds.
 HEARD_S = 5
 BATCH = WorkKind.batch
@@ -280,6 +285,23 @@
         self.assertEqual({life}, self.loads.shared())
         self.assertFalse(self.loads.peers_heard())
 
+    @params(
+        ['z1/0', {'i-1': 'many'}, []],
+        ['z1/0', [], []],
+        ['z1/0', {}],
+        ['z1/0', {}, 7],
+        {'i-1': 1},
+        3,
+    )
+    def test_no_offer(self, raw):
+        """What cannot be read is logged and offers nothing."""
+        said = orjson.dumps({OFFER: raw})
+        with mock.patch.object(PeerSocket, 'receive', lambda _: (said, FAR)):
+            with emitted() as found:
+                self.exchange._listen()
+        self.assertEqual([events.PEER_UNREADABLE], found)
+        self.assertEqual(set(), self.loads.offered())
+
     def test_shared(self):
         """Who may run batch at a replica hears that it is told of it."""
         self.exchange._repeat()
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -9,7 +9,7 @@
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch import policies as online
 from cactusridge.dispatch.admission import Everybody, InTime
-from cactusridge.dispatch.cells import ByZone, OneCell
+from cactusridge.dispatch.cell_rules import ByZone, OneCell
 from cactusridge.dispatch.claims import NoClaims, ToldClaims
 from cactusridge.dispatch.load import Load
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
