--- /dev/null
+++ b/tests/burst_entry.py
@@ -0,0 +1,100 @@
+"""One entry of a burst that is played without a network."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import orjson
+
+from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.audience import Audience
+from cactusridge.dispatch.batch_sharing import BatchSharing
+from cactusridge.dispatch.catalog import RouteKind
+from cactusridge.dispatch.cell_rules import CellRule
+from cactusridge.dispatch.cells import Cells
+from cactusridge.dispatch.loads import LoadTable
+from cactusridge.dispatch.online_call import Progress
+from cactusridge.dispatch.peers import PeerExchange, Word
+from cactusridge.dispatch.placement import Placing
+from cactusridge.dispatch.policies import make_policies
+from cactusridge.http.client import parse_address
+from cactusridge.routing.outliers import TrustAll
+from cactusridge.startup.models import DirectPolicy
+from tests.cells_play import SERVICE
+
+# How long a request holds a slot on average, and the longest wait for one
+# that is on time, in seconds.
+HOLD_S = 0.6
+AIM_S = 0.3
+
+
+class Entry:
+    """One entry of the play."""
+
+    def __init__(
+        self,
+        play: Any,
+        place: Any,
+        rule: CellRule,
+        placing: Placing,
+    ) -> None:
+        """Know all entries and replicas of ``play``, a BurstPlay."""
+        self.zone = place.zone
+        self.heard = 0
+        self.loads = LoadTable(play.clock)
+        self._play = play
+        self.address = parse_address(place.name)
+        cells = Cells(
+            place.name,
+            play.fleet,
+            lambda: play.places,
+            rule,
+            play.clock,
+        )
+        sharing = BatchSharing(play.fleet, cells)
+        self.exchange = PeerExchange(
+            self,
+            self.loads,
+            Audience(self.address, self.loads, play.addresses, sharing),
+            cells,
+            lambda: Word(1, True, 1),
+        )
+        runner = SimpleNamespace(
+            loads=self.loads,
+            health=TrustAll(),
+            hold=lambda _: SimpleNamespace(mean_s=HOLD_S),
+        )
+        policies = make_policies(DirectPolicy())._replace(placing=placing)
+        self._attempts = Attempts(
+            play.fleet,
+            cells,
+            runner,
+            self.zone,
+            play.clock,
+            None,
+            policies,
+        )
+        self._attempts._rng = play.rng
+        self.exchange._audience._rng = play.rng
+
+    def choose(self):
+        """Return the replica for one request; raise Overloaded."""
+        share = SimpleNamespace(service=SERVICE, weight=1)
+        route = SimpleNamespace(
+            shares=[share],
+            kind=RouteKind.stream,
+            aim_s=AIM_S,
+        )
+        deadline_at = self._play.clock.monotonic() + 5
+        call = SimpleNamespace(route=route, deadline_at=deadline_at)
+        return self._attempts.choose(call, Progress())
+
+    def send(self, targets, said):
+        """Deliver what the exchange tells; stands in for its socket."""
+        raw = orjson.dumps(said)
+        for target in targets:
+            self._play.entries[target].take(raw, self.address)
+
+    def take(self, raw, sender):
+        """Hear one datagram."""
+        self.heard += 1
+        self.exchange._take(raw, sender)
--- a/tests/burst_play.py
+++ b/tests/burst_play.py
@@ -8,33 +8,18 @@
 import heapq
 import itertools
 import random
-from types import SimpleNamespace
 from typing import Any, NamedTuple
 
-import orjson
-
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.attempts import Attempts
-from cactusridge.dispatch.audience import Audience
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.catalog import RouteKind
 from cactusridge.dispatch.cell_rules import CellRule
-from cactusridge.dispatch.cells import Cells
 from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.load import WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.online_call import Progress
-from cactusridge.dispatch.peers import REPEAT_S, PeerExchange, Word
+from cactusridge.dispatch.peers import REPEAT_S
 from cactusridge.dispatch.placement import Placing
-from cactusridge.dispatch.policies import make_policies
 from cactusridge.errors import Overloaded
-from cactusridge.http.client import parse_address
-from cactusridge.routing.outliers import TrustAll
-from cactusridge.startup.models import DirectPolicy
-from tests.cells_play import SERVICE, put_replicas, spread
+from tests.burst_entry import AIM_S, HOLD_S, Entry
+from tests.cells_play import put_replicas, spread
 
-HOLD_S = 0.6
-AIM_S = 0.3
 TURN_S = 0.1
 FIRST_TURNS = 5
 # How the names of replicas begin that are added.
@@ -76,79 +61,6 @@
     heard: float
 
 
-class Entry:
-    """One entry of the play."""
-
-    def __init__(
-        self,
-        play: 'BurstPlay',
-        place: Any,
-        rule: CellRule,
-        placing: Placing,
-    ) -> None:
-        """Know all entries and replicas of ``play``."""
-        self.zone = place.zone
-        self.heard = 0
-        self.loads = LoadTable(play.clock)
-        self._play = play
-        self.address = parse_address(place.name)
-        cells = Cells(
-            place.name,
-            play.fleet,
-            lambda: play.places,
-            rule,
-            play.clock,
-        )
-        sharing = BatchSharing(play.fleet, cells)
-        self.exchange = PeerExchange(
-            self,
-            self.loads,
-            Audience(self.address, self.loads, play.addresses, sharing),
-            cells,
-            lambda: Word(1, True, 1),
-        )
-        runner = SimpleNamespace(
-            loads=self.loads,
-            health=TrustAll(),
-            hold=lambda _: SimpleNamespace(mean_s=HOLD_S),
-        )
-        policies = make_policies(DirectPolicy())._replace(placing=placing)
-        self._attempts = Attempts(
-            play.fleet,
-            cells,
-            runner,
-            self.zone,
-            play.clock,
-            None,
-            policies,
-        )
-        self._attempts._rng = play.rng
-        self.exchange._audience._rng = play.rng
-
-    def choose(self):
-        """Return the replica for one request; raise Overloaded."""
-        share = SimpleNamespace(service=SERVICE, weight=1)
-        route = SimpleNamespace(
-            shares=[share],
-            kind=RouteKind.stream,
-            aim_s=AIM_S,
-        )
-        deadline_at = self._play.clock.monotonic() + 5
-        call = SimpleNamespace(route=route, deadline_at=deadline_at)
-        return self._attempts.choose(call, Progress())
-
-    def send(self, targets, said):
-        """Deliver what the exchange tells; stands in for its socket."""
-        raw = orjson.dumps(said)
-        for target in targets:
-            self._play.entries[target].take(raw, self.address)
-
-    def take(self, raw, sender):
-        """Hear one datagram."""
-        self.heard += 1
-        self.exchange._take(raw, sender)
-
-
 class BurstPlay:
     """A fleet under so many requests a second for some seconds."""
 
--- /dev/null
+++ b/tests/exchange_play.py
@@ -0,0 +1,15 @@
+"""An exchange between entries for tests."""
+
+from cactusridge.dispatch.audience import Audience
+from cactusridge.dispatch.peers import PeerExchange, Word
+
+
+def exchange_of(sock, loads, addresses, sharing):
+    """Return an exchange with the entries at ``addresses``."""
+    return PeerExchange(
+        sock,
+        loads,
+        Audience(sock.address, loads, lambda: addresses, sharing),
+        sharing.cells,
+        lambda: Word(3, True, 7),
+    )
--- a/tests/test_burst_play.py
+++ b/tests/test_burst_play.py
@@ -6,7 +6,8 @@
 
 from cactusridge.dispatch.cell_rules import ByZone, OneCell
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
-from tests.burst_play import HOLD_S, BurstPlay, Fleet, Newcomers
+from tests.burst_entry import HOLD_S
+from tests.burst_play import BurstPlay, Fleet, Newcomers
 from tests.cells_play import SLOTS
 
 LARGE = Fleet(entries=88, replicas=59, zones=6)
--- /dev/null
+++ b/tests/test_consider.py
@@ -0,0 +1,35 @@
+"""Which replicas are compared for an online request."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.dispatch.placement import FEW, consider
+
+
+class TestConsider(unittest.TestCase):
+    """Which replicas are compared."""
+
+    @params(
+        # Near, offered, others; how many are compared.
+        (20, 0, 30, 20),
+        (20, 5, 30, 25),
+        (0, 5, 30, 5),
+        (0, 0, 30, FEW),
+        (0, 0, 2, 2),
+    )
+    def test_compared(self, near, offered, others, wanted):
+        """All of the own cell and what is offered, else a few."""
+        own = {f'near-{number}' for number in range(near)}
+        from_others = {f'offered-{number}' for number in range(offered)}
+        lives = {f'far-{number}' for number in range(others)}
+        lives |= own | from_others
+        found = consider(lives, own, from_others, random.Random(1))
+        self.assertEqual(wanted, len(found))
+        self.assertLessEqual(own | from_others, found)
+
+    def test_only_what_may_be_chosen(self):
+        """A near replica that is out of choice is not compared."""
+        found = consider({'far'}, {'near'}, {'gone'}, random.Random(1))
+        self.assertEqual({'far'}, found)
