Docstrings of offers and of placing read straight

Cause: read as a newcomer, one wrapped in the middle of a clause, one told less than its code. Change: words only.

--- a/cactusridge/dispatch/offers.py
+++ b/cactusridge/dispatch/offers.py
@@ -1,10 +1,10 @@
 """Slots that other cells offer this entry.
 
 Answers cells that get more than their replicas can bear while others have
-room: all entries of a cell that is full would send what is too much to
-the same replicas, and to all by counts that are half a second old. So each
-cell divides its free slots among the entries of the others, some times over
-since few of them need any, and who is offered none sends nothing there.
+room. By counts that are half a second old all entries of a full cell would
+send their excess to the same replicas, and in an overload every cell to all
+others. So each cell divides its free slots among the entries of the others,
+and who is offered none sends nothing there.
 """
 
 import random
@@ -15,7 +15,7 @@
 # Slots of a replica that are not offered: its own cell gets more requests
 # before the next offer.
 KEPT_SLOTS = 2
-# To how many entries each free slot is offered.
+# To how many entries each free slot is offered: few need any at a time.
 OFFERED_TO = 2
 # An offer is repeated every half second; three lost in a row end it.
 OFFER_LASTS_S = 1.6
--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -89,10 +89,10 @@
 ) -> Choice:
     """Return the choice with the least online work by its slots.
 
-    Among equals one of the own cell, whose bytes do not cross
-    availability zones; then the one with the
-    fewest requests in all, so that batch work is disturbed last; then
-    one in ``zone``; then any, so that entries do not all pick the same.
+    Among equals one of the own cell, whose bytes do not cross availability
+    zones; then the one with the fewest requests in all, so that batch work
+    is disturbed last; then one in ``zone``; then any, so that entries do
+    not all pick the same.
     """
     ranked = [
         (
