Known red: an entry listed a moment ago is told nothing at once

Cause: the audience of a request is found from a division of the fleet that is up to 0.25 s old; who came into the list since is in no cell and, being listed, is not taken for one that is only heard. Before the cells the list itself was asked.

--- a/tests/test_cells_told.py
+++ b/tests/test_cells_told.py
@@ -58,9 +58,14 @@
         self.cells = cells
         self.sharing = BatchSharing(self.fleet, cells)
         self.loads = LoadTable(SystemClock())
-        addresses = [parse_address(each.name) for each in self.entries]
+        self.addresses = [parse_address(each.name) for each in self.entries]
         sock = PeerSocket(address)
-        self.exchange = exchange_of(sock, self.loads, addresses, self.sharing)
+        self.exchange = exchange_of(
+            sock,
+            self.loads,
+            self.addresses,
+            self.sharing,
+        )
         self.told: list[tuple[str, dict]] = []
         sock.send_to = self.keep
 
@@ -163,6 +168,18 @@
         again = {name for name, said in self.told if said.get(NEWS)}
         self.assertEqual(everybody, again)
 
+    def test_listed_a_moment_ago(self):
+        """An entry that has just come into the list is told at once.
+
+        In the first moments after a start all others have.
+        """
+        life = self.life_in(near=True)
+        self.cells.near()
+        newcomer = self.ports.give()
+        self.addresses.append(newcomer)
+        with self.loads.running(life, WorkKind.online):
+            self.assertIn(str(newcomer), {name for name, _ in self.told})
+
     def test_told_once_a_repeat(self):
         """What is told in a repeat grows with cells, not with entries."""
         self.exchange._repeat()
