Logs say which requests are the same one, and how long a broken run lasted

Events 415 and 512 now have a fingerprint of caller, method, host, target and body; 417 and 513 say how long the run had lasted. No decision reads either yet.

--- a/cactusridge/dispatch/online_log.py
+++ b/cactusridge/dispatch/online_log.py
@@ -31,6 +31,7 @@
         logs.emit(
             events.REQUEST_PLACED,
             request=req.id,
+            fingerprint=req.fingerprint,
             route=call.route.name,
             replica=replica.id,
             attempt=len(progress.tried),
@@ -65,6 +66,7 @@
             request=call.req.id,
             replica=run.replica.id,
             after_event=splitter.last_id,
+            ran_s=round(run.lasted_s(), 4),
             resumable=call.route.resumable,
             caller_gone=call.caller.gone,
             cause=exc.code,
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -54,6 +54,11 @@
         self.exchange = exchange
         self._runner = runner
         self._stack = stack
+        self._opened_at = runner.clock.monotonic()
+
+    def lasted_s(self) -> float:
+        """Return the seconds since the request was sent."""
+        return self._runner.clock.monotonic() - self._opened_at
 
     def head(self, wait_s: float) -> UpstreamHead:
         """Return a head that is this request's; raise NotRun and others."""
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -12,8 +12,9 @@
 class UpstreamRequest(NamedTuple):
     """A request as the caller sent it.
 
-    ``target`` is the raw request target. ``resume_after`` is the id of
-    the last event that is already there, if the stream is to go on.
+    ``target`` is the raw request target. ``fingerprint`` is the same for
+    all repeats of a request. ``resume_after`` is the id of the last event
+    that is already there, if the stream is to go on.
     """
 
     id: str
@@ -21,6 +22,7 @@
     target: str
     headers: HeaderList
     body: bytes
+    fingerprint: str
     resume_after: str | None = None
 
 
--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -63,7 +63,7 @@
         self._committing = RLock()
         done = set(progress.listed)
         self._tasks = {
-            index: _task(index, item, progress)
+            index: _task(index, item, head.host, progress)
             for index, item in enumerate(items)
             if index not in done
         }
@@ -215,7 +215,12 @@
     return HeldJob(head, progress, items, partials, ledger, clock)
 
 
-def _task(index: int, item: JobItem, progress: Progress) -> ItemTask:
-    task = ItemTask(index, item, base64.b64decode(item.body))
+def _task(
+    index: int,
+    item: JobItem,
+    host: str,
+    progress: Progress,
+) -> ItemTask:
+    task = ItemTask(index, item, base64.b64decode(item.body), host)
     task.failures = progress.failures.get(str(index), 0)
     return task
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -15,7 +15,9 @@
     TruncatedReply,
 )
 from cactusridge.jobs.model import JobItem
+from cactusridge.quarantine.fingerprint import fingerprint_of
 
+METHOD = 'POST'
 OK = 200
 UNPROCESSABLE = 422
 SERVER_FAULT = 500
@@ -39,11 +41,18 @@
 class ItemTask:
     """An item and what there is of its output."""
 
-    def __init__(self, index: int, item: JobItem, body: bytes) -> None:
+    def __init__(
+        self,
+        index: int,
+        item: JobItem,
+        body: bytes,
+        host: str,
+    ) -> None:
         """Start with no output; ``body`` is the item's, decoded."""
         self.index = index
         self.item = item
         self.body = body
+        self.fingerprint = fingerprint_of('', METHOD, host, item.path, body)
         self.failures = 0
         # The last run broke or fell silent: the next one goes out on a
         # new connection.
@@ -109,10 +118,11 @@
         ]
         return UpstreamRequest(
             id=item.id,
-            method='POST',
+            method=METHOD,
             target=item.path,
             headers=[('Host', self.host), *headers],
             body=self.task.body,
+            fingerprint=self.task.fingerprint,
             resume_after=self.task.last_id,
         )
 
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -178,6 +178,7 @@
             events.ITEM_STARTED,
             job=job.head.id,
             item=task.item.id,
+            fingerprint=task.fingerprint,
             replica=replica.id,
             after_event=task.last_id,
             online=load.online,
@@ -197,6 +198,7 @@
             replica=running.replica.id,
             outcome=end.value if isinstance(end, RunEnd) else 'yielded',
             events=task.events,
+            ran_s=round(self._clock.monotonic() - running.started_at, 4),
         )
         self._learn(running, route)
         if end == RunEnd.completed:
--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -120,6 +120,7 @@
             call.target,
             call.headers,
             body,
+            call.fingerprint(body),
         )
         online_call = OnlineCall(
             req,
--- a/cactusridge/platform/caller_request.py
+++ b/cactusridge/platform/caller_request.py
@@ -8,6 +8,7 @@
 from cactusridge.errors import BadRequest, TooLarge
 from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY, Req
 from cactusridge.platform import names
+from cactusridge.quarantine.fingerprint import fingerprint_of
 
 LINE_BYTES = 4
 MAX_ID = 120
@@ -50,6 +51,21 @@
         """Return the id of this attempt of the caller."""
         return self.header(names.REQUEST_ID)
 
+    @property
+    def caller(self) -> str:
+        """Return the address that the request came from, without a port."""
+        return self._req.environ['REMOTE_ADDR']
+
+    def fingerprint(self, body: bytes) -> str:
+        """Return what repeats of this request with ``body`` share."""
+        return fingerprint_of(
+            self.caller,
+            self.method,
+            self.host,
+            self.target,
+            body,
+        )
+
     def header(self, name: str, default: str = '') -> str:
         """Return the first header with this name, any case."""
         wanted = name.lower()
--- /dev/null
+++ b/cactusridge/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Holds requests back that crash the replicas that run them."""
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -29,7 +29,7 @@
     ('cli', 'entry', 'platform', 'sidecar'),
     ('batch', 'jobs', 'output'),
     ('dispatch', 'sidecar_dispatch'),
-    ('routing', 'slo'),
+    ('quarantine', 'routing', 'slo'),
     ('settings',),
     ('startup', 'store'),
     ('http',),
--- a/tests/test_connection_lost.py
+++ b/tests/test_connection_lost.py
@@ -52,7 +52,7 @@
 def _exchange(*script):
     clock = SystemClock()
     replica = Replica('i-1', 's', ('127.0.0.1', 1), 'z', 8, ReplicaState.ready)
-    req = UpstreamRequest('r1', 'POST', '/', [], b'')
+    req = UpstreamRequest('r1', 'POST', '/', [], b'', 'f')
     sock = ScriptedSocket(*script)
     return HttpExchange(replica, req, sock, Connections(clock))
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -19,7 +19,7 @@
 from cactusridge.routing.outliers import OutlierEjector
 
 FAILURES = 2
-REQUEST = UpstreamRequest('r', 'POST', '/', [], b'')
+REQUEST = UpstreamRequest('r', 'POST', '/', [], b'', 'f')
 ADDRESS = Address('127.0.0.1', 1)
 KEYS = ('a', 'b', 'c')
 
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         """Hold the item; note how it ends."""
         item = JobItem('i0', '/lots/0', {}, 'YQ==', 1)
-        task = ItemTask(0, item, b'a')
+        task = ItemTask(0, item, b'a', 'h')
         self.pending = {0: task}
         self.ends: list[ItemState] = []
         self.head = JobHead(
