Failing test: a request that crashes each replica is run for ever

The request comes again with the same path, caller and body, each time as a new attempt, at one entry after the other: streams, streams that may go on elsewhere, plain requests of both kinds, and an item of a job.

The tests of those who only share a replica with it pass.

--- a/standins/machines/listed_replicas.py
+++ b/standins/machines/listed_replicas.py
@@ -2,12 +2,17 @@
 
 from typing import Any
 
+import gevent
+
 from cactusridge.http.client import Address
 from standins.forwarder import Forwarder
 from standins.machines.replica import MachineReplica
 from standins.machines.spoiled import SPOILED
 from standins.machines.store import MachineStore
 
+# From a replica's end to its next start, in seconds.
+BACK_S = 0.7
+
 
 class ListedReplicas:
     """Lists replicas in a store, starts them again, spoils their entries."""
@@ -71,6 +76,17 @@
         link.refusing = False
         self.register(replica, link.address)
 
+    def crash(self, number: int) -> None:
+        """End a replica with everything in it; it is back after a while.
+
+        Its entry stays on the list until then.
+        """
+        replica, link = self.replicas[number], self.replica_links[number]
+        link.refusing = True
+        replica.restart()
+        link.reset()
+        gevent.spawn_later(BACK_S, self._come_back, number)
+
     def spoil_entry(self, number: int, how: str) -> None:
         """Overwrite a replica's entry as another writer would.
 
@@ -88,3 +104,7 @@
     def replica_address(self, number: int) -> Address:
         """Return where a replica listens."""
         return self.replica_links[number].address
+
+    def _come_back(self, number: int) -> None:
+        self.replica_links[number].refusing = False
+        self.mend_entry(number)
--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -2,9 +2,9 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from types import MappingProxyType
-from typing import Any
+from typing import Any, NoReturn
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -12,6 +12,9 @@
 from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
 
 STEP_S = 0.01
+CRASH = b'crash'
+# From the start of a run that ends its replica to that end.
+CRASH_S = 0.03
 NS_PER_MS = 1_000_000
 FAILING = MappingProxyType(
     {
@@ -31,7 +34,9 @@
 
     The body of a request is ``N`` or ``N EVENT_SECONDS``: so many events
     come, one each so many seconds. ``cut_after`` breaks the next streams
-    off after so many events, in the middle of one. ``born`` is the Unix
+    off after so many events, in the middle of one. A body that has
+    ``crash`` ends the replica soon after it has begun, before any event,
+    and all that runs there with it. ``born`` is the Unix
     millisecond at which the present life began; what tests look at is
     counted over all lives.
     """
@@ -48,6 +53,8 @@
         self.running = 0
         self.most = 0
         self.left = 0
+        self.crashed: list[float] = []
+        self._on_crash: Callable[[], None] | None = None
         self._slot_count = slots
         self._slots = BoundedSemaphore(slots)
 
@@ -69,6 +76,10 @@
         ]
         return self._answer(body, headers, answered, start)
 
+    def on_crash(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when a request has ended the replica."""
+        self._on_crash = listener
+
     def restart(self) -> None:
         """Begin a life that knows nothing of what runs; that breaks off."""
         self.born = max(self.born + 1, time.time_ns() // NS_PER_MS)
@@ -99,6 +110,8 @@
         start: Start,
     ) -> Any:
         request_id = answered[0][1]
+        if CRASH in body and body.startswith(b'plain'):
+            return self._crash()
         status = self.failing(request_id, body)
         if status is not None:
             start(status, answered)
@@ -110,10 +123,22 @@
             wrong = self.spoil.pop(0)
             start('200 OK', [('X-Attempt-Id', wrong), answered[1]])
             return [b'spoiled']
-        start('200 OK', [*answered, ('Content-Type', 'text/event-stream')])
+        kind = ('Content-Type', 'text/event-stream')
+        write = start('200 OK', [*answered, kind])
         last = headers.get('Last-Event-Id', '0')
+        if CRASH in body:
+            write(b'')
+            return self._crash()
         return self._events(request_id, body, last)
 
+    def _crash(self) -> NoReturn:
+        """End this life and everything that runs in it."""
+        gevent.sleep(CRASH_S)
+        self.crashed.append(time.monotonic())
+        if self._on_crash is not None:
+            self._on_crash()
+        raise Cut
+
     def _end(self, slots: BoundedSemaphore, whole: bool) -> None:
         self.running -= slots is self._slots
         self.left += not whole
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import functools
 import json
 import os
 from http.client import HTTPConnection
@@ -41,6 +42,7 @@
         'resumable': True,
     },
     {'name': 'safe', 'path_prefix': '/safe/', 'kind': 'idempotent'},
+    {'name': 'once', 'path_prefix': '/plain/', 'kind': 'non_idempotent'},
     {
         'name': 'lots',
         'path_prefix': '/lots/',
@@ -74,9 +76,10 @@
     def start(self) -> None:
         """Serve the store and the replicas; write the configuration."""
         self._store_address = self._serve(self.store.app)
-        for replica in self.replicas:
+        for number, replica in enumerate(self.replicas):
             link = Forwarder(self._serve(replica))
             self.replica_links.append(link)
+            replica.on_crash(functools.partial(self.crash, number))
             self.register(replica, link.start())
         self.configure(ROUTES)
 
@@ -115,9 +118,14 @@
         target: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        source: str = '127.0.0.1',
     ) -> tuple[int, dict[str, str], bytes]:
-        """Return status, headers and body of one call to an entry."""
-        conn = HTTPConnection(*self.addresses[name], timeout=20)
+        """Return status, headers and body of one call from ``source``."""
+        conn = HTTPConnection(
+            *self.addresses[name],
+            timeout=20,
+            source_address=(source, 0),
+        )
         sent = {'Host': HOST, **(headers or {})}
         with contextlib.closing(conn):
             self._send(name, conn, (method, target, body, sent))
