Requests that crash the replicas that run them are held back

Cause: what an entry knew of a request ended with its attempt. A repeat comes with a new id, mostly at another entry, so that nothing connected the crashes; max_attempts bounds one attempt alone. Items were sent again without any bound.

Change: a run that breaks off is a strike against its fingerprint (caller, method, host, target, body) at this life of the replica. Three by runs that had begun without output hold the request back at every entry (503, not run; items wait); runs that had brought output or may have been queued count half, and crashes under a certain cause count against nobody else. A replica that takes a connection afterwards, or answers, has not crashed: its strikes are taken back, as are those of a request that was run to its end. Peers are told at once; from the second strike on they are in the store, in the table that every entry follows anyway, for entries that start later.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -108,7 +108,7 @@
         except OutcomeUnknown:
             progress.may_have_run += 1
             raise
-        call.caller.call_when_gone(run.exchange.abort)
+        call.caller.call_when_gone(run.abort)
         self._log.placed(call, progress, replica, req)
         return run
 
@@ -139,10 +139,15 @@
                 run.failed()
             raise
 
-    def check_time(self, call: OnlineCall, progress: Progress) -> None:
-        """Return if there is time left and the caller is there, else raise."""
+    def check(self, call: OnlineCall, progress: Progress) -> None:
+        """Return if the call may go to a replica now, else raise.
+
+        The caller is there, the request is not held back, and there is
+        time left.
+        """
         if call.caller.gone:
             raise CallerGone
+        self._runner.suspects.check(call.req.fingerprint)
         if self._clock.monotonic() < call.deadline_at:
             return
         if progress.may_have_run:
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -54,7 +54,7 @@
 
     def _answer(self, call: OnlineCall, progress: Progress) -> Answer:
         while True:
-            self._attempts.check_time(call, progress)
+            self._attempts.check(call, progress)
             replica = self._attempts.choose(call, progress)
             try:
                 return self._try(call, replica, progress)
@@ -90,6 +90,7 @@
             return Answer(head.status, head.headers, body)
         begun_at = call.arrived_at
         whole = self._whole(call, run)
+        run.survived()
         self._attempts.note_hold(run.replica, begun_at)
         run.close()
         return Answer(head.status, head.headers, [whole])
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -84,6 +84,7 @@
         self._news: dict[str, tuple[int, int]] = {}
         self._on_news: Callable[[str, int], None] | None = None
         self._on_word: Callable[[Target, Word], None] | None = None
+        self._on_said: dict[str, Callable[[Any], None]] = {}
         self._silent_s = float(0)
         self._told: dict[str, Load] = {}
         self._counts: dict[Target, dict[str, Load]] = {}
@@ -107,6 +108,17 @@
         everybody = self._audience.everybody()
         self._sock.send(everybody, {NEWS: {subject: version}})
 
+    def say(self, topic: str, about: Any) -> None:
+        """Tell every peer something once."""
+        self._sock.send(self._audience.everybody(), {topic: about})
+
+    def on_said(self, topic: str, listener: Callable[[Any], None]) -> None:
+        """Call ``listener`` with what peers ``say`` on a topic.
+
+        It raises ValueError or TypeError for what it cannot read.
+        """
+        self._on_said[topic] = listener
+
     def start(self) -> None:
         """Bind and begin to speak and to listen."""
         self._sock.bind()
@@ -190,6 +202,8 @@
         for subject, version in said.get(NEWS, {}).items():
             if self._on_news is not None:
                 self._on_news(subject, version)
+        for topic in said.keys() & self._on_said.keys():
+            self._on_said[topic](said[topic])
         offer = said.get(OFFER)
         if offer is not None:
             self._loads.heard_offer(offer_in(offer))
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -2,6 +2,8 @@
 
 import contextlib
 
+import gevent
+
 from cactusridge import metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.life_listener import LifeListener
@@ -16,9 +18,22 @@
     UpstreamRequest,
     UpstreamSilent,
 )
-from cactusridge.errors import CactusridgeError, CrossedReply, Refused
+from cactusridge.errors import (
+    CactusridgeError,
+    CrossedReply,
+    OutcomeUnknown,
+    Refused,
+    TruncatedReply,
+)
+from cactusridge.quarantine.strike import Stage
+from cactusridge.quarantine.suspects import Suspects
 from cactusridge.routing.outliers import OutlierDetector
 
+# The connection ended before the answer did.
+BROKE_OFF = (OutcomeUnknown, TruncatedReply)
+# From a broken connection to the question whether its replica lives, in
+# seconds: a process that ends closes its connections one by one.
+PROBE_AFTER_S = 0.01
 SERVER_FAULT = 500
 # A replica answers so when the time handed on is over.
 TIME_OVER = 504
@@ -46,6 +61,7 @@
         kind: WorkKind,
         exchange: Exchange,
         runner: 'Runner',
+        fingerprint: str,
         stack: contextlib.ExitStack,
     ) -> None:
         """Read from ``exchange``; ``stack`` is what closing undoes."""
@@ -54,7 +70,13 @@
         self.exchange = exchange
         self._runner = runner
         self._stack = stack
+        self._fingerprint = fingerprint
         self._opened_at = runner.clock.monotonic()
+        self._stage = Stage.begun
+        if kind == WorkKind.batch:
+            # An item's head comes when it begins.
+            self._stage = Stage.queued
+        self._aborted = False
 
     def lasted_s(self) -> float:
         """Return the seconds since the request was sent."""
@@ -66,8 +88,8 @@
             head = self.exchange.head(wait_s)
         except UpstreamSilent:
             raise
-        except CactusridgeError:
-            self.failed()
+        except CactusridgeError as exc:
+            self._note_break(exc)
             raise
         if head.wrong_one or head.not_run:
             if head.wrong_one:
@@ -76,6 +98,12 @@
         if is_success(head.status) and not head.genuine:
             self.failed()
             raise CrossedReply(f'{self.replica.id} did not sign its answer')
+        self._stage = Stage.begun
+        if head.genuine:
+            life = self.replica.life
+            self._runner.suspects.answered(life, self._opened_at)
+            if not is_success(head.status):
+                self.survived()
         self._judge(head.status)
         return head
 
@@ -85,10 +113,23 @@
             return self.exchange.read(wait_s)
         except UpstreamSilent:
             raise
-        except CactusridgeError:
-            self.failed()
+        except CactusridgeError as exc:
+            self._note_break(exc)
             raise
 
+    def note_output(self) -> None:
+        """Note that some of the output has come."""
+        self._stage = Stage.answering
+
+    def survived(self) -> None:
+        """Note that the replica has run the request to its end."""
+        self._runner.suspects.survived(self._fingerprint)
+
+    def abort(self) -> None:
+        """End a wait of another greenlet; the replica stops."""
+        self._aborted = True
+        self.exchange.abort()
+
     def failed(self) -> None:
         """Note that the replica failed, whatever was asked of it."""
         self._runner.health.failed(self.replica.life, certain=True)
@@ -97,6 +138,13 @@
         """End the request; its replica stops if it is still at work."""
         self._stack.close()
 
+    def _note_break(self, exc: CactusridgeError) -> None:
+        """Note that an answer broke, and whether the replica may be gone."""
+        self.failed()
+        if self._aborted or not isinstance(exc, BROKE_OFF):
+            return
+        self._runner.broke_off(self.replica, self._fingerprint, self._stage)
+
     def _judge(self, status: int) -> None:
         """Note what a status says of the replica.
 
@@ -117,14 +165,17 @@
         upstream: Upstream,
         loads: LoadTable,
         health: OutlierDetector,
+        suspects: Suspects,
         clock: Clock,
     ) -> None:
         """Send through ``upstream``, count in ``loads``."""
+        self.suspects = suspects
         self.loads = loads
         self.health = health
         self.clock = clock
         self._upstream = upstream
         self._hold: dict[str, HoldTime] = {}
+        self._to_probe: set[str] = set()
 
     def life_ended(self, life: str) -> None:
         """Forget the verdicts on a life and what peers counted there."""
@@ -135,6 +186,22 @@
         """Return how long online requests of a service hold a slot."""
         return self._hold.setdefault(service, HoldTime())
 
+    def broke_off(
+        self,
+        replica: Replica,
+        fingerprint: str,
+        stage: Stage,
+    ) -> None:
+        """Take a replica for crashed under a request until it is reached.
+
+        A broken connection alone does not say that its replica is gone.
+        """
+        life = replica.life
+        self.suspects.broke_off(fingerprint, life, stage)
+        if life not in self._to_probe:
+            self._to_probe.add(life)
+            gevent.spawn_later(PROBE_AFTER_S, self._probe, replica)
+
     def open(
         self,
         replica: Replica,
@@ -156,5 +223,19 @@
                 raise
             metrics.ATTEMPTS.inc({'service': replica.service})
             stack.callback(exchange.close)
-            return Run(replica, kind, exchange, self, stack.pop_all())
+            return Run(
+                replica,
+                kind,
+                exchange,
+                self,
+                req.fingerprint,
+                stack.pop_all(),
+            )
         raise AssertionError('unreachable')
+
+    def _probe(self, replica: Replica) -> None:
+        """Take strikes back if their replica lives on."""
+        self._to_probe.discard(replica.life)
+        begun_at = self.clock.monotonic()
+        if self._upstream.accepts(replica):
+            self.suspects.answered(replica.life, begun_at)
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -54,6 +54,7 @@
                 failure = exc
                 self._log.broken(call, run, splitter, exc)
             else:
+                run.survived()
                 self._attempts.note_hold(run.replica, begun_at)
                 return
             finally:
@@ -73,6 +74,7 @@
         while received:
             whole = b''.join(event.raw for event in splitter.feed(received))
             if whole:
+                run.note_output()
                 yield whole
             received = run.read(self._attempts.wait_s(call, limit_s))
         if splitter.pending:
@@ -91,7 +93,7 @@
         req = call.req._replace(resume_after=splitter.last_id)
         while True:
             check_retry(call, progress, exc)
-            self._attempts.check_time(call, progress)
+            self._attempts.check(call, progress)
             try:
                 return self._run_on(call, req, progress)
             except CactusridgeError as failure:
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -102,3 +102,7 @@
         A ``fresh`` one goes out on a new connection. Raises
         OutcomeUnknown when the connection broke while sending.
         """
+
+    @abc.abstractmethod
+    def accepts(self, replica: Replica) -> bool:
+        """Tell whether ``replica`` takes a connection and keeps it."""
--- a/cactusridge/errors.py
+++ b/cactusridge/errors.py
@@ -152,6 +152,12 @@
     code = 'no_replica'
 
 
+class Quarantined(Refused):
+    """Replicas have crashed under this request; it is not run again."""
+
+    code = 'quarantined'
+
+
 class StaleOrder(Refused):
     """The order carries an old fencing number or incarnation."""
 
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -136,6 +136,7 @@
         if head.status != OK:
             return RunEnd.interrupted
         self._read_events(run)
+        run.survived()
         return RunEnd.completed
 
     def _read_events(self, run: Run) -> None:
@@ -143,6 +144,7 @@
         received = run.read(SILENCE_S)
         while received:
             for event in splitter.feed(received):
+                run.note_output()
                 self._take(event.id, event.payload)
             received = run.read(SILENCE_S)
         if splitter.pending:
--- a/cactusridge/jobs/waiting_line.py
+++ b/cactusridge/jobs/waiting_line.py
@@ -11,6 +11,7 @@
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.pace import Pace
 from cactusridge.jobs.urgency import ItemTimes, Standing, Urgency
+from cactusridge.quarantine.suspects import Suspects
 from cactusridge.store.store_clock import MS, StoreClock
 
 # Pause of an item whose run was interrupted, in seconds: a replica that
@@ -40,8 +41,10 @@
         store_clock: StoreClock,
         catalog: Callable[[], Catalog],
         urgency: Urgency,
+        suspects: Suspects,
     ) -> None:
         """Go by the routes of the ``catalog`` in force."""
+        self._suspects = suspects
         self._clock = clock
         self._store_clock = store_clock
         self._catalog = catalog
@@ -101,6 +104,9 @@
         if age_s > route.give_up_s + GIVE_UP_MARGIN_S:
             self.end(job, task, ItemState.given_up)
             return None
+        if self._suspects.is_held(task.fingerprint):
+            # It waits until it may be given up or is held back no longer.
+            return None
         times = ItemTimes(
             route.due_s - age_s,
             route.give_up_s - age_s,
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -5,6 +5,7 @@
 import socket as std_socket
 from typing import NamedTuple
 
+import gevent
 from gevent import socket
 
 from cactusridge.clock import Clock
@@ -24,6 +25,9 @@
 # Bytes that stay unacknowledged for longer mean that the way is cut.
 UNACKED_TIMEOUT_MS = 2000
 KEEPALIVE_S = 1
+# A process that ends resets what it has not accepted within this time, in
+# seconds.
+PROBE_S = 0.05
 KEEPALIVE_PROBES = 2
 STATED_IDLE = re.compile(r'timeout\s*=\s*(\d+)')
 
@@ -85,6 +89,19 @@
         guard_silence(sock)
         return sock
 
+    def probe(self, life: str, address: Address) -> bool:
+        """Tell whether a new connection stays open; keep it for use."""
+        try:
+            sock = self.connect(address)
+        except ConnectFailed:
+            return False
+        gevent.sleep(PROBE_S)
+        if not _is_quiet(sock):
+            sock.close()
+            return False
+        self.give_back(life, sock, UNSTATED_IDLE_S)
+        return True
+
     def give_back(
         self,
         life: str,
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -60,7 +60,13 @@
             fleet,
             runner,
             clock,
-            WaitingLine(clock, store.clock, holder.current, policies.urgency),
+            WaitingLine(
+                clock,
+                store.clock,
+                holder.current,
+                policies.urgency,
+                runner.suspects,
+            ),
             self.sharing,
             policies.claims,
         )
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -12,6 +12,7 @@
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online import OnlineDispatcher
 from cactusridge.dispatch.peer_socket import PeerSocket, Target
+from cactusridge.dispatch.peer_strikes import PeerStrikes
 from cactusridge.dispatch.peers import PeerExchange, Word
 from cactusridge.dispatch.policies import make_outliers, make_policies
 from cactusridge.dispatch.run import Runner
@@ -29,8 +30,12 @@
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.platform.upstream import HttpUpstream
+from cactusridge.quarantine.policies import RULES
+from cactusridge.quarantine.strike_store import StrikeStore
+from cactusridge.quarantine.suspects import Suspects
 from cactusridge.serving import Role
 from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.store.listeners import ListenersByPrefix
 from cactusridge.work_meter import METER, InnerCallGreenlet, Part, spawn
 from cactusridge.work_report import WorkReport
 
@@ -38,6 +43,11 @@
 INNER_BODY = 65_536
 INNER_TIMEOUT_S = 2.0
 TRIM_S = 1.0
+# Peers are told of each strike at once. Most requests that share one crash
+# with its cause have no second, and need not be stored.
+STORED_STRIKES = 2
+# Beside the jobs, whose table every entry follows anyway.
+STRIKES = f'{JOBS}/strikes/'
 
 
 class DirectEntry(Role):
@@ -55,7 +65,8 @@
         self._upstream = HttpUpstream(clock)
         loads = LoadTable(clock)
         health = make_outliers(cfg.policy, clock)
-        runner = Runner(self._upstream, loads, health, clock)
+        suspects = Suspects(RULES[cfg.policy.quarantine](), clock)
+        runner = Runner(self._upstream, loads, health, suspects, clock)
         self._fleet.on_life_end(runner)
         self._fleet.on_life_end(self._upstream.connections)
         self._jobs = JobParts(
@@ -80,6 +91,15 @@
             self._word,
         )
         self._peers.on_word(self._heard)
+        self._strikes = StrikeStore(
+            self._store.rows,
+            STRIKES,
+            suspects,
+            clock,
+            STORED_STRIKES,
+        )
+        suspects.pass_on(self._strikes)
+        suspects.pass_on(PeerStrikes(self._peers, suspects))
         self._jobs.speak_through(self._peers)
         self._catalog_follower = self._store.follower(
             operator.TABLE,
@@ -121,10 +141,17 @@
                 [discovery.PREFIX],
                 self._discovery,
             ),
-            self._store.follower(JOBS, head_prefixes(), self._jobs.heads),
+            self._store.follower(
+                JOBS,
+                [STRIKES, *head_prefixes()],
+                ListenersByPrefix(
+                    {STRIKES: self._strikes, f'{JOBS}/': self._jobs.heads},
+                ),
+            ),
         )
         for follower in followers:
             spawn(Part.feeds, keep_doing, follower.step)
+        spawn(Part.feeds, keep_doing, self._strikes.step)
         self._jobs.start()
         trim = self._upstream.connections.trim
         gevent.spawn(keep_doing_every, TRIM_S, trim)
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -196,6 +196,10 @@
             raise
         return exchange
 
+    def accepts(self, replica: Replica) -> bool:
+        """Tell whether ``replica`` takes a connection and keeps it."""
+        return self.connections.probe(replica.life, replica.address)
+
 
 def _is_wait_over(exc: OSError) -> bool:
     """Tell a wait that is over from a connection that the kernel gave up.
--- /dev/null
+++ b/cactusridge/quarantine/strike_row.py
@@ -0,0 +1,31 @@
+"""A strike as a row of the store."""
+
+from cactusridge.hashing import hash64
+from cactusridge.quarantine.strike import Pair, Stage, Strike
+from cactusridge.store.fields import Fields
+from cactusridge.store.table import Row, Write
+
+
+def strike_key(prefix: str, pair: Pair) -> str:
+    """Return the key of a strike below ``prefix``.
+
+    It has a hash of the life, which may be longer than a key.
+    """
+    fingerprint, life = pair
+    return f'{prefix}{fingerprint}.{hash64(life):016x}'
+
+
+def strike_write(prefix: str, strike: Strike) -> Write:
+    """Return the write that stores a strike."""
+    return Write(strike_key(prefix, strike.pair), strike._asdict())
+
+
+def strike_in(row: Row) -> Strike:
+    """Return the strike in a row; raise UnreadableField."""
+    fields = Fields(row.value)
+    return Strike(
+        fields.text('fingerprint'),
+        fields.text('life'),
+        fields.word('stage', Stage),
+        fields.number('at'),
+    )
--- /dev/null
+++ b/cactusridge/quarantine/strike_store.py
@@ -0,0 +1,111 @@
+"""Keeps strikes in the store, for entries that start or come back later."""
+
+from collections.abc import Iterable, Sequence
+
+import gevent
+from gevent.event import Event
+
+from cactusridge import events, logs
+from cactusridge.clock import Clock
+from cactusridge.errors import StoreUnavailable
+from cactusridge.quarantine.strike import Pair, Strike
+from cactusridge.quarantine.strike_book import STRIKE_LASTS_S
+from cactusridge.quarantine.strike_listener import StrikeListener
+from cactusridge.quarantine.strike_row import (
+    strike_in,
+    strike_key,
+    strike_write,
+)
+from cactusridge.quarantine.suspects import Suspects
+from cactusridge.store.row_reader import RowReader
+from cactusridge.store.table import Priority, Row, Table, Write, WriteUnknown
+from cactusridge.store.table_follower import TableListener
+
+# Rows in one transaction; the store takes a hundred.
+MAX_WRITES = 90
+RETRY_S = 0.5
+
+
+class StrikeStore(StrikeListener, TableListener):
+    """Writes this entry's strikes and takes in those of all.
+
+    A strike whose row is gone counts no more: another entry has taken it
+    back, or an operator has removed it.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        prefix: str,
+        suspects: Suspects,
+        clock: Clock,
+        least: int,
+    ) -> None:
+        """Store below ``prefix`` the requests that have ``least`` strikes."""
+        self._table = table
+        self._prefix = prefix
+        self._suspects = suspects
+        self._clock = clock
+        self._least = least
+        self._reader = RowReader()
+        self._wake = Event()
+        self._unsaved: dict[str, Write] = {}
+        self._stored: dict[str, Pair] = {}
+
+    def struck(self, strikes: Sequence[Strike]) -> None:
+        """Store the strikes against a request, if they are enough."""
+        if len(strikes) >= self._least:
+            writes = [strike_write(self._prefix, each) for each in strikes]
+            self._save(each for each in writes if each.key not in self._stored)
+
+    def withdrawn(self, pairs: Sequence[Pair]) -> None:
+        """Remove strikes from the store, where they are in it."""
+        keys = [strike_key(self._prefix, pair) for pair in pairs]
+        for key in keys:
+            self._unsaved.pop(key, None)
+        self._save(Write(key, None) for key in keys if key in self._stored)
+
+    def put(self, row: Row) -> None:
+        """Take a row; raise UnreadableRecord."""
+        strike = self._reader.read(row, strike_in)
+        if strike is None:
+            self._forget({row.key})
+            return
+        self._stored[row.key] = strike.pair
+        self._suspects.hear([strike])
+        over = strike.at + STRIKE_LASTS_S <= self._clock.wall()
+        if over or self._suspects.is_withdrawn(strike.pair):
+            # Nobody needs it any more, or its removal was overtaken.
+            self._save([Write(row.key, None)])
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Forget the strikes whose rows are gone."""
+        self._forget(self._stored.keys() - keys)
+
+    def step(self) -> None:
+        """Wait for something to write, then write it."""
+        self._wake.wait()
+        self._wake.clear()
+        try:
+            self._write_all()
+        except (StoreUnavailable, WriteUnknown) as exc:
+            logs.emit(events.STRIKES_UNSAVED, error=str(exc))
+            gevent.sleep(RETRY_S)
+            self._wake.set()
+
+    def _save(self, writes: Iterable[Write]) -> None:
+        for write in writes:
+            self._unsaved[write.key] = write
+            self._wake.set()
+
+    def _write_all(self) -> None:
+        while self._unsaved:
+            writes = list(self._unsaved.values())[:MAX_WRITES]
+            self._table.transact([], writes, Priority.commit)
+            for write in writes:
+                if self._unsaved.get(write.key) is write:
+                    self._unsaved.pop(write.key)
+
+    def _forget(self, keys: Iterable[str]) -> None:
+        pairs = [self._stored.pop(key) for key in keys if key in self._stored]
+        self._suspects.hear_withdrawn(pairs)
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -149,6 +149,7 @@
     items: Literal['on_time_first', 'due_first'] = 'on_time_first'
     claims: Literal['told', 'none'] = 'told'
     cells: Literal['by_zone', 'one'] = 'by_zone'
+    quarantine: Literal['by_crashes', 'none'] = 'by_crashes'
 
 
 class DirectEntrySettings(CommonSettings, frozen=True, kw_only=True):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import itertools
 
 import gevent
+from nose2.tools import params
 
 from standins.waiting import wait_for
 from tests.machine_case import MachineCase
@@ -95,6 +96,26 @@
         listed = self.wait_done('two', 'j1', 2)
         self.assertEqual({'j1-1', 'j1-2'}, set(listed))
 
+    def test_entries_that_start_anew_know_it(self):
+        """The loss of all entries does not begin the count anew."""
+        self.bring_to_crash('/on/1', STREAM)
+        gevent.sleep(1)
+        for process in self.site.entries.values():
+            process.kill()
+        for name in self.entries:
+            self.site.start_entry(name)
+        gevent.sleep(CONTACT_S)
+        for _ in range(REPEATS):
+            self.bring('/on/1', STREAM)
+        self.check_budget()
+
+    def test_held_request_is_refused_at_once(self):
+        """It has not run, so that a status may promise so."""
+        self.bring_to_crash('/on/1', STREAM)
+        gevent.sleep(0.5)
+        self.assertEqual(503, self.bring('/on/1', STREAM))
+        self.assertEqual(CRASHES, len(self.crashes()))
+
 
 class TestSharers(CrashCase):
     """Who only shares a replica with such a request stays served."""
@@ -134,3 +155,21 @@
         self.bring('/on/1', STREAM)
         gevent.joinall(calls, timeout=WAIT_S)
         self.assertEqual([200] * 4, [each.value for each in calls])
+
+    @params(
+        ('/on/1', b'3 0.01'),
+        ('/again/1', b'3 0.01'),
+    )
+    def test_cut_connections_hold_nobody_back(self, target, body):
+        """A request that was cut off everywhere by links that broke.
+
+        Its replicas live, and nobody else sends them anything.
+        """
+        for replica in self.site.replicas:
+            replica.cut_after = [1, 1]
+        for _ in range(REPEATS):
+            self.bring(target, body)
+        gevent.sleep(0.3)
+        for replica in self.site.replicas:
+            replica.cut_after = []
+        self.assertEqual(200, self.bring(target, body))
--- a/tests/test_life_ends.py
+++ b/tests/test_life_ends.py
@@ -11,6 +11,8 @@
 from cactusridge.dispatch.run import Runner
 from cactusridge.http.client import Address
 from cactusridge.platform.connections import Connections
+from cactusridge.quarantine.rules import ByCrashes
+from cactusridge.quarantine.suspects import Suspects
 from cactusridge.routing.outliers import OutlierEjector
 from tests.cells_play import cells_of, places
 from tests.discovery_case import BORN, ENTRY, UNTOLD, DiscoveryCase
@@ -82,7 +84,8 @@
         super().setUp()
         self.loads = LoadTable(self.clock)
         self.health = OutlierEjector(self.clock)
-        runner = Runner(None, self.loads, self.health, self.clock)
+        suspects = Suspects(ByCrashes(), self.clock)
+        runner = Runner(None, self.loads, self.health, suspects, self.clock)
         self.connections = Connections(self.clock)
         self.fleet.on_life_end(runner)
         self.fleet.on_life_end(self.connections)
--- /dev/null
+++ b/tests/test_strike_store.py
@@ -0,0 +1,184 @@
+"""Strikes in the store."""
+
+import unittest
+
+import gevent
+from nose2.tools import params
+
+from cactusridge.background import keep_doing
+from cactusridge.clock import ManualClock
+from cactusridge.quarantine.rules import ByCrashes
+from cactusridge.quarantine.strike import Stage, Strike
+from cactusridge.quarantine.strike_book import STRIKE_LASTS_S
+from cactusridge.quarantine.strike_store import StrikeStore
+from cactusridge.quarantine.suspects import Suspects
+from cactusridge.store.listeners import ListenersByPrefix
+from cactusridge.store.table import Priority, Row, Write
+from cactusridge.store.table_follower import TableListener
+from cactusridge.store.unreadable import UnreadableRecord
+from standins.memory_table import MemoryTable
+from standins.waiting import wait_for
+
+PREFIX = 'strikes/'
+LEAST = 2
+
+
+class Entry:
+    """Suspects of an entry over a table."""
+
+    def __init__(self, table: MemoryTable, clock: ManualClock) -> None:
+        """Write as soon as there is something."""
+        self.suspects = Suspects(ByCrashes(), clock)
+        self._table = table
+        self.store = StrikeStore(table, PREFIX, self.suspects, clock, LEAST)
+        self.suspects.pass_on(self.store)
+        self.writer = gevent.spawn(keep_doing, self.store.step)
+
+    def read(self) -> None:
+        """Take in what is stored."""
+        rows = self._table.scan(PREFIX, Priority.commit)
+        self.store.keep_only({row.key for row in rows})
+        for row in rows:
+            self.store.put(row)
+
+    def crash(self, lives: str) -> None:
+        """Let replicas break off under a request."""
+        for life in lives:
+            self.suspects.broke_off('a', life, Stage.begun)
+
+
+class TestStrikeStore(unittest.TestCase):
+    """Entries over one table."""
+
+    def setUp(self):
+        """Start one entry."""
+        self.clock = ManualClock(1)
+        self.table = MemoryTable()
+        self.one = self.entry()
+
+    def entry(self) -> Entry:
+        """Return another entry."""
+        found = Entry(self.table, self.clock)
+        self.addCleanup(found.writer.kill)
+        return found
+
+    def rows(self) -> list[Row]:
+        """Return the strikes that are stored."""
+        return self.table.scan(PREFIX, Priority.commit)
+
+    def wait_rows(self, count: int) -> None:
+        """Wait until so many strikes are stored."""
+        wait_for(f'{count} rows', lambda: len(self.rows()) == count, 3)
+
+    @params(('1', 0), ('12', 2), ('1234', 4))
+    def test_stored(self, lives, count):
+        """One strike alone is not stored; a second brings the first."""
+        self.one.crash(lives)
+        gevent.sleep(0.05)
+        self.wait_rows(count)
+
+    def test_entry_that_starts_later(self):
+        """It holds back what the others do."""
+        self.one.crash('123')
+        self.wait_rows(3)
+        other = self.entry()
+        other.read()
+        self.assertTrue(other.suspects.is_held('a'))
+
+    def test_taken_back(self):
+        """What an entry takes back counts at no other."""
+        self.one.crash('123')
+        self.wait_rows(3)
+        other = self.entry()
+        for each in (self.one, other):
+            each.read()
+        other.suspects.survived('a')
+        self.wait_rows(0)
+        self.one.read()
+        self.assertFalse(self.one.suspects.is_held('a'))
+
+    def test_row_written_after_it_was_taken_back(self):
+        """A write that the store did late is undone."""
+        self.one.crash('12')
+        self.wait_rows(2)
+        late = self.rows()[0]
+        self.one.read()
+        self.one.suspects.survived('a')
+        self.wait_rows(0)
+        self.table.transact([], [Write(late.key, late.value)], Priority.commit)
+        self.one.read()
+        self.wait_rows(0)
+
+    def test_old_strikes_are_removed(self):
+        """By whoever reads them."""
+        self.one.crash('12')
+        self.wait_rows(2)
+        self.clock.advance(STRIKE_LASTS_S)
+        self.one.read()
+        self.wait_rows(0)
+
+    def test_outage(self):
+        """What could not be written is written later."""
+        self.table.fail_writes = 1
+        self.one.crash('12')
+        self.wait_rows(2)
+
+    @params({}, {'fingerprint': 'a', 'life': '1', 'stage': 'x', 'at': 0})
+    def test_spoilt_row(self, raw):
+        """It is no strike, and the others count."""
+        with self.assertRaises(UnreadableRecord):
+            self.one.store.put(Row(f'{PREFIX}x', raw, 1))
+        self.one.crash('123')
+        self.assertTrue(self.one.suspects.is_held('a'))
+
+
+class Kept(TableListener):
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        """Be told nothing yet."""
+        self.told = []
+
+    def put(self, row: Row) -> None:
+        """Keep the row's key."""
+        self.told.append(row.key)
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Keep the keys."""
+        self.told.append(keys)
+
+    def regained(self, since: float) -> None:
+        """Keep the time."""
+        self.told.append(since)
+
+
+class TestListeners(unittest.TestCase):
+    """Two listeners of one table."""
+
+    def test_each_hears_its_own(self):
+        """The first prefix that fits has a row; news go to all."""
+        inner, outer = Kept(), Kept()
+        both = ListenersByPrefix({'t/a/': inner, 't/': outer})
+        for key in ('t/a/1', 't/b/1', 'u/1'):
+            both.put(Row(key, {}, 1))
+        both.keep_only({'t/a/1', 't/b/1'})
+        both.regained(5)
+        self.assertEqual(['t/a/1', {'t/a/1'}, 5], inner.told)
+        self.assertEqual(['t/b/1', {'t/b/1'}, 5], outer.told)
+
+
+class TestStrikeRow(unittest.TestCase):
+    """Long names."""
+
+    def test_key_is_bounded(self):
+        """The id of a replica may be as long as a key."""
+        table = MemoryTable()
+        entry = Entry(table, ManualClock(1))
+        self.addCleanup(entry.writer.kill)
+        long = [
+            Strike('a' * 32, f'{each}' * 214, Stage.begun, 1) for each in 'xy'
+        ]
+        entry.store.struck(long)
+        wait_for('rows', lambda: len(table.scan(PREFIX, Priority.commit)) == 2)
+        keys = [row.key for row in table.scan(PREFIX, Priority.commit)]
+        self.assertLess(max(map(len, keys)), 100)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -16,6 +16,8 @@
     UpstreamRequest,
 )
 from cactusridge.http.client import Address
+from cactusridge.quarantine.rules import ByCrashes
+from cactusridge.quarantine.suspects import Suspects
 from cactusridge.routing.outliers import OutlierEjector
 
 FAILURES = 2
@@ -66,7 +68,8 @@
         clock = ManualClock()
         health = OutlierEjector(clock, FAILURES)
         loads = LoadTable(clock)
-        runner = Runner(Answering(status), loads, health, clock)
+        suspects = Suspects(ByCrashes(), clock)
+        runner = Runner(Answering(status), loads, health, suspects, clock)
         replica = Replica('a', 's', ADDRESS, 'z', 8, ReplicaState.ready)
         for _ in range(times):
             run = runner.open(replica, REQUEST, kind, 1)
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -17,6 +17,8 @@
 from cactusridge.jobs.model import ItemState, JobHead, JobItem
 from cactusridge.jobs.urgency import OnTimeFirst
 from cactusridge.jobs.waiting_line import WaitingLine
+from cactusridge.quarantine.rules import ByCrashes
+from cactusridge.quarantine.suspects import Suspects
 
 ACCEPTED_UNDER = 5
 NOW_MS = 1000
@@ -83,6 +85,7 @@
             store_clock,
             lambda: catalog,
             OnTimeFirst(),
+            Suspects(ByCrashes(), ManualClock()),
         )
         job = FakeJob()
         found = line.urgent_first([job])
