--- a/tests/test_strike_store.py
+++ b/tests/test_strike_store.py
@@ -16,6 +16,7 @@
 from cactusridge.store.table import Priority, Row, Write
 from cactusridge.store.table_follower import TableListener
 from cactusridge.store.unreadable import UnreadableRecord
+from standins.faults import FaultKind
 from standins.memory_table import MemoryTable
 from standins.waiting import wait_for
 
@@ -117,10 +118,12 @@
         self.one.read()
         self.wait_rows(0)
 
-    def test_outage(self):
-        """What could not be written is written later."""
-        self.table.fail_writes = 1
+    @params(FaultKind.down, FaultKind.cut, FaultKind.lose_answer)
+    def test_outage(self, fault):
+        """What may not have been written is written again."""
+        self.table.faults.append(fault)
         self.one.crash('12')
+        wait_for('written again', lambda: self.table.writes == 2, 3)
         self.wait_rows(2)
 
     @params({}, {'fingerprint': 'a', 'life': '1', 'stage': 'x', 'at': 0})
@@ -175,9 +178,8 @@
         table = MemoryTable()
         entry = Entry(table, ManualClock(1))
         self.addCleanup(entry.writer.kill)
-        long = [
-            Strike('a' * 32, f'{each}' * 214, Stage.begun, 1) for each in 'xy'
-        ]
+        lives = ('x' * 214, 'y' * 214)
+        long = [Strike('a' * 32, life, Stage.begun, 1) for life in lives]
         entry.store.struck(long)
         wait_for('rows', lambda: len(table.scan(PREFIX, Priority.commit)) == 2)
         keys = [row.key for row in table.scan(PREFIX, Priority.commit)]
