The own interface holds back prompts that crash engines

Callers saw: a prompt that ends each engine was run again at each call, at any entry, and retried on other engines within the call; items were bounded in one job and begun anew in the next.

Change: a sidecar whose connection to its upstream broke asks whether the upstream takes another one; if not, the run ends with upstream_crashed instead of outcome_unknown or truncated_reply. Entries count these by fingerprint (the team is the caller) with the rule that the machines have, and share them by rows of the table, read once a settings_poll_s. A held prompt gets 503, an item of one fails at once.

--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -11,12 +11,14 @@
 # The longest go first, so that none is left alone at the end.
 LONGEST = (
     'test_frozen',
+    'test_crashing_requests',
     'test_chaos',
     'test_exactly_once',
     'test_poison',
     'test_machine_path',
     'test_machine_failures',
     'test_machine_links',
+    'test_crash_sharers',
     'test_soak',
 )
 
--- a/cactusridge/batch/item_runner.py
+++ b/cactusridge/batch/item_runner.py
@@ -15,6 +15,7 @@
     CactusridgeError,
     NoReplica,
     OutcomeUnknown,
+    Quarantined,
 )
 from cactusridge.orders import Fence, WorkClass
 from cactusridge.settings.catalog import Service
@@ -92,8 +93,10 @@
             pause_s = min(MAX_PAUSE_S, pause_s * GROWTH)
 
     def _try(self, task: ItemTask, permit: DispatchPermit) -> ItemOutcome:
+        self._dispatcher.check(self._dispatch(task))
         with self._placer.place(task.service, task.slack_s) as replica:
             permit.check()
+            # Its time counts from here, not from the wait for a place.
             dispatch = self._dispatch(task)
             attempt = self._dispatcher.attempt(dispatch, replica)
             body = attempt.whole()
@@ -132,6 +135,8 @@
     ) -> ItemOutcome | None:
         """Return a final failure, or None when the item may go again."""
         settings = task.service.settings
+        if isinstance(exc, Quarantined):
+            return self._fail(task, exc)
         if exc.not_run or isinstance(exc, NoReplica):
             if isinstance(exc, BadRequest):
                 return self._fail(task, exc)
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from cactusridge import metrics
-from cactusridge.background import keep_doing_every
+from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.batch.driver import BatchDriver
 from cactusridge.batch.file_store import FileStore
 from cactusridge.batch.job_reader import JobReader
@@ -19,12 +19,15 @@
 from cactusridge.errors import Draining, Refused
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import Reply, Req, json_reply
+from cactusridge.quarantine.strike_poll import StrikePoll
+from cactusridge.quarantine.strike_store import StrikeStore
 from cactusridge.settings.follower import SettingsFollower
 from cactusridge.slo.hour_merger import HourMerger, merge_due_hours
 from cactusridge.slo.recorder import seal_s
 from cactusridge.startup.models import EntrySettings
 
 MERGE_CHECK_S = 300
+STRIKES = 'strikes/'
 
 
 class Entry:
@@ -42,6 +45,17 @@
             self.peers,
         )
         self.driver = BatchDriver(self.parts)
+        suspects = self.parts.dispatcher.suspects
+        # The entries tell each other through the store alone.
+        self._strikes = StrikeStore(
+            self.parts.table,
+            STRIKES,
+            suspects,
+            clock,
+            least=1,
+        )
+        suspects.pass_on(self._strikes)
+        self._strike_poll = StrikePoll(self.parts.table, STRIKES, self._strikes)
         self._merger = HourMerger(
             self.parts.objects,
             self.parts.table,
@@ -59,6 +73,8 @@
         self.parts.fleet.start()
         self.driver.start()
         self._every(self.cfg.settings_poll_s, self.follower.step)
+        self.parts.greenlets.spawn(keep_doing, self._strikes.step)
+        self._every(self.cfg.settings_poll_s, self._strike_poll.step)
         self._every(self.cfg.report_s, self.parts.recorder.flush)
         self._every(MERGE_CHECK_S, self._merge_hours)
 
--- a/cactusridge/errors.py
+++ b/cactusridge/errors.py
@@ -194,6 +194,12 @@
     code = 'upstream_failed'
 
 
+class UpstreamCrashed(UpstreamFailed):
+    """The upstream ended while it had the request."""
+
+    code = 'upstream_crashed'
+
+
 class DeadlineExceeded(CactusridgeError):
     """The deadline passed after the request had begun."""
 
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -15,10 +15,12 @@
     NoReplica,
     OutcomeUnknown,
     TruncatedReply,
+    UpstreamCrashed,
     UpstreamFailed,
 )
 from cactusridge.http import patience
 from cactusridge.http.client import Clients, parse_address
+from cactusridge.http.readable import is_readable
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
@@ -40,6 +42,9 @@
 )
 EVENT_END = b'\n\n'
 STREAM_END = b'data: [DONE]'
+# A process that ends resets what it has not accepted within this time, in
+# seconds.
+PROBE_S = 0.05
 READ_BLOCK = 65536
 IO_ERRORS = (OSError, HTTPParseError, HTTPException)
 
@@ -85,8 +90,9 @@
     def call(self, order: RunOrder, body: bytes, resume: bool) -> Answer:
         """Send ``order``; return its answer once the head is there.
 
-        Raises NoReplica when the upstream cannot be reached (not run)
-        and OutcomeUnknown when it ended before it answered.
+        Raises NoReplica when the upstream cannot be reached (not run),
+        UpstreamCrashed when it ended before it answered, OutcomeUnknown
+        when it is there and the answer is lost.
         """
         headers = dict(end_to_end(list(order.headers)))
         headers[ID_HEADER] = order.id
@@ -134,11 +140,12 @@
             raise NoReplica('the upstream refuses connections') from exc
         except IO_ERRORS as exc:
             self._clients.drop(self.address)
+            self._raise_if_crashed(exc)
             raise OutcomeUnknown(f'no answer: {exc!r}') from exc
         head = UpstreamHead(resp.status_code, end_to_end(resp.headers))
         if order.streamed and head.status == HTTPStatus.OK:
-            return Answer(head, _read_events(resp))
-        return Answer(head, _read_blocks(resp))
+            return Answer(head, self._guarded(_read_events(resp)))
+        return Answer(head, self._guarded(_read_blocks(resp)))
 
     def _call_once(
         self,
@@ -166,9 +173,43 @@
             resp = conn.getresponse()
         except IO_ERRORS as exc:
             conn.close()
+            self._raise_if_crashed(exc)
             raise OutcomeUnknown(f'no answer: {exc!r}') from exc
         head = UpstreamHead(resp.status, end_to_end(resp.getheaders()))
-        return Answer(head, _read_available(conn, resp))
+        return Answer(head, self._guarded(_read_available(conn, resp)))
+
+    def _guarded(self, blocks: Iterator[bytes]) -> Iterator[bytes]:
+        """Yield a body; tell an upstream that ended from a broken answer."""
+        try:
+            yield from blocks
+        except TruncatedReply as exc:
+            self._raise_if_crashed(exc.__cause__)
+            raise
+
+    def _raise_if_crashed(self, cause: BaseException | None) -> None:
+        """Raise UpstreamCrashed if a connection broke since it ended.
+
+        A silent upstream may be at work, and one that takes another
+        connection and keeps it lives.
+        """
+        if cause is None or isinstance(cause, TimeoutError):
+            return
+        if not self._accepts():
+            raise UpstreamCrashed(f'cut off: {cause!r}') from cause
+
+    def _accepts(self) -> bool:
+        """Tell whether the upstream takes a connection and keeps it."""
+        try:
+            sock = patience.connect(
+                self.address,
+                self._host_cfg.connect_timeout_s,
+                self.cfg.read_timeout_s,
+            )
+        except OSError:
+            return False
+        with sock:
+            gevent.sleep(PROBE_S)
+            return not is_readable(sock)
 
     def _check_id(self, order: RunOrder, head: UpstreamHead) -> None:
         for name, text in head.headers:
--- a/cactusridge/sidecar_dispatch/attempt.py
+++ b/cactusridge/sidecar_dispatch/attempt.py
@@ -1,5 +1,6 @@
 """One dispatch to one sidecar and the frames of its reply."""
 
+import abc
 import contextlib
 import itertools
 from collections.abc import Callable, Iterator
@@ -12,6 +13,7 @@
     CrossedReply,
     OutcomeUnknown,
     TruncatedReply,
+    UpstreamCrashed,
 )
 from cactusridge.http import frames
 from cactusridge.http.frames import Frame, FrameKind
@@ -24,11 +26,24 @@
 UNREADABLE = 502
 
 
+class RunListener(abc.ABC):
+    """Is told how a run ended, as far as the upstream is concerned."""
+
+    @abc.abstractmethod
+    def survived(self) -> None:
+        """Note that the upstream has answered to the end."""
+
+    @abc.abstractmethod
+    def crashed(self, has_output: bool) -> None:
+        """Note that the upstream ended; ``has_output`` if some had come."""
+
+
 class Callbacks(NamedTuple):
-    """Who is told of heartbeats and of the sidecar's reports."""
+    """Who is told of heartbeats, the sidecar's reports and the run's end."""
 
     heartbeat: Callable[[], None]
     report: Callable[[SidecarReport], None]
+    run: RunListener
 
 
 class RemoteRefusal(CactusridgeError):
@@ -70,6 +85,7 @@
         self._counted = True
         self._open = True
         self._ended = False
+        self._has_output = False
         self._prefetched: list[bytes] = []
 
     def wait_head(self) -> None:
@@ -129,7 +145,9 @@
         while not self._ended:
             frame = self._read()
             if frame.payload:
+                self._has_output = True
                 yield frame.payload
+        self._callbacks.run.survived()
 
     def _read(self) -> Frame:
         """Return the next frame that is no heartbeat."""
@@ -151,10 +169,13 @@
         end = self._next()
         if end.head['kind'] == FrameKind.end:
             self._check(end)
-        return RemoteRefusal(
+        refusal = RemoteRefusal(
             frame.head.get('status', UNREADABLE),
             frame.head.get('error', {}),
         )
+        if refusal.code == UpstreamCrashed.code:
+            self._callbacks.run.crashed(self._has_output)
+        return refusal
 
     def _next(self) -> Frame:
         try:
--- a/cactusridge/sidecar_dispatch/dispatch.py
+++ b/cactusridge/sidecar_dispatch/dispatch.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cactusridge.orders import Fence, RunOrder, WorkClass
+from cactusridge.quarantine.fingerprint import fingerprint_of
 from cactusridge.settings.catalog import Service
 
 MIN_DEADLINE_S = 1e-3
@@ -40,6 +41,16 @@
     solo: bool = False
     fence: Fence | None = None
 
+    def fingerprint(self) -> str:
+        """Return what repeats of this request by the team share."""
+        return fingerprint_of(
+            self.team,
+            self.method,
+            self.service.path,
+            self.path,
+            self.body,
+        )
+
     def order(
         self,
         order_id: str,
--- a/cactusridge/sidecar_dispatch/dispatcher.py
+++ b/cactusridge/sidecar_dispatch/dispatcher.py
@@ -17,6 +17,8 @@
 )
 from cactusridge.identity import new_id
 from cactusridge.orders import RunOrder, WorkClass
+from cactusridge.quarantine.policies import RULES
+from cactusridge.quarantine.suspects import Suspects
 from cactusridge.routing.candidates import PickRequest
 from cactusridge.routing.retry_budget import RetryPolicy
 from cactusridge.sidecar_dispatch.attempt import (
@@ -34,9 +36,12 @@
 from cactusridge.sidecar_dispatch.replica import Replica
 from cactusridge.sidecar_dispatch.settler import Settler
 from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
+from cactusridge.sidecar_dispatch.suspect_run import CrashNames, SuspectRun
 from cactusridge.startup.models import EntrySettings
 
-FINAL_CODES = frozenset(('bad_request', 'not_found', 'too_large'))
+FINAL_CODES = frozenset(
+    ('bad_request', 'not_found', 'too_large', 'quarantined'),
+)
 MIN_RETRY_S = 0.5
 
 
@@ -68,6 +73,8 @@
         """Choose among ``fleet`` as seen from the zone in ``cfg``."""
         self.fleet = fleet
         self.outliers = make_outliers(cfg.policy, clock)
+        self.suspects = Suspects(RULES[cfg.policy.quarantine](), clock)
+        self._crashes = CrashNames(clock)
         self._zone = cfg.zone
         self._policy = cfg.policy
         self._client = client
@@ -92,14 +99,16 @@
         said: list[bool | None] = []
         while True:
             try:
-                replica = self.choose(dispatch, tried)
-                tried.append(replica.key)
-                return self.attempt(dispatch, replica, on_heartbeat)
+                return self._open_at_one(dispatch, tried, on_heartbeat)
             except CactusridgeError as exc:
                 said.append(exc.not_run)
                 exc.not_run = none_ran(said)
                 self._check_retry(dispatch, exc, budget, len(said))
 
+    def check(self, dispatch: Dispatch) -> None:
+        """Raise Quarantined if the request is held back."""
+        self.suspects.check(dispatch.fingerprint())
+
     def attempt(
         self,
         dispatch: Dispatch,
@@ -149,6 +158,17 @@
         request = PickRequest(self._zone, dispatch.prefix)
         return replicas[self._picker.pick(candidates, request).key]
 
+    def _open_at_one(
+        self,
+        dispatch: Dispatch,
+        tried: list[str],
+        on_heartbeat: Callable[[], None],
+    ) -> Attempt:
+        self.check(dispatch)
+        replica = self.choose(dispatch, tried)
+        tried.append(replica.key)
+        return self.attempt(dispatch, replica, on_heartbeat)
+
     def _begin(
         self,
         order: RunOrder,
@@ -160,6 +180,7 @@
         callbacks = Callbacks(
             on_heartbeat,
             functools.partial(self.fleet.note_report, replica.address),
+            SuspectRun(dispatch, replica, self.suspects, self._crashes),
         )
         attempt = Attempt(order, replica, resp, callbacks)
         limit = gevent.Timeout(
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -110,6 +110,7 @@
     retries: Literal['budget', 'thrice'] = 'budget'
     outliers: Literal['eject', 'trust'] = 'eject'
     spans: Literal['least_slack', 'first_come'] = 'least_slack'
+    quarantine: Literal['by_crashes', 'none'] = 'by_crashes'
 
 
 class SidecarPolicy(Model, frozen=True, kw_only=True):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
@@ -51,6 +51,9 @@
         self.executions: list[dict[str, Any]] = []
         self.fences: dict[str, int] = {}
         self.streams: dict[str, Stream] = {}
+        self.crashes = 0
+        # Called when a prompt has ended the engine.
+        self.on_crash: Callable[[], None] | None = None
         gevent.spawn(self.batch.run)
         self.app = App(
             [
@@ -85,7 +88,7 @@
         self.streams[stream.id] = stream
         self.batch.add(stream, bool(req.header('X-Resume')))
         if POISON in stream.prompt:
-            gevent.spawn_later(CRASH_S, self.batch.crash)
+            gevent.spawn_later(CRASH_S, self._crash)
         headers = [('X-Request-Id', self._echo(stream, fault))]
         if message.get('stream'):
             headers.append(('Content-Type', 'text/event-stream'))
@@ -122,6 +125,13 @@
         whole = hashlib.sha256(prompt.encode()).hexdigest()
         return whole[:DIGEST_CHARS]
 
+    def _crash(self) -> None:
+        """Lose everything, as an engine that dies does."""
+        self.crashes += 1
+        if self.on_crash is not None:
+            self.on_crash()
+        self.batch.crash()
+
     def _stream(self, req: Req, message: Any) -> Stream:
         prompt = self._prompt(message)
         if REFUSE in prompt:
--- /dev/null
+++ b/tests/crash_case.py
@@ -0,0 +1,60 @@
+"""A test case with replicas that requests crash, and a caller that repeats."""
+
+import itertools
+
+from tests.machine_case import MachineCase
+
+CRASHES = 3
+# Repeats that may still run once the entries can know of the third crash.
+RETRIES = 3
+CONTACT_S = 3.0
+REPEATS = 8
+STREAM = b'crash'
+PLAIN = b'plain crash'
+
+
+class CrashCase(MachineCase):
+    """Some replicas, and a caller that brings the same request again."""
+
+    replicas = 5
+
+    def setUp(self):
+        """Number the attempts."""
+        super().setUp()
+        self._numbers = itertools.count()
+
+    def bring(
+        self,
+        target: str,
+        body: bytes,
+        entry: str | None = None,
+        source: str = '127.0.0.1',
+    ) -> int:
+        """Send a request as a new attempt, to one entry after the other."""
+        number = next(self._numbers)
+        names = self.entries
+        name = entry or names[number % len(names)]
+        sent = {'X-Attempt-Id': f'a{number}', 'X-Request-Deadline': '4000'}
+        return self.site.call(name, 'POST', target, body, sent, source)[0]
+
+    def crashes(self) -> list[float]:
+        """Return when replicas crashed, in order."""
+        found = (each.crashed for each in self.site.replicas)
+        return sorted(itertools.chain.from_iterable(found))
+
+    def forget_crashes(self) -> None:
+        """Count crashes from now on."""
+        for replica in self.site.replicas:
+            replica.crashed.clear()
+
+    def bring_to_crash(self, target: str, body: bytes) -> None:
+        """Bring a request until it has crashed three replicas."""
+        while len(self.crashes()) < CRASHES:
+            self.bring(target, body)
+
+    def check_budget(self) -> None:
+        """Check how many crashes came once the third could be known."""
+        crashes = self.crashes()
+        known_at = crashes[CRASHES - 1] + CONTACT_S
+        late = [at for at in crashes if at > known_at]
+        self.assertLessEqual(len(late), RETRIES)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,5 +1,6 @@
 """A whole fleet in one process, on real loopback servers."""
 
+import functools
 from typing import Any
 
 import gevent
@@ -166,6 +167,16 @@
                 lambda: len(served.subject.parts.fleet.sidecars()) == 1,
             )
 
+    def let_crash(self, back_s: float) -> None:
+        """Let engines that a prompt ends be gone for ``back_s`` seconds."""
+        for engine in self.engines:
+            crash = functools.partial(self._crash, engine, back_s)
+            engine.subject.on_crash = crash
+
+    def crashes(self) -> int:
+        """Return how often a prompt has ended an engine."""
+        return sum(engine.subject.crashes for engine in self.engines)
+
     def later(self, seconds: float, action: Any) -> None:
         """Do something while a call is under way."""
         gevent.spawn_later(seconds, action)
@@ -224,3 +235,8 @@
             forwarder.stop()
         self._ports.close()
         gevent.sleep(0)
+
+    def _crash(self, engine: Served, back_s: float) -> None:
+        for link in self.links(engine.address):
+            link.refusing = True
+            self.later(back_s, functools.partial(setattr, link, 'refusing', 0))
--- a/tests/test_permit.py
+++ b/tests/test_permit.py
@@ -41,6 +41,9 @@
 
     attempts = 0
 
+    def check(self, dispatch):
+        """Hold nothing back."""
+
     def attempt(self, dispatch, replica):
         """Fail, so that the item would go again."""
         self.attempts += 1
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -16,6 +16,8 @@
 from cactusridge.dispatch.returns import AfterBurst, NextSlot
 from cactusridge.jobs import policies as batch
 from cactusridge.jobs.urgency import DueFirst, OnTimeFirst
+from cactusridge.quarantine.policies import RULES
+from cactusridge.quarantine.rules import ByCrashes, HoldNothing
 from cactusridge.routing.outliers import OutlierEjector, TrustAll
 from cactusridge.startup.models import DirectPolicy
 
@@ -28,6 +30,7 @@
     'items': (OnTimeFirst, DueFirst),
     'claims': (ToldClaims, NoClaims),
     'cells': (ByZone, OneCell),
+    'quarantine': (ByCrashes, HoldNothing),
 }
 
 
@@ -43,6 +46,7 @@
         'items': of_items.urgency,
         'claims': of_items.claims,
         'cells': online.make_cell_rule(names),
+        'quarantine': RULES[names.quarantine](),
     }
     return {name: type(each) for name, each in found.items()}
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -37,6 +37,10 @@
         """Take the request."""
         return self
 
+    def accepts(self, replica):
+        """Live."""
+        return True
+
     def head(self, wait_s):
         """Return the head."""
         return self._head
