Peers are told of crashes only, and old strikes stand

A broken connection was told to every entry as a strike and taken back 60 ms later where the replica lived: in a fleet of 148 entries two datagrams to each for every answer that a faulty replica broke off. Now the replica is asked first. An answer disproves a strike for a second only: a replica that is back under the id it had answers too, before its new life has been read.

--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -2,10 +2,9 @@
 
 import contextlib
 
-import gevent
-
 from cactusridge import metrics
 from cactusridge.clock import Clock
+from cactusridge.dispatch.crash_watch import BrokenRun, CrashWatch
 from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.loads import LoadTable
@@ -31,9 +30,6 @@
 
 # The connection ended before the answer did.
 BROKE_OFF = (OutcomeUnknown, TruncatedReply)
-# From a broken connection to the question whether its replica lives, in
-# seconds: a process that ends closes its connections one by one.
-PROBE_AFTER_S = 0.01
 SERVER_FAULT = 500
 # A replica answers so when the time handed on is over.
 TIME_OVER = 504
@@ -143,7 +139,8 @@
         self.failed()
         if self._aborted or not isinstance(exc, BROKE_OFF):
             return
-        self._runner.broke_off(self.replica, self._fingerprint, self._stage)
+        broken = BrokenRun(self._fingerprint, self._stage)
+        self._runner.crashes.broke_off(self.replica, broken)
 
     def _judge(self, status: int) -> None:
         """Note what a status says of the replica.
@@ -170,12 +167,12 @@
     ) -> None:
         """Send through ``upstream``, count in ``loads``."""
         self.suspects = suspects
+        self.crashes = CrashWatch(upstream, suspects)
         self.loads = loads
         self.health = health
         self.clock = clock
         self._upstream = upstream
         self._hold: dict[str, HoldTime] = {}
-        self._to_probe: set[str] = set()
 
     def life_ended(self, life: str) -> None:
         """Forget the verdicts on a life and what peers counted there."""
@@ -186,22 +183,6 @@
         """Return how long online requests of a service hold a slot."""
         return self._hold.setdefault(service, HoldTime())
 
-    def broke_off(
-        self,
-        replica: Replica,
-        fingerprint: str,
-        stage: Stage,
-    ) -> None:
-        """Take a replica for crashed under a request until it is reached.
-
-        A broken connection alone does not say that its replica is gone.
-        """
-        life = replica.life
-        self.suspects.broke_off(fingerprint, life, stage)
-        if life not in self._to_probe:
-            self._to_probe.add(life)
-            gevent.spawn_later(PROBE_AFTER_S, self._probe, replica)
-
     def open(
         self,
         replica: Replica,
@@ -232,10 +213,3 @@
                 stack.pop_all(),
             )
         raise AssertionError('unreachable')
-
-    def _probe(self, replica: Replica) -> None:
-        """Take strikes back if their replica lives on."""
-        self._to_probe.discard(replica.life)
-        begun_at = self.clock.monotonic()
-        if self._upstream.accepts(replica):
-            self.suspects.answered(replica.life, begun_at)
--- a/cactusridge/quarantine/strike_book.py
+++ b/cactusridge/quarantine/strike_book.py
@@ -10,6 +10,8 @@
 
 # A strike counts for this long, in seconds.
 STRIKE_LASTS_S = 3600
+# A replica that has crashed is back after this many seconds at the least.
+BACK_S = 1.0
 # Requests with strikes that are kept; the oldest go first.
 MAX_REQUESTS = 4096
 # Strikes taken back that are remembered, so that a peer that has not
@@ -87,12 +89,17 @@
         found = self._noted.get(fingerprint, {}).values()
         return [each.strike for each in found]
 
-    def at_life_before(self, life: str, noted_before: float) -> list[Pair]:
-        """Return the strikes on a life that were noted before a time."""
+    def disproved(self, life: str, sent_at: float) -> list[Pair]:
+        """Return the strikes that an answer to a later request disproves.
+
+        Old ones stay: the replica may be back under its id, before this
+        entry has read that it is another life.
+        """
+        back_at = self._clock.monotonic() - BACK_S
         return [
             (found, life)
             for found in self._at_life.get(life, ())
-            if self._noted[found][life].noted_at < noted_before
+            if back_at < self._noted[found][life].noted_at < sent_at
         ]
 
     def is_withdrawn(self, pair: Pair) -> bool:
--- a/cactusridge/quarantine/suspects.py
+++ b/cactusridge/quarantine/suspects.py
@@ -42,8 +42,8 @@
         """Tell whether a request is held back."""
         return fingerprint in self._book.held()
 
-    def broke_off(self, fingerprint: str, life: str, stage: Stage) -> None:
-        """Note that a replica broke off while it had this request."""
+    def crashed(self, fingerprint: str, life: str, stage: Stage) -> None:
+        """Note that a replica has ended while it had this request."""
         strike = Strike(fingerprint, life, stage, self._clock.wall())
         if not self._add(strike):
             return
@@ -56,7 +56,7 @@
 
         It lives, so it has not crashed under what broke off there before.
         """
-        self._take_back(self._book.at_life_before(life, sent_at))
+        self._take_back(self._book.disproved(life, sent_at))
 
     def survived(self, fingerprint: str) -> None:
         """Note that a replica has run this request to its end."""
--- a/cactusridge/sidecar_dispatch/suspect_run.py
+++ b/cactusridge/sidecar_dispatch/suspect_run.py
@@ -68,7 +68,7 @@
 
     def crashed(self, has_output: bool) -> None:
         """Note that the upstream ended while it had the request."""
-        self._suspects.broke_off(
+        self._suspects.crashed(
             self._dispatch.fingerprint(),
             self._crashes.name(self._replica.key),
             self._stage(has_output),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from cactusridge.quarantine.rules import ByCrashes, HoldNothing
 from cactusridge.quarantine.strike import Stage, Strike
 from cactusridge.quarantine.strike_book import (
+    BACK_S,
     MAX_REQUESTS,
     STRIKE_LASTS_S,
     StrikeBook,
@@ -150,7 +151,7 @@
         """Let replicas break off under a request, a second apart."""
         for life in lives:
             self.clock.advance(1)
-            self.suspects.broke_off(fingerprint, life, BEGUN)
+            self.suspects.crashed(fingerprint, life, BEGUN)
 
     def test_refusal(self):
         """Held back after three crashes; the refusal promises no run."""
@@ -175,10 +176,15 @@
         self.assertTrue(self.suspects.is_held('a'))
         self.assertEqual([], self.told.strikes)
 
-    @params((0, True), (4, False))
-    def test_replica_that_answers_has_not_crashed(self, sent_at, held):
-        """Unless it was asked before it broke off."""
+    @params(
+        (2.9, 0.5, True),
+        (3.1, 0.5, False),
+        (3.1, BACK_S, True),
+    )
+    def test_replica_that_answers_has_not_crashed(self, sent_at, later, held):
+        """Unless it was asked before, or may have come back since."""
         self.crash('123')
+        self.clock.advance(later)
         self.suspects.answered('3', sent_at)
         self.assertEqual(held, self.suspects.is_held('a'))
         self.assertEqual([] if held else [('a', '3')], self.told.pairs)
--- a/tests/test_run_strikes.py
+++ b/tests/test_run_strikes.py
@@ -6,10 +6,11 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
+from cactusridge.dispatch.crash_watch import PROBE_AFTER_S
 from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import Replica, ReplicaState
-from cactusridge.dispatch.run import PROBE_AFTER_S, Runner
+from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.upstream import (
     Exchange,
     Upstream,
@@ -70,20 +71,19 @@
 
 
 class Stages(StrikeListener):
-    """Keeps the stages of strikes, and how many were taken back."""
+    """Keeps the stages of strikes."""
 
     def __init__(self):
         """Be told nothing yet."""
         self.noted = []
-        self.back = 0
 
     def struck(self, strikes):
         """Keep the stage of the last strike."""
         self.noted.append(strikes[-1].stage)
 
     def withdrawn(self, pairs):
-        """Count."""
-        self.back += len(pairs)
+        """Nothing is taken back here."""
+        raise AssertionError(pairs)
 
 
 class TestRunStrikes(unittest.TestCase):
@@ -124,7 +124,7 @@
         """How far the run had come when the connection broke."""
         upstream = Breaking(failure, headed, lives=False)
         found = self.play(upstream, kind, output)
-        self.assertEqual((wanted, 0), (found.noted, found.back))
+        self.assertEqual(wanted, found.noted)
 
     def test_caller_that_has_left(self):
         """What was broken off for it speaks against nobody."""
@@ -135,4 +135,4 @@
         """It takes another connection: it has not crashed."""
         upstream = Breaking(TruncatedReply(), headed=True, lives=True)
         found = self.play(upstream, ONLINE)
-        self.assertEqual(([Stage.begun], 1), (found.noted, found.back))
+        self.assertEqual([], found.noted)
--- a/tests/test_strike_store.py
+++ b/tests/test_strike_store.py
@@ -45,7 +45,7 @@
     def crash(self, lives: str) -> None:
         """Let replicas break off under a request."""
         for life in lives:
-            self.suspects.broke_off('a', life, Stage.begun)
+            self.suspects.crashed('a', life, Stage.begun)
 
 
 class TestStrikeStore(unittest.TestCase):
