--- a/cactusridge/dispatch/audience.py
+++ b/cactusridge/dispatch/audience.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from cactusridge.dispatch.batch_sharing import BatchSharing
+from cactusridge.dispatch.cell_rules import EntryPlace
 from cactusridge.dispatch.load import NO_LOAD
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.offers import CellOffer, share_offered
@@ -44,6 +45,8 @@
         self._listed = listed
         self._sharing = sharing
         self._cells = sharing.cells
+        self._divided: tuple[EntryPlace, ...] | None = None
+        self._targets: frozenset[Target] = frozenset()
         self._rng = random.Random()  # noqa: S311
 
     def everybody(self) -> set[Target]:
@@ -51,9 +54,9 @@
         return (self._heard() | set(self._listed())) - {self._me}
 
     def near(self) -> set[Target]:
-        """Return the peers in this entry's cell, and unlisted ones."""
+        """Return the peers in this entry's cell, and those in no cell."""
         near = {_target(name) for name in self._cells.near()}
-        return (near | self._unlisted()) - {self._me}
+        return (near | self._in_no_cell()) - {self._me}
 
     def groups(
         self,
@@ -67,9 +70,9 @@
         even if there is nothing for them.
         """
         told: dict[Target, list[str]] = {target: [] for target in anyway}
-        unlisted = self._unlisted()
+        in_no_cell = self._in_no_cell()
         for life in lives:
-            for target in self._told_of(life) | unlisted:
+            for target in self._told_of(life) | in_no_cell:
                 told.setdefault(target, []).append(life)
         alike: dict[tuple[str, ...], set[Target]] = defaultdict(set)
         for target, its_lives in told.items():
@@ -108,13 +111,23 @@
         names |= self._loads.peers_at(life).keys()
         return {_target(name) for name in names} - {self._me}
 
-    def _unlisted(self) -> set[Target]:
-        """Return the peers that are heard but not listed.
+    def _in_no_cell(self) -> set[Target]:
+        """Return the peers that are heard or listed and in no cell.
 
         An entry that cannot renew its row goes on sending requests to the
-        replicas; unheard, these wait behind what it does not know of.
+        replicas; unheard, these wait behind what it does not know of. One
+        that has just come into the list is in a cell only after a moment.
         """
-        return self._heard() - set(self._listed()) - {self._me}
+        known = self._heard() | set(self._listed())
+        return known - self._in_cells() - {self._me}
+
+    def _in_cells(self) -> frozenset[Target]:
+        """Return the entries in cells, found anew when they change."""
+        entries = self._cells.entries()
+        if entries is not self._divided:
+            self._divided = entries
+            self._targets = frozenset(_target(each.name) for each in entries)
+        return self._targets
 
     def _heard(self) -> set[Target]:
         return {_target(peer) for peer in self._loads.heard_lately()}
