A stream that has run is never refused as if it had not

Cause: what ends a stream after its first run is raised outside of the place that says whether an attempt may have run; the error kept the promise of its class.

Fix: what is raised when a stream can go on nowhere says that it has run, and is logged as request_failed like every other failure. test_stream_refusal failed before (503 instead of 502).

--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -88,7 +88,25 @@
         splitter: EventSplitter,
         exc: CactusridgeError,
     ) -> Run:
-        """Return a run that goes on after the last whole event."""
+        """Return a run that goes on after the last whole event.
+
+        What is raised instead says that the request has run, also where
+        it is refused in the end.
+        """
+        try:
+            return self._run_elsewhere(call, progress, splitter, exc)
+        except CactusridgeError as failure:
+            failure.not_run = False
+            self._log.failure(call, progress, failure)
+            raise
+
+    def _run_elsewhere(
+        self,
+        call: OnlineCall,
+        progress: Progress,
+        splitter: EventSplitter,
+        exc: CactusridgeError,
+    ) -> Run:
         splitter.restart()
         req = call.req._replace(resume_after=splitter.last_id)
         while True:
