Probing connections stands once; entries read strikes every two seconds

Sidecars and direct entries asked in two copies whether a process lives. The own interface's entries read strikes once a second, 360 reads a second at the target; every two seconds, a setting of its own, is within the 3 s in which entries count as in touch.

--- a/bench/capacity_figures.py
+++ b/bench/capacity_figures.py
@@ -25,6 +25,7 @@
 SPAN_OPEN_S = 300
 RENEW_S = 10
 SCAN_S = 2
+STRIKES_POLL_S = 2
 SHARDS = 360
 
 
@@ -217,6 +218,13 @@
             2000,
             'own and one foreign shard',
         ),
+        Figure(
+            'reads: strikes',
+            ENTRIES / STRIKES_POLL_S,
+            '/s',
+            2000,
+            'one range, mostly empty',
+        ),
         Figure('reads: host list', ENTRIES / 5, '/s', 2000, 'If-None-Match'),
         Figure(
             'reads: inputs of chunks (objects)',
--- a/cactusridge/entry/app.py
+++ b/cactusridge/entry/app.py
@@ -74,7 +74,7 @@
         self.driver.start()
         self._every(self.cfg.settings_poll_s, self.follower.step)
         self.parts.greenlets.spawn(keep_doing, self._strikes.step)
-        self._every(self.cfg.settings_poll_s, self._strike_poll.step)
+        self._every(self.cfg.strikes_poll_s, self._strike_poll.step)
         self._every(self.cfg.report_s, self.parts.recorder.flush)
         self._every(MERGE_CHECK_S, self._merge_hours)
 
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -5,14 +5,13 @@
 import socket as std_socket
 from typing import NamedTuple
 
-import gevent
 from gevent import socket
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.upstream import ConnectFailed
 from cactusridge.http.client import Address
-from cactusridge.http.readable import is_readable
+from cactusridge.http.probe import is_quiet, stays_open
 
 # Far over the way to any zone and back (under 10 ms), and short enough
 # that another replica can still answer in time (aims from 100 ms).
@@ -25,9 +24,6 @@
 # Bytes that stay unacknowledged for longer mean that the way is cut.
 UNACKED_TIMEOUT_MS = 2000
 KEEPALIVE_S = 1
-# A process that ends resets what it has not accepted within this time, in
-# seconds.
-PROBE_S = 0.05
 KEEPALIVE_PROBES = 2
 STATED_IDLE = re.compile(r'timeout\s*=\s*(\d+)')
 
@@ -75,7 +71,7 @@
         kept = self._idle.get(life)
         while kept:
             idle = kept.pop()
-            if idle.until > self._clock.monotonic() and _is_quiet(idle.sock):
+            if idle.until > self._clock.monotonic() and is_quiet(idle.sock):
                 return idle.sock
             idle.sock.close()
         return self.connect(address)
@@ -95,8 +91,7 @@
             sock = self.connect(address)
         except ConnectFailed:
             return False
-        gevent.sleep(PROBE_S)
-        if not _is_quiet(sock):
+        if not stays_open(sock):
             sock.close()
             return False
         self.give_back(life, sock, UNSTATED_IDLE_S)
@@ -129,11 +124,3 @@
                 kept.popleft().sock.close()
             if not kept:
                 self._idle.pop(life)
-
-
-def _is_quiet(sock: socket.socket) -> bool:
-    """Tell whether neither bytes nor an end have come on an idle socket."""
-    try:
-        return not is_readable(sock)
-    except (OSError, ValueError):
-        return False
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -20,7 +20,7 @@
 )
 from cactusridge.http import patience
 from cactusridge.http.client import Clients, parse_address
-from cactusridge.http.readable import is_readable
+from cactusridge.http.probe import stays_open
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
@@ -42,9 +42,6 @@
 )
 EVENT_END = b'\n\n'
 STREAM_END = b'data: [DONE]'
-# A process that ends resets what it has not accepted within this time, in
-# seconds.
-PROBE_S = 0.05
 READ_BLOCK = 65536
 IO_ERRORS = (OSError, HTTPParseError, HTTPException)
 
@@ -208,8 +205,7 @@
         except OSError:
             return False
         with sock:
-            gevent.sleep(PROBE_S)
-            return not is_readable(sock)
+            return stays_open(sock)
 
     def _check_id(self, order: RunOrder, head: UpstreamHead) -> None:
         for name, text in head.headers:
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -128,6 +128,9 @@
     admin_token_sha256: Annotated[str, Meta(pattern=r'^[0-9a-f]{64}\Z')]
     seed_peers: tuple[AddressText, ...] = ()
     settings_poll_s: PositiveSeconds = 1
+    # How often entries read what others know of requests that crash
+    # upstreams.
+    strikes_poll_s: PositiveSeconds = 2
     probe_s: PositiveSeconds = 0.5
     report_age_s: Annotated[float, Meta(ge=0, le=60)] = 0.05
     hosts_poll_s: PositiveSeconds = 1
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -120,6 +120,7 @@
             },
             silence_timeout_s=0.5,
             settings_poll_s=0.1,
+            strikes_poll_s=0.1,
             hosts_poll_s=0.1,
             probe_s=0.1,
             report_s=60,
