--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -72,6 +72,8 @@
         # The way from each entry to the store.
         self.store_links: dict[str, Forwarder] = {}
         self.version = 0
+        # Decisions of the entries that differ from the usual ones.
+        self.policy: dict[str, str] = {}
 
     def start(self) -> None:
         """Serve the store and the replicas; write the configuration."""
@@ -217,6 +219,7 @@
             'metrics_listen': str(self._ports.give()),
             'readiness_delay_s': 0.3,
             'drain_timeout_s': 6,
+            'policy': self.policy,
             'store': {
                 'address': str(link.start()),
                 'timeout_s': 1,
