Replicas that end without a word are crashes too

What would not be counted, on reading: a replica whose connections fall silent instead of breaking (the run ends by the entry's patience or by its caller's), and a probe that fails in another way than by refusing.

Failing first, tests/test_crashing_requests.py: a request that silences its replicas crashed 6 to 8 more past the bound of three in all four kinds, and 8 when its callers leave after 0.5 s. Now a run that is given up without output, or a second after the last, asks 0.2 s later whether its replica lives, and a socket that breaks while it is set up counts as not connected.

--- a/cactusridge/dispatch/crash_watch.py
+++ b/cactusridge/dispatch/crash_watch.py
@@ -12,6 +12,8 @@
 # From a broken connection to the question whether its replica lives, in
 # seconds: a process that ends closes its connections one by one.
 PROBE_AFTER_S = 0.01
+# And after a run that was given up: its replica may end just then.
+LEFT_AFTER_S = 0.2
 
 
 class BrokenRun(NamedTuple):
@@ -22,9 +24,9 @@
 
 
 class CrashWatch:
-    """Notes runs that broke off since their replica ended.
+    """Notes runs that broke off, or fell silent, since their replica ended.
 
-    A broken connection alone does not say so: one that takes another
+    Neither says so by itself: one that takes another
     connection and keeps it lives.
     """
 
@@ -35,11 +37,27 @@
         self._broken: dict[str, list[BrokenRun]] = {}
 
     def broke_off(self, replica: Replica, run: BrokenRun) -> None:
-        """Take a broken run; those at one replica are asked for together."""
+        """Take a run whose connection broke."""
+        self._probe_later(PROBE_AFTER_S, replica, run)
+
+    def given_up(self, replica: Replica, run: BrokenRun) -> None:
+        """Take a run that was given up when nothing came.
+
+        A replica whose host is gone ends without a word.
+        """
+        self._probe_later(LEFT_AFTER_S, replica, run)
+
+    def _probe_later(
+        self,
+        pause_s: float,
+        replica: Replica,
+        run: BrokenRun,
+    ) -> None:
+        """Ask whether a replica lives, once for runs that end together."""
         broken = self._broken.setdefault(replica.life, [])
         broken.append(run)
         if len(broken) == 1:
-            gevent.spawn_later(PROBE_AFTER_S, self._probe, replica)
+            gevent.spawn_later(pause_s, self._probe, replica)
 
     def _probe(self, replica: Replica) -> None:
         broken = self._broken.pop(replica.life)
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -30,6 +30,9 @@
 
 # The connection ended before the answer did.
 BROKE_OFF = (OutcomeUnknown, TruncatedReply)
+# A caller that leaves a stream after this many seconds without an event
+# mostly leaves for that.
+STUCK_S = 1.0
 SERVER_FAULT = 500
 # A replica answers so when the time handed on is over.
 TIME_OVER = 504
@@ -73,6 +76,8 @@
             # An item's head comes when it begins.
             self._stage = Stage.queued
         self._aborted = False
+        self._survived = False
+        self._heard_at = self._opened_at
 
     def lasted_s(self) -> float:
         """Return the seconds since the request was sent."""
@@ -83,6 +88,7 @@
         try:
             head = self.exchange.head(wait_s)
         except UpstreamSilent:
+            self._note_silence()
             raise
         except CactusridgeError as exc:
             self._note_break(exc)
@@ -95,6 +101,7 @@
             self.failed()
             raise CrossedReply(f'{self.replica.id} did not sign its answer')
         self._stage = Stage.begun
+        self._heard_at = self._runner.clock.monotonic()
         if head.genuine:
             life = self.replica.life
             self._runner.suspects.answered(life, self._opened_at)
@@ -106,12 +113,15 @@
     def read(self, wait_s: float) -> bytes:
         """Return the next bytes of the answer, nothing at its end."""
         try:
-            return self.exchange.read(wait_s)
+            received = self.exchange.read(wait_s)
         except UpstreamSilent:
+            self._note_silence()
             raise
         except CactusridgeError as exc:
             self._note_break(exc)
             raise
+        self._heard_at = self._runner.clock.monotonic()
+        return received
 
     def note_output(self) -> None:
         """Note that some of the output has come."""
@@ -119,11 +129,14 @@
 
     def survived(self) -> None:
         """Note that the replica has run the request to its end."""
+        self._survived = True
         self._runner.suspects.survived(self._fingerprint)
 
     def abort(self) -> None:
         """End a wait of another greenlet; the replica stops."""
         self._aborted = True
+        if not self._survived and self._is_stuck():
+            self._note_silence()
         self.exchange.abort()
 
     def failed(self) -> None:
@@ -142,6 +155,18 @@
         broken = BrokenRun(self._fingerprint, self._stage)
         self._runner.crashes.broke_off(self.replica, broken)
 
+    def _is_stuck(self) -> bool:
+        """Tell whether nothing of the output has come, or nothing lately."""
+        if self._stage != Stage.answering:
+            return True
+        silent_s = self._runner.clock.monotonic() - self._heard_at
+        return silent_s >= STUCK_S
+
+    def _note_silence(self) -> None:
+        """Note that the run is given up, and ask whether its replica lives."""
+        broken = BrokenRun(self._fingerprint, self._stage)
+        self._runner.crashes.given_up(self.replica, broken)
+
     def _judge(self, status: int) -> None:
         """Note what a status says of the replica.
 
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -80,9 +80,9 @@
         """Return a new connection; raise ConnectFailed."""
         try:
             sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
+            guard_silence(sock)
         except OSError as exc:
             raise ConnectFailed(f'{address}: {exc!r}') from exc
-        guard_silence(sock)
         return sock
 
     def probe(self, life: str, address: Address) -> bool:
--- a/standins/machines/listed_replicas.py
+++ b/standins/machines/listed_replicas.py
@@ -76,13 +76,15 @@
         link.refusing = False
         self.register(replica, link.address)
 
-    def crash(self, number: int) -> None:
+    def crash(self, number: int, silent: bool = False) -> None:
         """End a replica with everything in it; it is back after a while.
 
         Its entry stays on the list until then.
         """
         replica, link = self.replicas[number], self.replica_links[number]
         link.refusing = True
+        if silent:
+            link.silence()
         replica.restart()
         link.reset()
         gevent.spawn_later(BACK_S, self._come_back, number)
--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -13,6 +13,7 @@
 
 STEP_S = 0.01
 CRASH = b'crash'
+SILENT = b'silent'
 # From the start of a run that ends its replica to that end.
 CRASH_S = 0.03
 NS_PER_MS = 1_000_000
@@ -36,7 +37,8 @@
     come, one each so many seconds. ``cut_after`` breaks the next streams
     off after so many events, in the middle of one. A body that has
     ``crash`` ends the replica soon after it has begun, before any event,
-    and all that runs there with it. ``born`` is the Unix
+    and all that runs there with it; one that also has ``silent`` does so
+    without a word on any connection. ``born`` is the Unix
     millisecond at which the present life began; what tests look at is
     counted over all lives.
     """
@@ -54,7 +56,7 @@
         self.most = 0
         self.left = 0
         self.crashed: list[float] = []
-        self._on_crash: Callable[[], None] | None = None
+        self._on_crash: Callable[[bool], None] | None = None
         self._slot_count = slots
         self._slots = BoundedSemaphore(slots)
 
@@ -76,8 +78,11 @@
         ]
         return self._answer(body, headers, answered, start)
 
-    def on_crash(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` when a request has ended the replica."""
+    def on_crash(self, listener: Callable[[bool], None]) -> None:
+        """Call ``listener`` when a request has ended the replica.
+
+        It is told whether the connections fall silent or break.
+        """
         self._on_crash = listener
 
     def restart(self) -> None:
@@ -111,7 +116,7 @@
     ) -> Any:
         request_id = answered[0][1]
         if CRASH in body and body.startswith(b'plain'):
-            return self._crash()
+            return self._crash(SILENT in body)
         status = self.failing(request_id, body)
         if status is not None:
             start(status, answered)
@@ -128,15 +133,15 @@
         last = headers.get('Last-Event-Id', '0')
         if CRASH in body:
             write(b'')
-            return self._crash()
+            return self._crash(SILENT in body)
         return self._events(request_id, body, last)
 
-    def _crash(self) -> NoReturn:
+    def _crash(self, silent: bool) -> NoReturn:
         """End this life and everything that runs in it."""
         gevent.sleep(CRASH_S)
         self.crashed.append(time.monotonic())
         if self._on_crash is not None:
-            self._on_crash()
+            self._on_crash(silent)
         raise Cut
 
     def _end(self, slots: BoundedSemaphore, whole: bool) -> None:
--- a/tests/crash_case.py
+++ b/tests/crash_case.py
@@ -1,7 +1,11 @@
 """A test case with replicas that requests crash, and a caller that repeats."""
 
 import itertools
+import socket
 
+import gevent
+
+from standins.machines.site import HOST
 from tests.machine_case import MachineCase
 
 CRASHES = 3
@@ -10,6 +14,8 @@
 CONTACT_S = 3.0
 REPEATS = 8
 STREAM = b'crash'
+SILENT = b'crash silent'
+LEAVES_AFTER_S = 0.5
 PLAIN = b'plain crash'
 
 
@@ -29,14 +35,31 @@
         body: bytes,
         entry: str | None = None,
         source: str = '127.0.0.1',
+        deadline_ms: int = 4000,
     ) -> int:
         """Send a request as a new attempt, to one entry after the other."""
         number = next(self._numbers)
         names = self.entries
         name = entry or names[number % len(names)]
-        sent = {'X-Attempt-Id': f'a{number}', 'X-Request-Deadline': '4000'}
+        sent = {
+            'X-Attempt-Id': f'a{number}',
+            'X-Request-Deadline': f'{deadline_ms}',
+        }
         return self.site.call(name, 'POST', target, body, sent, source)[0]
 
+    def leave(self, target: str, body: bytes) -> None:
+        """Send a request and close the connection after a moment."""
+        number = next(self._numbers)
+        name = self.entries[number % len(self.entries)]
+        head = (
+            f'POST {target} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Attempt-Id: l{number}\r\nX-Request-Deadline: 4000\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        with socket.create_connection(self.site.addresses[name]) as caller:
+            caller.sendall(head.encode() + body)
+            gevent.sleep(LEAVES_AFTER_S)
+
     def crashes(self) -> list[float]:
         """Return when replicas crashed, in order."""
         found = (each.crashed for each in self.site.replicas)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,10 +8,13 @@
     CRASHES,
     PLAIN,
     REPEATS,
+    SILENT,
     STREAM,
     CrashCase,
 )
 
+# Under the time that entries wait for others to answer.
+SHORT_MS = 400
 # Streams, one of which may go on elsewhere, and plain requests.
 REQUESTS = (
     ('/on/1', STREAM),
@@ -36,6 +39,28 @@
                     gevent.sleep(0.3)
                 self.check_budget()
 
+    def test_request_that_silences_replicas_is_held_back(self):
+        """Its replicas end without a word; nobody waits for long."""
+        for target, body in REQUESTS:
+            with self.subTest(target):
+                self.forget_crashes()
+                silent = b'%b silent' % body
+                while len(self.crashes()) < CRASHES:
+                    self.bring(target, silent, deadline_ms=SHORT_MS)
+                gevent.sleep(CONTACT_S)
+                for _ in range(REPEATS):
+                    self.bring(target, silent, deadline_ms=SHORT_MS)
+                self.check_budget()
+
+    def test_caller_that_leaves_a_silent_replica(self):
+        """What it left at once when nothing came has ended replicas too."""
+        while len(self.crashes()) < CRASHES:
+            self.leave('/on/1', SILENT)
+        gevent.sleep(CONTACT_S)
+        for _ in range(REPEATS):
+            self.leave('/on/1', SILENT)
+        self.check_budget()
+
     def test_item_that_crashes_replicas_is_held_back(self):
         """An item is not run for ever; the others of its job are done."""
         self.site.submit('one', 'j1', ['crash', '5 0.05', '5 0.05'])
--- a/tests/test_run_strikes.py
+++ b/tests/test_run_strikes.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.crash_watch import PROBE_AFTER_S
+from cactusridge.dispatch.crash_watch import LEFT_AFTER_S
 from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.replica import Replica, ReplicaState
@@ -106,7 +106,7 @@
                 run.note_output()
             run.read(1)
         clock.advance(1)
-        gevent.sleep(3 * PROBE_AFTER_S)
+        gevent.sleep(2 * LEFT_AFTER_S)
         return found
 
     @params(
@@ -116,8 +116,10 @@
         (TruncatedReply(), True, BATCH, False, [Stage.begun]),
         (TruncatedReply(), True, ONLINE, True, [Stage.answering]),
         (TruncatedReply(), True, BATCH, True, [Stage.answering]),
-        (UpstreamSilent(), False, ONLINE, False, []),
-        (UpstreamSilent(), True, ONLINE, False, []),
+        (UpstreamSilent(), False, ONLINE, False, [Stage.begun]),
+        (UpstreamSilent(), True, ONLINE, False, [Stage.begun]),
+        (UpstreamSilent(), True, ONLINE, True, [Stage.answering]),
+        (UpstreamSilent(), False, BATCH, False, [Stage.queued]),
         (CrossedReply(), False, ONLINE, False, []),
     )
     def test_stage(self, failure, headed, kind, output, wanted):
@@ -127,12 +129,22 @@
         self.assertEqual(wanted, found.noted)
 
     def test_caller_that_has_left(self):
-        """What was broken off for it speaks against nobody."""
+        """It has left since nothing came: its replica may have ended.
+
+        What breaks since it has left counts no second time.
+        """
         upstream = Breaking(OutcomeUnknown(), headed=False, lives=False)
-        self.assertEqual([], self.play(upstream, ONLINE, aborted=True).noted)
+        found = self.play(upstream, ONLINE, aborted=True)
+        self.assertEqual([Stage.begun], found.noted)
 
-    def test_replica_that_lives(self):
+    @params(
+        (OutcomeUnknown(), False, False),
+        (OutcomeUnknown(), False, True),
+        (TruncatedReply(), True, False),
+        (UpstreamSilent(), False, False),
+    )
+    def test_replica_that_lives(self, failure, headed, aborted):
         """It takes another connection: it has not crashed."""
-        upstream = Breaking(TruncatedReply(), headed=True, lives=True)
-        found = self.play(upstream, ONLINE)
+        upstream = Breaking(failure, headed, lives=True)
+        found = self.play(upstream, ONLINE, aborted=aborted)
         self.assertEqual([], found.noted)
