A replica that is back at its address is not the one that crashed

The question whether a replica lives was a connection that stays open. Where a replica ended without a word, the silence is noticed seconds later, when the next one may already listen at the same address: its crash was then counted against nobody. Now the question is a request without an id, which names the replica and which nobody runs: another process answers that it is not the one. test_replica_that_is_back_at_its_address failed before (5 crashes past the bound of three) and passes.

--- a/cactusridge/dispatch/crash_watch.py
+++ b/cactusridge/dispatch/crash_watch.py
@@ -26,8 +26,7 @@
 class CrashWatch:
     """Notes runs that broke off, or fell silent, since their replica ended.
 
-    Neither says so by itself: one that takes another
-    connection and keeps it lives.
+    Neither says so by itself: one that is still at its address lives.
     """
 
     def __init__(self, upstream: Upstream, suspects: Suspects) -> None:
@@ -61,7 +60,7 @@
 
     def _probe(self, replica: Replica) -> None:
         broken = self._broken.pop(replica.life)
-        if self._upstream.accepts(replica):
+        if self._upstream.lives(replica):
             return
         for run in broken:
             self._suspects.crashed(run.fingerprint, replica.life, run.stage)
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -104,5 +104,5 @@
         """
 
     @abc.abstractmethod
-    def accepts(self, replica: Replica) -> bool:
-        """Tell whether ``replica`` takes a connection and keeps it."""
+    def lives(self, replica: Replica) -> bool:
+        """Tell whether ``replica`` itself is still at its address."""
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -11,7 +11,7 @@
 from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.upstream import ConnectFailed
 from cactusridge.http.client import Address
-from cactusridge.http.probe import is_quiet, stays_open
+from cactusridge.http.probe import is_quiet
 
 # Far over the way to any zone and back (under 10 ms), and short enough
 # that another replica can still answer in time (aims from 100 ms).
@@ -85,18 +85,6 @@
             raise ConnectFailed(f'{address}: {exc!r}') from exc
         return sock
 
-    def probe(self, life: str, address: Address) -> bool:
-        """Tell whether a new connection stays open; keep it for use."""
-        try:
-            sock = self.connect(address)
-        except ConnectFailed:
-            return False
-        if not stays_open(sock):
-            sock.close()
-            return False
-        self.give_back(life, sock, UNSTATED_IDLE_S)
-        return True
-
     def give_back(
         self,
         life: str,
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -1,7 +1,5 @@
 """Requests to replicas over HTTP/1.1, as the platform has them."""
 
-import errno
-
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
@@ -9,6 +7,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.upstream import (
+    ConnectFailed,
     Exchange,
     HeaderList,
     Upstream,
@@ -19,10 +18,15 @@
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
 from cactusridge.platform import names
 from cactusridge.platform.connections import Connections, idle_s
+from cactusridge.platform.replica_probe import (
+    MISDIRECTED,
+    is_there,
+    is_wait_over,
+)
 from cactusridge.platform.reply_parser import ReplyParser
 
 BLOCK = 65_536
-MISDIRECTED = 421
+
 # A replica may answer before it has read a long body; such a body goes
 # out beside the reading. Shorter ones fit the windows of a connection.
 LONG_BODY = 8_192
@@ -134,7 +138,7 @@
         try:
             return self._sock.recv(BLOCK)
         except OSError as exc:
-            if _is_wait_over(exc):
+            if is_wait_over(exc):
                 raise UpstreamSilent(f'nothing for {wait_s:.3f} s') from exc
             self._broken = True
             raise
@@ -196,19 +200,14 @@
             raise
         return exchange
 
-    def accepts(self, replica: Replica) -> bool:
-        """Tell whether ``replica`` takes a connection and keeps it."""
-        return self.connections.probe(replica.life, replica.address)
-
-
-def _is_wait_over(exc: OSError) -> bool:
-    """Tell a wait that is over from a connection that the kernel gave up.
-
-    Both raise TimeoutError; only the kernel's bears an error number.
-    """
-    if isinstance(exc, TimeoutError):
-        return exc.errno != errno.ETIMEDOUT
-    return isinstance(exc, BlockingIOError)
+    def lives(self, replica: Replica) -> bool:
+        """Tell whether ``replica`` itself is still at its address."""
+        try:
+            sock = self.connections.connect(replica.address)
+        except ConnectFailed:
+            return False
+        with sock:
+            return is_there(sock, replica)
 
 
 def request_bytes(
--- a/standins/machines/listed_replicas.py
+++ b/standins/machines/listed_replicas.py
@@ -12,6 +12,8 @@
 
 # From a replica's end to its next start, in seconds.
 BACK_S = 0.7
+# From a replica's end to that of its entry, if it came back under another.
+LAPSES_S = 2.5
 
 
 class ListedReplicas:
@@ -29,6 +31,8 @@
         # The way to each replica.
         self.replica_links: list[Forwarder] = []
         self._slots = slots
+        # Whether a replica that has crashed comes back under another id.
+        self.renames = False
 
     def register(
         self,
@@ -87,7 +91,11 @@
             link.silence()
         replica.restart()
         link.reset()
+        old = replica.id
+        if self.renames:
+            replica.id = f'{old}+'
         gevent.spawn_later(BACK_S, self._come_back, number)
+        gevent.spawn_later(LAPSES_S, self._drop_former, number, old)
 
     def spoil_entry(self, number: int, how: str) -> None:
         """Overwrite a replica's entry as another writer would.
@@ -107,6 +115,10 @@
         """Return where a replica listens."""
         return self.replica_links[number].address
 
+    def _drop_former(self, number: int, former: str) -> None:
+        if self.replicas[number].id != former:
+            self.store.remove(('servers', '', former))
+
     def _come_back(self, number: int) -> None:
         self.replica_links[number].refusing = False
         self.mend_entry(number)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,6 +15,8 @@
 
 # Under the time that entries wait for others to answer.
 SHORT_MS = 400
+# Over the time in which a replica is back.
+LONG_MS = 1200
 # Streams, one of which may go on elsewhere, and plain requests.
 REQUESTS = (
     ('/on/1', STREAM),
@@ -52,6 +54,16 @@
                     self.bring(target, silent, deadline_ms=SHORT_MS)
                 self.check_budget()
 
+    def test_replica_that_is_back_at_its_address(self):
+        """Another one answers there when the silence is noticed."""
+        self.site.renames = True
+        while len(self.crashes()) < CRASHES:
+            self.bring('/on/1', SILENT, deadline_ms=LONG_MS)
+        gevent.sleep(CONTACT_S)
+        for _ in range(REPEATS):
+            self.bring('/on/1', SILENT, deadline_ms=LONG_MS)
+        self.check_budget()
+
     def test_caller_that_leaves_a_silent_replica(self):
         """What it left at once when nothing came has ended replicas too."""
         while len(self.crashes()) < CRASHES:
--- a/tests/test_run_strikes.py
+++ b/tests/test_run_strikes.py
@@ -49,7 +49,7 @@
         """Take the request."""
         return self
 
-    def accepts(self, replica):
+    def lives(self, replica):
         """Tell whether it lives."""
         return self._lives
 
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -37,7 +37,7 @@
         """Take the request."""
         return self
 
-    def accepts(self, replica):
+    def lives(self, replica):
         """Live."""
         return True
 
