Two flushes that meet store each period once

Callers saw nothing; an entry of the own interface that was stopped while a flush waited for a slow store ended with status 2 and did not store its last counts.

Cause: the flush of the stop and the periodic one both sent the oldest period, and the second to end took away another one, or none (IndexError).

--- a/cactusridge/slo/recorder.py
+++ b/cactusridge/slo/recorder.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from gevent.lock import RLock
+
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
@@ -61,6 +63,7 @@
         self._start = int(clock.wall())
         self._windows: dict[str, ServiceWindow] = {}
         self._unsent: list[tuple[int, str, bytes]] = []
+        self._sending = RLock()
 
     def record(self, service: str, sample: Recorded) -> None:
         """Count one answer of ``service``."""
@@ -106,15 +109,25 @@
         return self._windows.setdefault(service, ServiceWindow())
 
     def _send(self) -> None:
-        self._drop_old()
-        while self._unsent:
-            _, name, body = self._unsent[0]
-            try:
-                self._objects.put(name, body, Priority.report)
-            except CactusridgeError as exc:
-                logs.emit(events.REPORT_LATE, name=name, error=str(exc))
-                return
-            self._unsent.pop(0)
+        """Store what is unsent, in one greenlet at a time.
+
+        Guards against a flush at the stop that takes away the period that
+        another one has just stored.
+        """
+        with self._sending:
+            self._drop_old()
+            while self._unsent and self._send_first():
+                self._unsent.pop(0)
+
+    def _send_first(self) -> bool:
+        """Store the oldest period; tell whether the store has it."""
+        _, name, body = self._unsent[0]
+        try:
+            self._objects.put(name, body, Priority.report)
+        except CactusridgeError as exc:
+            logs.emit(events.REPORT_LATE, name=name, error=str(exc))
+            return False
+        return True
 
     def _drop_old(self) -> None:
         """Drop what would come after its hour has been merged.
