--- a/bench/made_state.py
+++ b/bench/made_state.py
@@ -9,7 +9,8 @@
     ServiceReport,
     SidecarReport,
 )
-from cactusridge.settings.access import AccessTable, token_hash
+from cactusridge.organisations.keys import key_digest
+from cactusridge.settings.access import AccessTable
 from cactusridge.settings.catalog import Service, ServiceCatalog
 from cactusridge.settings.schema import ServiceSettings
 from cactusridge.settings.tree import SettingsTree, Snapshot
@@ -58,7 +59,7 @@
     made: list[tuple[str, object, int]] = []
     for number in range(teams):
         team = f'/teams/t{number}'
-        token = {'sha256': token_hash(str(number)), 'role': 'caller'}
+        token = {'sha256': key_digest(str(number)), 'role': 'caller'}
         service = {
             'kind': 'model',
             'models': [f'model-{number % 22}'],
@@ -80,7 +81,7 @@
 def tree_of(teams: int) -> tuple[object, ...]:
     """Return the settings of that many teams with their indexes."""
     tree = SettingsTree()
-    access = AccessTable(tree, token_hash('admin'))
+    access = AccessTable(tree, key_digest('admin'))
     catalog = ServiceCatalog(tree)
     tree.load(Snapshot(1, nodes_of(teams)))
     return tree, access, catalog
--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -148,6 +148,7 @@
         if call.caller.gone:
             raise CallerGone
         self._runner.suspects.check(call.req.fingerprint)
+        call.permit.check()
         if self._clock.monotonic() < call.deadline_at:
             return
         if progress.may_have_run:
--- a/cactusridge/dispatch/catalog.py
+++ b/cactusridge/dispatch/catalog.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cactusridge.organisations.directory import Directory
+
 
 class RouteKind(enum.StrEnum):
     """What may be repeated on a route, and how answers come."""
@@ -28,7 +30,8 @@
     the wait up to which an answer is on time, ``attempts`` how many
     replicas one request may run on. ``due_s`` and ``give_up_s`` count
     from the submission of a batch job: when its results are due and
-    when an unfinished item may be given up.
+    when an unfinished item may be given up. Callers of a ``public`` one
+    need no key.
     """
 
     name: str
@@ -43,6 +46,7 @@
     resumable: bool
     due_s: float = 0
     give_up_s: float = 0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -62,11 +66,15 @@
 
 
 class Catalog(NamedTuple):
-    """One version of the configuration; versions only grow."""
+    """One version of the configuration; versions only grow.
+
+    Without ``organisations`` nobody needs a key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits
+    organisations: Directory | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest fitting prefix."""
--- /dev/null
+++ b/cactusridge/dispatch/limit_questions.py
@@ -0,0 +1,113 @@
+"""Entries ask each other about the limits of organisations, by datagram."""
+
+import itertools
+from typing import Any
+
+from gevent.event import AsyncResult
+
+from cactusridge.dispatch.peer_socket import Target
+from cactusridge.dispatch.peers import PeerExchange
+from cactusridge.http.client import parse_address
+from cactusridge.organisations.homes import Homes
+from cactusridge.organisations.limit_ask import (
+    Asker,
+    LimitAsk,
+    LimitCopy,
+    LimitTold,
+)
+from cactusridge.organisations.limit_home import LimitHome
+from cactusridge.organisations.organisation import RateLimit
+
+ASKED = 'limit_asked'
+TOLD = 'limit_told'
+GIVEN_BACK = 'limit_back'
+LEFT = 'limit_left'
+# A way to any availability zone and back takes under 10 ms; an entry on a
+# small host that is busy takes its time.
+ANSWER_S = 0.08
+
+
+class LimitQuestions(Asker):
+    """Asks the homes of organisations, and answers as one."""
+
+    def __init__(
+        self,
+        peers: PeerExchange,
+        home: LimitHome,
+        homes: Homes,
+    ) -> None:
+        """Speak and hear through ``peers``; answer with ``home``."""
+        self._peers = peers
+        self._homes = homes
+        self._home = home
+        self._numbers = itertools.count()
+        self._open: dict[int, AsyncResult] = {}
+        peers.on_sent(ASKED, self._hear_question)
+        peers.on_sent(TOLD, self._hear_answer)
+        peers.on_sent(GIVEN_BACK, self._hear_back)
+        peers.on_sent(LEFT, self._hear_left)
+        home.on_counted(self._tell_left)
+
+    def ask(self, entry: str, asked: LimitAsk) -> LimitTold | None:
+        """Ask once and wait for the answer."""
+        number = next(self._numbers)
+        answer: AsyncResult = AsyncResult()
+        self._open[number] = answer
+        name, limit, *more = asked
+        about = [number, name, list(limit), *more]
+        self._peers.send(parse_address(entry), ASKED, about)
+        try:
+            return answer.get(timeout=ANSWER_S)
+        except TimeoutError:
+            return None
+        finally:
+            self._open.pop(number)
+
+    def give_back(self, entry: str, name: str) -> None:
+        """Tell an entry that a request it counted has not run."""
+        self._peers.send(parse_address(entry), GIVEN_BACK, name)
+
+    def _hear_question(self, peer: Target, raw: Any) -> None:
+        """Answer a peer; raise ValueError or TypeError."""
+        number, *asked = raw
+        told = self._home.answer(_ask_in(*asked))
+        self._peers.send(peer, TOLD, [number, *told])
+
+    def _hear_answer(self, peer: Target, raw: Any) -> None:
+        number, counted, wait_s = raw
+        answer = self._open.get(number)
+        if answer is not None:
+            answer.set(LimitTold(bool(counted), float(wait_s)))
+
+    def _tell_left(self, copy: LimitCopy) -> None:
+        """Tell who stands in for this entry what is left."""
+        name, limit, *more = copy
+        for entry in self._homes.ranked(name)[1:]:
+            about = [name, list(limit), *more]
+            self._peers.send(parse_address(entry), LEFT, about)
+
+    def _hear_left(self, peer: Target, raw: Any) -> None:
+        """Take what a home has left; raise ValueError or TypeError."""
+        *asked, tokens = raw
+        found = _ask_in(*asked, stand_in=False)
+        copy = LimitCopy(found.name, found.limit, found.version, float(tokens))
+        self._home.copied(copy)
+
+    def _hear_back(self, peer: Target, raw: Any) -> None:
+        self._home.give_back(str(raw))
+
+
+def _ask_in(
+    name: Any,
+    limit: Any,
+    version: Any,
+    stand_in: Any,
+) -> LimitAsk:
+    """Return what a peer asks; raise ValueError or TypeError."""
+    rate_per_s, burst = map(float, limit)
+    return LimitAsk(
+        str(name),
+        RateLimit(rate_per_s, burst),
+        int(version),
+        bool(stand_in),
+    )
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -49,12 +49,15 @@
             return self._answer(call, progress)
         except CactusridgeError as exc:
             exc.not_run = progress.may_have_run == 0
+            if exc.not_run:
+                call.permit.give_back()
             self._log.failure(call, progress, exc)
             raise
 
     def _answer(self, call: OnlineCall, progress: Progress) -> Answer:
         while True:
             self._attempts.check(call, progress)
+            call.permit.count()
             replica = self._attempts.choose(call, progress)
             try:
                 return self._try(call, replica, progress)
--- a/cactusridge/dispatch/online_call.py
+++ b/cactusridge/dispatch/online_call.py
@@ -6,6 +6,7 @@
 from cactusridge.dispatch.caller import CallerWatch
 from cactusridge.dispatch.catalog import Route
 from cactusridge.dispatch.upstream import HeaderList, UpstreamRequest
+from cactusridge.organisations.permit import OPEN, Permit
 
 
 class OnlineCall(NamedTuple):
@@ -16,6 +17,7 @@
     arrived_at: float
     deadline_at: float
     caller: CallerWatch
+    permit: Permit = OPEN
 
 
 class Answer(NamedTuple):
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/dispatch/peers.py
@@ -85,6 +85,7 @@
         self._on_news: Callable[[str, int], None] | None = None
         self._on_word: Callable[[Target, Word], None] | None = None
         self._on_said: dict[str, Callable[[Any], None]] = {}
+        self._on_sent: dict[str, Callable[[Target, Any], None]] = {}
         self._silent_s = float(0)
         self._told: dict[str, Load] = {}
         self._counts: dict[Target, dict[str, Load]] = {}
@@ -119,6 +120,21 @@
         """
         self._on_said[topic] = listener
 
+    def send(self, target: Target, topic: str, about: Any) -> None:
+        """Tell one peer something once."""
+        self._sock.send([target], {topic: about})
+
+    def on_sent(
+        self,
+        topic: str,
+        listener: Callable[[Target, Any], None],
+    ) -> None:
+        """Call ``listener`` with a peer and what it has sent on a topic.
+
+        It raises ValueError or TypeError for what it cannot read.
+        """
+        self._on_sent[topic] = listener
+
     def start(self) -> None:
         """Bind and begin to speak and to listen."""
         self._sock.bind()
@@ -204,6 +220,8 @@
                 self._on_news(subject, version)
         for topic in said.keys() & self._on_said.keys():
             self._on_said[topic](said[topic])
+        for private in said.keys() & self._on_sent.keys():
+            self._on_sent[private](sender, said[private])
         offer = said.get(OFFER)
         if offer is not None:
             self._loads.heard_offer(offer_in(offer))
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -14,7 +14,8 @@
 
     ``target`` is the raw request target. ``fingerprint`` is the same for
     all repeats of a request. ``resume_after`` is the id of the last event
-    that is already there, if the stream is to go on.
+    that is already there, if the stream is to go on. ``organisation`` is
+    the name of the caller's, empty where it has none.
     """
 
     id: str
@@ -24,6 +25,7 @@
     body: bytes
     fingerprint: str
     resume_after: str | None = None
+    organisation: str = ''
 
 
 class UpstreamHead(NamedTuple):
--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -63,7 +63,7 @@
         self._committing = RLock()
         done = set(progress.listed)
         self._tasks = {
-            index: _task(index, item, head.host, progress)
+            index: _task(index, item, head, progress)
             for index, item in enumerate(items)
             if index not in done
         }
@@ -218,9 +218,10 @@
 def _task(
     index: int,
     item: JobItem,
-    host: str,
+    head: JobHead,
     progress: Progress,
 ) -> ItemTask:
-    task = ItemTask(index, item, base64.b64decode(item.body), host)
+    body = base64.b64decode(item.body)
+    task = ItemTask(index, item, body, head.host, head.organisation)
     task.failures = progress.failures.get(str(index), 0)
     return task
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -14,7 +14,7 @@
     CrossedReply,
     TruncatedReply,
 )
-from cactusridge.jobs.model import JobItem
+from cactusridge.jobs.model import JobHead, JobItem
 from cactusridge.quarantine.fingerprint import fingerprint_of
 
 METHOD = 'POST'
@@ -47,12 +47,19 @@
         item: JobItem,
         body: bytes,
         host: str,
+        organisation: str = '',
     ) -> None:
         """Start with no output; ``body`` is the item's, decoded."""
         self.index = index
         self.item = item
         self.body = body
-        self.fingerprint = fingerprint_of('', METHOD, host, item.path, body)
+        self.fingerprint = fingerprint_of(
+            organisation,
+            METHOD,
+            host,
+            item.path,
+            body,
+        )
         self.failures = 0
         # The last run broke or fell silent: the next one goes out on a
         # new connection.
@@ -81,7 +88,7 @@
     """Runs an item once at a replica."""
 
     task: ItemTask
-    host: str
+    head: JobHead
     runner: Runner
     clock: Clock
 
@@ -120,10 +127,11 @@
             id=item.id,
             method=METHOD,
             target=item.path,
-            headers=[('Host', self.host), *headers],
+            headers=[('Host', self.head.host), *headers],
             body=self.task.body,
             fingerprint=self.task.fingerprint,
             resume_after=self.task.last_id,
+            organisation=self.head.organisation,
         )
 
     def _read(self, run: Run) -> RunEnd:
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -86,6 +86,7 @@
         items: int,
         now_ms: int,
         catalog_version: int,
+        organisation: str = '',
     ) -> JobHead:
         """Return the head of a job that this entry runs, if it stays."""
         me = self._session.me
@@ -99,6 +100,7 @@
             name,
             life,
             catalog_version=catalog_version,
+            organisation=organisation,
         )
 
     def accept(self, head: JobHead, items: list[JobItem]) -> JobHead:
--- a/cactusridge/jobs/model.py
+++ b/cactusridge/jobs/model.py
@@ -42,7 +42,8 @@
     ``created_ms`` is the store's clock at the submission. ``version``
     is that of the row, 0 for a job that is not in the store yet.
     ``catalog_version`` is that of the configuration under which it was
-    accepted: an older one says nothing of its route.
+    accepted: an older one says nothing of its route. ``organisation`` is
+    the name of its callers', empty where they have none.
     """
 
     id: str
@@ -55,6 +56,7 @@
     state: JobState = JobState.open
     version: int = 0
     catalog_version: int = 0
+    organisation: str = ''
 
     @property
     def shard(self) -> str:
@@ -111,6 +113,7 @@
         state=fields.word('state', JobState),
         version=version,
         catalog_version=fields.whole('catalog_version', 0),
+        organisation=fields.text('organisation', ''),
     )
 
 
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -162,7 +162,7 @@
 
     def _start(self, waiting: Waiting, replica: Replica) -> None:
         job, task = waiting.job, waiting.task
-        run = ItemRun(task, job.head.host, self._runner, self._clock)
+        run = ItemRun(task, job.head, self._runner, self._clock)
         greenlet = PartGreenlet(run.go, replica)
         greenlet.part = Part.items.value
         now = self._clock.monotonic()
--- a/cactusridge/jobs/session.py
+++ b/cactusridge/jobs/session.py
@@ -8,6 +8,7 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
+from cactusridge.jobs.tenure import Tenure
 from cactusridge.store.fields import Fields
 from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import Priority, Row, Table, Write, WriteUnknown
@@ -26,13 +27,18 @@
 
 
 class Member(NamedTuple):
-    """An entry as its row has it; ``life`` is its process's incarnation."""
+    """An entry as its row has it; ``life`` is its process's incarnation.
+
+    ``since_ms`` is the store's time from which on it has been listed
+    without a gap; 0 if its row does not tell.
+    """
 
     name: str
     life: str
     host: str
     port: int
     zone: str
+    since_ms: int = 0
 
 
 class Seen(NamedTuple):
@@ -57,10 +63,12 @@
         name: str,
         address: tuple[str, int],
         zone: str,
+        tenure: Tenure,
     ) -> None:
         """Live as ``name``; peers reach this entry at ``address``."""
         self.me = Member(name, secrets.token_hex(8), *address, zone)
         self.renewed_at: float | None = None
+        self._tenure = tenure
         self._table = table
         self._clock = clock
         self._seen: dict[str, Seen] = {}
@@ -94,6 +102,19 @@
         held_s = self._clock.monotonic() - self.renewed_at
         return held_s < LEASE_S - MARGIN_S
 
+    def in_touch(self) -> bool:
+        """Tell whether the list is read and this entry's row renewed.
+
+        Whoever else is in touch then knows the same entries, but for
+        those that have come in the last moments.
+        """
+        return self._read_at is not None and self.may_dispatch()
+
+    @property
+    def listed(self) -> bool:
+        """Whether the list of entries has been read, with this one in it."""
+        return bool(self._seen) and self.renewed_at is not None
+
     def members(self) -> list[Member]:
         """Return the entries that live, this one among them.
 
@@ -138,14 +159,18 @@
         return self._clock.monotonic() - seen.seen_at >= LEASE_S
 
     def _renew(self) -> None:
-        raw = {**self.me._asdict(), 'beat': secrets.token_hex(4)}
-        write = Write(f'{PREFIX}{self.me.name}', raw)
+        key = f'{PREFIX}{self.me.name}'
         with self._writing:
             if self._left:
                 return
+            since_ms = self._tenure.since_ms(self._table, key)
+            self.me = self.me._replace(since_ms=since_ms)
+            beat = {'beat': secrets.token_hex(4), **self._tenure.stamp()}
+            write = Write(key, {**self.me._asdict(), **beat})
             sent_at = self._clock.monotonic()
             self._table.transact([], [write], Priority.lease)
         self.renewed_at = sent_at
+        self._tenure.renewed()
 
     def _read(self) -> None:
         rows = self._table.scan(PREFIX, Priority.lease)
@@ -199,6 +224,7 @@
         fields.text('host'),
         fields.whole('port'),
         fields.text('zone'),
+        fields.whole('since_ms', 0),
     )
     if member.name != row.key.removeprefix(PREFIX):
         raise UnreadableField(f'it names {member.name}')
--- /dev/null
+++ b/cactusridge/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Who callers belong to: organisations, their keys and their limits."""
--- /dev/null
+++ b/cactusridge/organisations/home_limits.py
@@ -0,0 +1,66 @@
+"""Limits that are counted at one entry for each organisation."""
+
+from cactusridge.clock import Clock
+from cactusridge.organisations.errors import LimitUnsure
+from cactusridge.organisations.homes import Homes
+from cactusridge.organisations.limit_ask import Asker, LimitAsk, LimitTold
+from cactusridge.organisations.limit_home import LimitHome
+from cactusridge.organisations.limiter import Limiter
+from cactusridge.organisations.organisation import RateLimit
+
+# An entry that did not answer is not asked again for this long, seconds.
+SILENT_S = 0.5
+
+
+class HomeLimits(Limiter):
+    """Asks the home of an organisation for each of its requests.
+
+    A question costs a datagram each way, whatever the size of the fleet,
+    and nothing is handed out before it is asked for: no share is left
+    where nobody comes, or lost with who held it.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        homes: Homes,
+        home: LimitHome,
+        asker: Asker,
+        clock: Clock,
+    ) -> None:
+        """Ask as ``me``; ``home`` answers where that is the home."""
+        self._me = me
+        self._homes = homes
+        self._home = home
+        self._asker = asker
+        self._clock = clock
+        self._silent_until: dict[str, float] = {}
+
+    def take(self, name: str, limit: RateLimit, version: int) -> float:
+        """Ask the home, then who stands in for it."""
+        asked = LimitAsk(name, limit, version)
+        for entry in self._homes.ranked(name):
+            told = self._ask(entry, asked)
+            if told is not None and told.counted:
+                return told.wait_s
+            asked = asked._replace(stand_in=True)
+        raise LimitUnsure
+
+    def give_back(self, name: str) -> None:
+        """Tell the home; a word that is lost costs the one request."""
+        home = self._homes.ranked(name)[0]
+        if home == self._me:
+            self._home.give_back(name)
+        else:
+            self._asker.give_back(home, name)
+
+    def _ask(self, entry: str, asked: LimitAsk) -> LimitTold | None:
+        if entry == self._me:
+            return self._home.answer(asked)
+        if self._silent_until.get(entry, 0) > self._clock.monotonic():
+            return None
+        told = self._asker.ask(entry, asked)
+        if told is None:
+            silent_until = self._clock.monotonic() + SILENT_S
+            self._silent_until[entry] = silent_until
+        return told
--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -19,6 +19,7 @@
 from cactusridge.http.exchange import SOCKET_KEY, Reply
 from cactusridge.platform.caller_request import CallerRequest
 from cactusridge.platform.caller_watch import SocketWatch
+from cactusridge.platform.callers import STALE_S, Callers
 from cactusridge.platform.errors import failure_reply
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.operator import CatalogHolder
@@ -37,9 +38,6 @@
     code = 'not_configured'
 
 
-# A watch is answered every 1.5 s; without one for longer, a route that
-# is not known may have been added meanwhile.
-STALE_S = 1.8
 STALE_RETRY_S = 0.3
 
 
@@ -58,9 +56,11 @@
         follower: TableFollower,
         online: OnlineDispatcher,
         jobs: JobCalls,
+        callers: Callers,
         clock: Clock,
     ) -> None:
-        """Answer with ``online`` and ``jobs``."""
+        """Answer those whom ``callers`` knows with ``online`` and ``jobs``."""
+        self._callers = callers
         self._holder = holder
         self._follower = follower
         self._online = online
@@ -90,12 +90,13 @@
         if not self._holder.known:
             raise NotConfigured(retry_after_s=UNCONFIGURED_RETRY_S)
         if self._jobs.handles(call):
-            return self._jobs.answer(call)
+            return self._jobs.answer(call, self._callers.name(call))
         route = catalog.match(call.host, call.path)
         if route is None:
             self._raise_no_route(call)
         if route.kind == RouteKind.batch:
-            return self._jobs.submit(call, route, catalog.version)
+            owner = '' if route.public else self._callers.name(call)
+            return self._jobs.submit(call, route, catalog.version, owner)
         return self._serve(environ, call, route, arrived_at)
 
     def _raise_no_route(self, call: CallerRequest) -> NoReturn:
@@ -111,6 +112,7 @@
         route: Route,
         arrived_at: float,
     ) -> Reply:
+        caller = self._callers.caller(call, route)
         left_s = min(call.time_left_s(route.timeout_s), route.timeout_s)
         body = call.body()
         watch = SocketWatch(environ[SOCKET_KEY])
@@ -118,9 +120,10 @@
             call.id,
             call.method,
             call.target,
-            call.headers,
+            caller.headers,
             body,
-            call.fingerprint(body),
+            call.fingerprint(caller.name, body),
+            organisation=caller.name,
         )
         online_call = OnlineCall(
             req,
@@ -128,6 +131,7 @@
             arrived_at,
             arrived_at + left_s,
             watch,
+            caller.permit,
         )
         try:
             answer = self._online.answer(online_call)
--- a/cactusridge/platform/caller_request.py
+++ b/cactusridge/platform/caller_request.py
@@ -52,14 +52,29 @@
         return self.header(names.REQUEST_ID)
 
     @property
-    def caller(self) -> str:
-        """Return the address that the request came from, without a port."""
-        return self._req.environ['REMOTE_ADDR']
+    def authorization(self) -> str:
+        """Return what the caller proves itself with; empty without any."""
+        found = [
+            text
+            for name, text in self.headers
+            if name.lower() == names.AUTHORIZATION.lower()
+        ]
+        if len(set(found)) > 1:
+            raise BadRequest(f'{names.AUTHORIZATION} is stated twice')
+        return found[0] if found else ''
+
+    def headers_without_key(self) -> HeaderList:
+        """Return the headers but for what the caller proves itself with."""
+        return without_key(self.headers)
+
+    def fingerprint(self, organisation: str, body: bytes) -> str:
+        """Return what repeats of this request with ``body`` share.
 
-    def fingerprint(self, body: bytes) -> str:
-        """Return what repeats of this request with ``body`` share."""
+        The address says nothing of who calls: the same request comes again
+        from others. Where there are no organisations all callers are one.
+        """
         return fingerprint_of(
-            self.caller,
+            organisation,
             self.method,
             self.host,
             self.target,
@@ -113,3 +128,9 @@
             for found, text in self.headers
             if found.lower() == name
         ]
+
+
+def without_key(headers: HeaderList) -> HeaderList:
+    """Return ``headers`` without the caller's key, in any spelling."""
+    dropped = names.AUTHORIZATION.lower()
+    return [(name, text) for name, text in headers if name.lower() != dropped]
--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -10,14 +10,20 @@
 
 from cactusridge import wire
 from cactusridge.dispatch.catalog import Route
-from cactusridge.errors import BadRequest, NotFound, OutcomeUnknown
+from cactusridge.errors import BadRequest, Conflict, NotFound, OutcomeUnknown
 from cactusridge.http.exchange import Reply, json_reply
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.intake import Intake
 from cactusridge.jobs.manager import JobManager
-from cactusridge.jobs.model import ItemState, JobItem, JobState, Result
+from cactusridge.jobs.model import (
+    ItemState,
+    JobHead,
+    JobItem,
+    JobState,
+    Result,
+)
 from cactusridge.platform import names
-from cactusridge.platform.caller_request import CallerRequest
+from cactusridge.platform.caller_request import CallerRequest, without_key
 from cactusridge.store.store_clock import StoreClock
 
 MAX_ITEMS = 200
@@ -62,22 +68,29 @@
         )
         return matches is not None
 
-    def answer(self, call: CallerRequest) -> Reply:
-        """Answer a request about a job that exists already."""
+    def answer(self, call: CallerRequest, organisation: str) -> Reply:
+        """Answer a request about a job that exists already.
+
+        Nothing is there for callers of another ``organisation``.
+        """
         body_of = BODY_PATH.fullmatch(call.path)
+        found = body_of or JOB_PATH.fullmatch(call.path)
+        job_id = _checked_id(found.group(1))
+        if organisation:
+            self._check_owner(job_id, organisation)
         if body_of:
-            return self._item_body(body_of.group(1), call.query('id'))
-        job_id = JOB_PATH.fullmatch(call.path).group(1)
+            return self._item_body(job_id, call.query('id'))
         if call.method == 'DELETE':
-            self._manager.end(_checked_id(job_id))
+            self._manager.end(job_id)
             return json_reply({})
-        return self._read(_checked_id(job_id), call)
+        return self._read(job_id, call)
 
     def submit(
         self,
         call: CallerRequest,
         route: Route,
         catalog_version: int,
+        organisation: str,
     ) -> Reply:
         """Accept a job; once the reply is out it is the system's.
 
@@ -85,6 +98,8 @@
         """
         job_id = _checked_id(call.id)
         items = parse_items(call.body())
+        if organisation:
+            items = [_without_key(item) for item in items]
         self._intake.check(job_id)
         head = self._manager.new_head(
             job_id,
@@ -93,19 +108,32 @@
             len(items),
             self._store_clock.now_ms(),
             catalog_version,
+            organisation,
         )
         unknown = OutcomeUnknown('the store did not say in time')
         with gevent.Timeout(ACCEPT_S, unknown):
-            self._manager.accept(head, items)
+            stored = self._manager.accept(head, items)
+        if stored.organisation != organisation:
+            raise Conflict(f'{job_id} is the id of another job')
         return json_reply({}, HTTPStatus.ACCEPTED)
 
-    def _read(self, job_id: str, call: CallerRequest) -> Reply:
-        after = _number(call.query('after', '0'))
-        wait_s = _number(call.header(names.LONG_POLL, '0')) / names.MS
+    def _check_owner(self, job_id: str, organisation: str) -> None:
+        """Return if a job is this organisation's, else raise NotFound."""
+        if self._head(job_id).organisation != organisation:
+            raise NotFound(f'no job {job_id}')
+
+    def _head(self, job_id: str) -> JobHead:
+        """Return a job's head, from the store if it is not known here."""
         head = self._heads.get(job_id)
         if head is None:
             head = self._manager.ledger.head(job_id)
             self._heads.note(head)
+        return head
+
+    def _read(self, job_id: str, call: CallerRequest) -> Reply:
+        after = _number(call.query('after', '0'))
+        wait_s = _number(call.header(names.LONG_POLL, '0')) / names.MS
+        head = self._head(job_id)
         found = self._manager.ledger.results(job_id, after)
         if not found and wait_s and head.state == JobState.open:
             self._wait(job_id, wait_s - LONG_POLL_MARGIN_S)
@@ -127,7 +155,7 @@
         held.listed.wait(max(0, wait_s))
 
     def _item_body(self, job_id: str, item_id: str) -> Reply:
-        held = self._manager.held(_checked_id(job_id))
+        held = self._manager.held(job_id)
         waiting = list(held.pending.values()) if held else ()
         for task in waiting:
             if task.item.id == item_id:
@@ -170,6 +198,11 @@
     return item
 
 
+def _without_key(item: JobItem) -> JobItem:
+    headers = without_key(list(item.headers.items()))
+    return item._replace(headers=dict(headers))
+
+
 def _result(result: Result) -> dict[str, str]:
     return {
         'id': result.id,
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -23,6 +23,7 @@
 from cactusridge.jobs.policies import make_policies
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import RENEW_S, Session, ignore_store_errors
+from cactusridge.jobs.tenure import Tenure
 from cactusridge.jobs.waiting_line import WaitingLine
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.operator import CatalogHolder
@@ -46,7 +47,14 @@
         """Build them over ``store``; nothing runs yet."""
         address = cfg.peer_address
         self.heads = JobHeads()
-        self.session = Session(store.rows, clock, cfg.name, address, cfg.zone)
+        self.session = Session(
+            store.rows,
+            clock,
+            cfg.name,
+            address,
+            cfg.zone,
+            Tenure(store.clock),
+        )
         self.cells = Cells(
             str(address),
             fleet,
--- a/cactusridge/platform/names.py
+++ b/cactusridge/platform/names.py
@@ -12,6 +12,10 @@
 EXPECTED_REPLICA: Final = 'X-Expect-Instance'
 # Present when the replica has not run the request and never will.
 NOT_RUN: Final = 'X-Not-Executed'
+# Proof of who calls, as a scheme and a key; never passed on.
+AUTHORIZATION: Final = 'Authorization'
+# Name of the caller's organisation, for replicas; ours alone to say.
+ORGANISATION: Final = 'X-Tenant'
 LAST_EVENT: Final = 'Last-Event-Id'
 # Milliseconds for which a read may be kept waiting for news.
 LONG_POLL: Final = 'X-Long-Poll-Wait'
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -12,7 +12,6 @@
 from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online import OnlineDispatcher
 from cactusridge.dispatch.peer_socket import PeerSocket, Target
-from cactusridge.dispatch.peer_strikes import PeerStrikes
 from cactusridge.dispatch.peers import PeerExchange, Word
 from cactusridge.dispatch.policies import make_outliers, make_policies
 from cactusridge.dispatch.run import Runner
@@ -24,15 +23,16 @@
 from cactusridge.http.server import Server
 from cactusridge.jobs.heads import TABLE as JOBS
 from cactusridge.jobs.keys import head_prefixes
+from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.platform import discovery, names, operator
 from cactusridge.platform.caller_app import CallerApp
+from cactusridge.platform.callers import Callers
 from cactusridge.platform.catalog_peers import CATALOG_PATH, CatalogPeers
 from cactusridge.platform.job_parts import JobParts
+from cactusridge.platform.limit_parts import LimitParts
 from cactusridge.platform.store_access import StoreAccess
+from cactusridge.platform.strike_parts import STRIKES, StrikeParts
 from cactusridge.platform.upstream import HttpUpstream
-from cactusridge.quarantine.policies import RULES
-from cactusridge.quarantine.strike_store import StrikeStore
-from cactusridge.quarantine.suspects import Suspects
 from cactusridge.serving import Role
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.store.listeners import ListenersByPrefix
@@ -43,11 +43,6 @@
 INNER_BODY = 65_536
 INNER_TIMEOUT_S = 2.0
 TRIM_S = 1.0
-# Peers are told of each strike at once. Most requests that share one crash
-# with its cause have no second, and need not be stored.
-STORED_STRIKES = 2
-# Beside the jobs, whose table every entry follows anyway.
-STRIKES = f'{JOBS}/strikes/'
 
 
 class DirectEntry(Role):
@@ -59,13 +54,15 @@
         clock = BootClock()
         self._clock = clock
         self._store = StoreAccess(cfg.store, clock)
-        self._holder = operator.CatalogHolder()
+        lease = KeyLease(clock, cfg.keys_last_s)
+        self._holder = operator.CatalogHolder(lease)
         self._fleet = FleetView()
         self._discovery = discovery.Discovery(self._fleet, clock)
         self._upstream = HttpUpstream(clock)
         loads = LoadTable(clock)
         health = make_outliers(cfg.policy, clock)
-        suspects = Suspects(RULES[cfg.policy.quarantine](), clock)
+        self._strikes = StrikeParts(cfg, self._store.rows, clock)
+        suspects = self._strikes.suspects
         runner = Runner(self._upstream, loads, health, suspects, clock)
         self._fleet.on_life_end(runner)
         self._fleet.on_life_end(self._upstream.connections)
@@ -91,20 +88,20 @@
             self._word,
         )
         self._peers.on_word(self._heard)
-        self._strikes = StrikeStore(
-            self._store.rows,
-            STRIKES,
-            suspects,
-            clock,
-            STORED_STRIKES,
-        )
-        suspects.pass_on(self._strikes)
-        suspects.pass_on(PeerStrikes(self._peers, suspects))
+        self._strikes.speak_through(self._peers)
         self._jobs.speak_through(self._peers)
         self._catalog_follower = self._store.follower(
             operator.TABLE,
             [operator.KEY],
             self._holder,
+            lease.reread_s,
+        )
+        self._limits = LimitParts(
+            cfg,
+            self._jobs.session,
+            self._store.clock,
+            self._peers,
+            clock,
         )
         self._app = CallerApp(
             self._holder,
@@ -118,6 +115,12 @@
                 make_policies(cfg.policy),
             ),
             self._jobs.calls,
+            Callers(
+                self._holder,
+                self._catalog_follower,
+                lease,
+                self._limits.limiter,
+            ),
             clock,
         )
         self._draining = False
@@ -145,16 +148,20 @@
                 JOBS,
                 [STRIKES, *head_prefixes()],
                 ListenersByPrefix(
-                    {STRIKES: self._strikes, f'{JOBS}/': self._jobs.heads},
+                    {
+                        STRIKES: self._strikes.store,
+                        f'{JOBS}/': self._jobs.heads,
+                    },
                 ),
             ),
         )
         for follower in followers:
             spawn(Part.feeds, keep_doing, follower.step)
-        spawn(Part.feeds, keep_doing, self._strikes.step)
+        spawn(Part.feeds, keep_doing, self._strikes.store.step)
         self._jobs.start()
         trim = self._upstream.connections.trim
         gevent.spawn(keep_doing_every, TRIM_S, trim)
+        self._limits.start()
         METER.start()
         report = WorkReport(METER, self._jobs.scheduler.depths)
         gevent.spawn(keep_doing, report.step)
--- a/cactusridge/platform/store_access.py
+++ b/cactusridge/platform/store_access.py
@@ -12,6 +12,7 @@
 from cactusridge.store.reply_timeout import ReplyTimeout
 from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table_follower import (
+    REREAD_S,
     WAIT_S,
     TableFollower,
     TableListener,
@@ -49,6 +50,7 @@
         table: str,
         prefixes: list[str],
         listener: TableListener,
+        reread_s: float = REREAD_S,
     ) -> TableFollower:
         """Return a follower of a table that is not started yet."""
         return TableFollower(
@@ -58,6 +60,7 @@
             listener,
             self._host_clock,
             self.contact,
+            reread_s,
         )
 
     def _link(self, address: Address, timeout: ReplyTimeout) -> PlatformLink:
--- /dev/null
+++ b/cactusridge/platform/strike_parts.py
@@ -0,0 +1,42 @@
+"""The parts of an entry that hold back requests that crash replicas."""
+
+from cactusridge.clock import Clock
+from cactusridge.dispatch.peer_strikes import PeerStrikes
+from cactusridge.dispatch.peers import PeerExchange
+from cactusridge.jobs.heads import TABLE as JOBS
+from cactusridge.quarantine.policies import RULES
+from cactusridge.quarantine.strike_store import StrikeStore
+from cactusridge.quarantine.suspects import Suspects
+from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.store.table import Table
+
+# Peers are told of each strike at once. Most requests that share one crash
+# with its cause have no second, and need not be stored.
+STORED_STRIKES = 2
+# Beside the jobs, whose table every entry follows anyway.
+STRIKES = f'{JOBS}/strikes/'
+
+
+class StrikeParts:
+    """What is suspected, and where it is told and stored."""
+
+    def __init__(
+        self,
+        cfg: DirectEntrySettings,
+        table: Table,
+        clock: Clock,
+    ) -> None:
+        """Store strikes in ``table``."""
+        self.suspects = Suspects(RULES[cfg.policy.quarantine](), clock)
+        self.store = StrikeStore(
+            table,
+            STRIKES,
+            self.suspects,
+            clock,
+            STORED_STRIKES,
+        )
+
+    def speak_through(self, peers: PeerExchange) -> None:
+        """Pass on what this entry sees."""
+        self.suspects.pass_on(self.store)
+        self.suspects.pass_on(PeerStrikes(peers, self.suspects))
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -35,6 +35,7 @@
     names.REQUEST_ID.lower(),
     names.TIME_LEFT.lower(),
     names.EXPECTED_REPLICA.lower(),
+    names.ORGANISATION.lower(),
 }
 
 
@@ -229,6 +230,8 @@
             if name.lower() != names.LAST_EVENT.lower()
         ]
         headers.append((names.LAST_EVENT, req.resume_after))
+    if req.organisation:
+        headers.append((names.ORGANISATION, req.organisation))
     headers.extend(
         (
             (names.REQUEST_ID, req.id),
--- a/cactusridge/settings/access.py
+++ b/cactusridge/settings/access.py
@@ -1,17 +1,16 @@
 """Who a token belongs to and which paths it opens."""
 
-import hashlib
 import hmac
 from typing import NamedTuple
 
 from cactusridge.errors import Forbidden, Unauthorized
+from cactusridge.organisations.keys import bearer_key, key_digest
 from cactusridge.settings import paths
 from cactusridge.settings.paths import NodeKind
 from cactusridge.settings.schema import TokenRole
 from cactusridge.settings.tree import SettingsTree
 
 ADMIN_TEAM = ''
-BEARER = 'Bearer '
 
 
 class Caller(NamedTuple):
@@ -22,11 +21,6 @@
     admin: bool = False
 
 
-def token_hash(token: str) -> str:
-    """Return the form in which settings keep a token."""
-    return hashlib.sha256(token.encode()).hexdigest()
-
-
 class AccessTable:
     """Finds the caller behind a token; follows the settings tree."""
 
@@ -40,9 +34,10 @@
 
     def caller(self, authorization: str) -> Caller:
         """Return the caller of an ``Authorization`` header."""
-        if not authorization.startswith(BEARER):
+        token = bearer_key(authorization)
+        if token is None:
             raise Unauthorized('send Authorization: Bearer TOKEN')
-        given = token_hash(authorization.removeprefix(BEARER).strip())
+        given = key_digest(token)
         if hmac.compare_digest(given, self._admin_sha256):
             return Caller(ADMIN_TEAM, TokenRole.operator, admin=True)
         # The index is by the hash, which a caller cannot steer byte by
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -14,6 +14,7 @@
 Bytes = Annotated[int, Meta(ge=1024)]
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 MEBIBYTE = 1 << 20
+MS = 1000
 # From the end of a drain to the end of the process, in seconds: 0.2 s for
 # the log's reader, some 0.05 s for the interpreter, and as much again.
 EXIT_S = 0.5
@@ -154,6 +155,7 @@
     claims: Literal['told', 'none'] = 'told'
     cells: Literal['by_zone', 'one'] = 'by_zone'
     quarantine: Literal['by_crashes', 'none'] = 'by_crashes'
+    limits: Literal['homes', 'shares', 'none'] = 'homes'
 
 
 class DirectEntrySettings(CommonSettings, frozen=True, kw_only=True):
@@ -174,8 +176,17 @@
     grace_s: PositiveSeconds = 8
     # Results can be read for this long after a job's submission.
     keep_jobs_s: PositiveSeconds = 120
+    # A key that was taken away opens nothing after this long, in ms, at an
+    # entry that cannot reach the store either; not set, such an entry goes
+    # by what it knew.
+    revoke_ms: Annotated[float, Meta(ge=1000)] | None = None
     policy: DirectPolicy = DirectPolicy()
 
+    @property
+    def keys_last_s(self) -> float | None:
+        """For how long what is known of keys counts, in seconds."""
+        return None if self.revoke_ms is None else self.revoke_ms / MS
+
     @property
     def drain_s(self) -> float:
         """Return how long requests in work may take at a stop, in s.
--- a/cactusridge/store/table_follower.py
+++ b/cactusridge/store/table_follower.py
@@ -21,6 +21,8 @@
 # A watch may miss changes that the store made while it heard nothing;
 # everything is read again this often, at some rows a second.
 REREAD_S = 8
+# The shortest wait of a watch, in seconds, before all is read again.
+LEAST_WAIT_S = 0.1
 # Pause after a failure, in seconds; half of it is random so that entries
 # do not return to the store in step.
 FIRST_PAUSE_S = 0.1
@@ -41,6 +43,14 @@
     def keep_only(self, keys: set[str]) -> None:
         """Forget every row whose key is not among ``keys``."""
 
+    def confirmed(self, begun_at: float, whole: bool) -> None:
+        """Note that everything that was told of the table is taken in.
+
+        ``begun_at`` is when the reading of it was begun, on the process's
+        clock; ``whole`` tells a reading of all rows from a watch that has
+        been answered, maybe without news.
+        """
+
     def regained(self, since: float) -> None:
         """Note that the store answers again after an outage.
 
@@ -59,8 +69,10 @@
         listener: TableListener,
         clock: Clock,
         contact: StoreContact,
+        reread_s: float = REREAD_S,
     ) -> None:
         """Tell ``listener`` of the rows of ``table`` below ``prefixes``."""
+        self._reread_s = reread_s
         self.heard_at: float | None = None
         self._watch = watch
         self._table = table
@@ -99,12 +111,14 @@
 
     def _read(self) -> None:
         now = self._clock.monotonic()
-        if self._version is None or now - self._read_at > REREAD_S:
+        left_s = self._read_at + self._reread_s - now
+        if self._version is None or left_s < 0:
             found = self._watch.snapshot(self._prefixes)
             self._read_at = now
             whole = True
         else:
-            found = self._watch.changes(self._table, self._version, WAIT_S)
+            wait_s = min(WAIT_S, max(LEAST_WAIT_S, left_s))
+            found = self._watch.changes(self._table, self._version, wait_s)
             whole = False
         self._tell_of_outage()
         if whole:
@@ -117,6 +131,11 @@
         for row in found.rows:
             self._put(row)
         self._version = found.version
+        self._tell(
+            self._table,
+            found.version,
+            lambda: self._listener.confirmed(now, whole),
+        )
 
     def _tell_of_outage(self) -> None:
         """Tell the listener, before its rows, that an outage has ended."""
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -74,6 +74,8 @@
         self.version = 0
         # Decisions of the entries that differ from the usual ones.
         self.policy: dict[str, str] = {}
+        # Start settings of the entries beside the usual ones.
+        self.more: dict[str, Any] = {}
 
     def start(self) -> None:
         """Serve the store and the replicas; write the configuration."""
@@ -85,8 +87,11 @@
             self.register(replica, link.start())
         self.configure(ROUTES)
 
-    def configure(self, routes: Any) -> None:
-        """Put a new version of the configuration in force."""
+    def configure(self, routes: Any, holders: Any = None) -> None:
+        """Put a new version of the configuration in force.
+
+        ``holders`` are the organisations with their keys and limits.
+        """
         self.version += 1
         message = {
             'version': self.version,
@@ -94,6 +99,8 @@
             'services': [],
             'limits': {'max_body_bytes': 1 << 20, 'max_header_bytes': 8000},
         }
+        if holders is not None:
+            message['tenants'] = list(holders)
         self.store.put(('op', '', 'config'), message)
 
     def start_entry(self, name: str) -> None:
@@ -134,7 +141,13 @@
             resp = conn.getresponse()
             return resp.status, dict(resp.getheaders()), resp.read()
 
-    def submit(self, name: str, job_id: str, bodies: list[str]) -> int:
+    def submit(
+        self,
+        name: str,
+        job_id: str,
+        bodies: list[str],
+        more: dict[str, str] | None = None,
+    ) -> int:
         """Submit a job with an item for each of ``bodies``."""
         items = [
             {
@@ -147,7 +160,8 @@
             for number, body in enumerate(bodies)
         ]
         raw = json.dumps({'items': items}).encode()
-        sent = {'X-Attempt-Id': job_id, 'Content-Type': 'application/json'}
+        kind = {'Content-Type': 'application/json'}
+        sent = {'X-Attempt-Id': job_id, **kind, **(more or {})}
         return self.call(name, 'POST', '/lots/x', raw, sent)[0]
 
     def results(self, name: str, job_id: str) -> list[dict[str, str]]:
@@ -220,6 +234,7 @@
             'readiness_delay_s': 0.3,
             'drain_timeout_s': 6,
             'policy': self.policy,
+            **self.more,
             'store': {
                 'address': str(link.start()),
                 'timeout_s': 1,
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -8,7 +8,7 @@
 from cactusridge.clock import SystemClock
 from cactusridge.entry.app import Entry
 from cactusridge.http.client import Address, Clients
-from cactusridge.settings.access import token_hash
+from cactusridge.organisations.keys import key_digest
 from cactusridge.sidecar.app import Sidecar
 from cactusridge.startup.models import EntrySettings, SidecarSettings
 from standins.engine import EngineStandIn
@@ -112,7 +112,7 @@
             listen=str(self._ports.give()),
             zone='a',
             internal_secret=SECRET,
-            admin_token_sha256=token_hash('admin'),
+            admin_token_sha256=key_digest('admin'),
             store={
                 'address': str(self.store.address),
                 'timeout_s': 0.5,
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -31,6 +31,7 @@
     ('dispatch', 'sidecar_dispatch'),
     ('quarantine', 'routing', 'slo'),
     ('settings',),
+    ('organisations',),
     ('startup', 'store'),
     ('http',),
 )
--- a/tests/test_catalog_peers.py
+++ b/tests/test_catalog_peers.py
@@ -4,8 +4,10 @@
 
 import gevent
 
+from cactusridge.clock import ManualClock
 from cactusridge.http.app import App, route
 from cactusridge.http.server import Server
+from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.platform.catalog_peers import CATALOG_PATH, CatalogPeers
 from cactusridge.platform.operator import CatalogHolder
 from standins.waiting import wait_for
@@ -18,7 +20,7 @@
 
     def setUp(self):
         """Serve the configuration of a peer that has version 7."""
-        holder = CatalogHolder()
+        holder = CatalogHolder(KeyLease(ManualClock(), None))
         holder.take(NEWER)
         served = CatalogPeers(holder)
         app = App([route('GET', CATALOG_PATH, served.serve)], 1024, 1)
@@ -26,7 +28,7 @@
         self.server.start()
         self.addCleanup(self.server.stop)
         self.peer = ('127.0.0.1', self.server.server_port)
-        self.holder = CatalogHolder()
+        self.holder = CatalogHolder(KeyLease(ManualClock(), None))
         self.catalogs = CatalogPeers(self.holder)
 
     def test_newer_is_fetched(self):
--- /dev/null
+++ b/tests/test_keys_on_machines.py
@@ -0,0 +1,210 @@
+"""Organisations, their keys and limits, at entries as processes."""
+
+import time
+
+import gevent
+from nose2.tools import params
+
+from standins.machines.site import ROUTES
+from standins.waiting import wait_for
+from tests.machine_case import MachineCase
+
+OPEN = {'name': 'open', 'path_prefix': '/open/', 'kind': 'streaming'}
+ONE = {'name': 'one', 'api_keys': ['k1', 'k1b']}
+TWO = {'name': 'two', 'api_keys': ['k2'], 'rate_per_s': 1, 'burst': 4}
+REVOKE_S = 2.0
+APPLY_S = 0.5
+# Windows of a limit, and what it may be exceeded by in one.
+WINDOW_S = 5
+SLACK = 20
+
+
+class KeysCase(MachineCase):
+    """Two organisations; the second has a limit."""
+
+    def setUp(self):
+        """Start entries that lease what they know of keys."""
+        super().setUp()
+        self.configure(ONE, TWO)
+        self.number = 0
+
+    def configure(self, *holders):
+        """Put organisations in force."""
+        routes = [*ROUTES, {**OPEN, 'public': True}]
+        self.site.configure(routes, holders)
+        gevent.sleep(APPLY_S)
+
+    def send(self, entry, key, target='/on/', more=None):
+        """Send a request with a key; return its status and id."""
+        self.number += 1
+        sent = {
+            'X-Attempt-Id': f'r{self.number}',
+            'X-Request-Deadline': '4000',
+            **(more or {}),
+        }
+        if key:
+            sent['Authorization'] = f'Bearer {key}'
+        found = self.site.call(entry, 'POST', target, b'1', sent)
+        return found[0], f'r{self.number}'
+
+    def seen(self, request_id):
+        """Return the headers that a replica got, names in lower case."""
+        found = [
+            each.seen[request_id]
+            for each in self.site.replicas
+            if request_id in each.seen
+        ]
+        return {name.lower(): text for name, text in found[0].items()}
+
+
+class TestKeys(KeysCase):
+    """Who is let in, and as whom."""
+
+    @params(('k1', 'one'), ('k1b', 'one'), ('k2', 'two'))
+    def test_organisation(self, key, name):
+        """Replicas are told its name, never the key or what callers say."""
+        claimed = {'x-tenant': 'else', 'X-Tenant': 'else'}
+        status, request_id = self.send('one', key, more=claimed)
+        self.assertEqual(200, status)
+        seen = self.seen(request_id)
+        self.assertEqual(name, seen['x-tenant'])
+        self.assertNotIn('authorization', seen)
+
+    @params('', 'k3')
+    def test_unknown_key(self, key):
+        """It is refused at once, and not run."""
+        status, request_id = self.send('one', key)
+        self.assertEqual(401, status)
+        self.assertEqual(0, self.runs(request_id))
+
+    def test_public_route(self):
+        """Nobody needs a key there, and no name is told."""
+        for key in ('', 'k1', 'k3'):
+            status, request_id = self.send('one', key, '/open/')
+            self.assertEqual(200, status)
+            seen = self.seen(request_id)
+            self.assertFalse({'x-tenant', 'authorization'} & set(seen))
+
+    def test_key_taken_away_and_added(self):
+        """Both are in force at every entry soon after."""
+        self.configure({**ONE, 'api_keys': ['k1b']}, TWO, {**ONE, 'name': 'x'})
+        self.configure({**ONE, 'api_keys': ['k1b', 'k9']}, TWO)
+        for entry in self.entries:
+            self.assertEqual(401, self.send(entry, 'k1')[0])
+            self.assertEqual(200, self.send(entry, 'k1b')[0])
+            self.assertEqual(200, self.send(entry, 'k9')[0])
+
+    def test_job(self):
+        """Its items run under its organisation, whose alone it is."""
+        mine = {'Authorization': 'Bearer k1'}
+        status = self.site.submit('one', 'j1', ['2', '2 0.3'], mine)
+        self.assertEqual(202, status)
+        # The key goes; the job does not.
+        self.configure({**ONE, 'api_keys': ['k1b']}, TWO)
+        target = '/api/lots/j1?after=0'
+        for key, found in (('k1', 401), ('k2', 404), ('', 401), ('k1b', 200)):
+            sent = {'Authorization': f'Bearer {key}'} if key else {}
+            answer = self.site.call('two', 'GET', target, headers=sent)
+            self.assertEqual(found, answer[0], key)
+            ended = self.site.call('two', 'DELETE', '/api/lots/j1', None, sent)
+            if found != 200:
+                self.assertEqual(found, ended[0], key)
+        wait_for('the items', lambda: self.runs('j1-0') and self.runs('j1-1'))
+        for item in ('j1-0', 'j1-1'):
+            self.assertEqual('one', self.seen(item)['x-tenant'])
+
+    def test_body_of_an_item(self):
+        """Another organisation finds none."""
+        mine = {'Authorization': 'Bearer k1'}
+        self.site.submit('one', 'j2', ['9 1'], mine)
+        target = '/api/items/j2?id=j2-0'
+        for key, status in (('k1b', 200), ('k2', 404)):
+            sent = {'Authorization': f'Bearer {key}'}
+            answer = self.site.call('two', 'GET', target, headers=sent)
+            self.assertEqual(status, answer[0])
+
+    def test_id_of_another_job(self):
+        """A submission under another's id is no resend."""
+        mine = {'Authorization': 'Bearer k1'}
+        other = {'Authorization': 'Bearer k2'}
+        self.assertEqual(202, self.site.submit('one', 'j3', ['1'], mine))
+        self.assertEqual(202, self.site.submit('two', 'j3', ['1'], mine))
+        self.assertEqual(409, self.site.submit('two', 'j3', ['1'], other))
+
+
+class TestTakenKeys(KeysCase):
+    """Keys that are taken away while an entry is cut off from the store."""
+
+    def setUp(self):
+        """Lease keys for a short time."""
+        super().setUp()
+        for name in self.entries:
+            self.site.entries[name].kill()
+        self.site.addresses.clear()
+        self.site.more = {'revoke_ms': REVOKE_S * 1000}
+        for name in self.entries:
+            self.site.start_entry(name)
+
+    def cut(self, name):
+        """Cut an entry off from the store, its peers not."""
+        link = self.site.store_links[name]
+        link.refusing = True
+        link.silence()
+
+    def test_entry_that_is_cut_off(self):
+        """It refuses in time, says it has not run, and serves the rest."""
+        self.cut('one')
+        self.configure({**ONE, 'api_keys': ['k1b']}, TWO)
+        taken_at = time.monotonic()
+        while time.monotonic() < taken_at + REVOKE_S * 2:
+            sent_at = time.monotonic()
+            status, request_id = self.send('one', 'k1')
+            if sent_at > taken_at + REVOKE_S:
+                self.assertIn(status, {401, 503})
+                self.assertEqual(0, self.runs(request_id))
+            gevent.sleep(0.1)
+        self.assertEqual(503, self.send('one', 'k1b')[0])
+        self.assertEqual(401, self.send('one', '')[0])
+        self.assertEqual(200, self.send('one', '', '/open/')[0])
+        self.assertEqual(200, self.send('two', 'k1b')[0])
+
+    def test_entry_that_is_back(self):
+        """It serves again as soon as it has read."""
+        self.cut('one')
+        gevent.sleep(REVOKE_S * 1.5)
+        self.assertEqual(503, self.send('one', 'k1')[0])
+        self.site.store_links['one'].refusing = False
+        wait_for('served', lambda: self.send('one', 'k1')[0] == 200)
+
+
+class TestLimitsOnMachines(KeysCase):
+    """A limit over all entries together."""
+
+    entries = ('one', 'two', 'three')
+
+    def test_start_of_all(self):
+        """It does not hand out the burst again."""
+        begun_at = time.monotonic()
+        served = 0
+        for restart in (False, True):
+            if restart:
+                for process in self.site.entries.values():
+                    process.kill()
+                for name in self.entries:
+                    self.site.start_entry(name)
+            for number in range(30):
+                entry = self.entries[number % len(self.entries)]
+                served += self.send(entry, 'k2')[0] == 200
+        lasted_s = max(WINDOW_S, time.monotonic() - begun_at)
+        most = (lasted_s * TWO['rate_per_s'] + TWO['burst']) * 1.1 + SLACK
+        self.assertLessEqual(served, most)
+        self.assertGreaterEqual(served, TWO['burst'])
+        self.assertEqual(200, self.send('one', 'k1')[0])
+
+    def test_refusal(self):
+        """It says when to come back, and an organisation without is free."""
+        for _ in range(20):
+            status, _ = self.send('one', 'k2')
+        self.assertEqual(429, status)
+        for _ in range(20):
+            self.assertEqual(200, self.send('two', 'k1')[0])
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,195 @@
+"""Limits of organisations over fleets of any size, with losses."""
+
+import unittest
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.organisations.errors import OverLimit
+from cactusridge.organisations.homes import (
+    MS,
+    READ_MS,
+    SETTLE_MS,
+    Candidate,
+    Homes,
+)
+from cactusridge.organisations.limit_ask import LimitAsk
+from cactusridge.organisations.limit_home import TOLERANCE, LimitHome
+from cactusridge.organisations.limiter import FixedShares, NoLimits
+from cactusridge.organisations.organisation import Organisation, RateLimit
+from cactusridge.organisations.token_bucket import TokenBucket
+from tests.limits_play import Loss, ToldCounts, by_homes, by_shares, play
+
+SEEDS = (1, 2)
+LOSSES = (
+    (),
+    (Loss(26, 2, 0.5), Loss(33, 4, 0.2)),
+    (Loss(27, 1.5, 1),),
+    (Loss(27, 5, 1),),
+    (Loss(26, 6, 0.2, cut=True), Loss(28, 5, 0.17, cut=True)),
+    tuple(Loss(25 + each * 0.8, 1.2 + each % 4, 0.05) for each in range(12)),
+)
+LIMIT = RateLimit(10, 10)
+ASKED = LimitAsk('o', LIMIT, 1)
+
+
+class TestPlayedLimits(unittest.TestCase):
+    """What a hot organisation and its neighbours get."""
+
+    @params(*LOSSES)
+    def test_never_over(self, *losses):
+        """No window is over its bound, whatever is lost or cut off."""
+        for seed in SEEDS:
+            played = play(28, by_homes, seed, losses)
+            self.assertLessEqual(played.over, 0)
+
+    @params((1, 4), (28, 20), (100, 8), (300, 4))
+    def test_within_the_limit(self, entries, length_s):
+        """Almost nobody within a limit is refused, at any size."""
+        played = play(entries, by_homes, 3, length_s=length_s)
+        self.assertLess(played.refused, 0.001 * played.owed + 1)
+        self.assertLessEqual(played.over, 0)
+
+    def test_messages_do_not_grow_with_the_fleet(self):
+        """A request costs three datagrams at the most."""
+        for entries in (28, 100):
+            played = play(entries, by_homes, 4, length_s=4, hot=1)
+            self.assertLessEqual(played.messages, 3 * played.owed * 1.1)
+
+    def test_against_equal_shares(self):
+        """Of equal shares most is refused that is within the limits."""
+        homes = play(28, by_homes, 5)
+        shares = play(28, by_shares, 5)
+        self.assertGreater(shares.refused, 0.5 * shares.owed)
+        self.assertLess(homes.refused, 0.001 * homes.owed + 1)
+
+    def test_against_told_counts(self):
+        """Counts that are told afterwards let a surge pass."""
+        self.assertGreater(play(28, ToldCounts, 6).over, 100)
+        self.assertLessEqual(play(28, by_homes, 6).over, 0)
+
+
+class TestHomes(unittest.TestCase):
+    """Who counts, when entries come and go."""
+
+    def setUp(self):
+        """Let two entries be listed for long."""
+        self.clock = ManualClock(100)
+        self.in_touch = True
+        self.listed = [Candidate('a:1', 0), Candidate('b:1', 0)]
+
+    def homes(self, me='a:1'):
+        """Return the homes as ``me`` sees them."""
+        found = Homes(
+            me,
+            lambda: self.listed,
+            lambda: self.clock.now * MS,
+            lambda: self.in_touch,
+            self.clock,
+        )
+        found.look()
+        return found
+
+    def held(self, me):
+        """Return the organisations whose home an entry is."""
+        homes = self.homes(me)
+        names = [f'o{number}' for number in range(40)]
+        return {each for each in names if homes.held_s(each) is not None}
+
+    def test_one_home_each(self):
+        """Every organisation has one."""
+        one, two = self.held('a:1'), self.held('b:1')
+        self.assertEqual(40, len(one | two))
+        self.assertFalse(one & two)
+
+    def test_without_the_store(self):
+        """An entry that cannot renew its row counts for nobody."""
+        self.in_touch = False
+        self.assertFalse(self.held('a:1'))
+
+    def test_newcomer(self):
+        """It counts only once all others have read that it is there."""
+        before = self.held('a:1')
+        since_ms = int(self.clock.now * MS)
+        self.listed.append(Candidate('c:1', since_ms))
+        self.assertEqual(before, self.held('a:1'))
+        self.assertFalse(self.held('c:1'))
+        self.clock.advance((SETTLE_MS + 1) / MS)
+        self.assertLess(self.held('a:1'), before)
+        self.assertFalse(self.held('c:1'))
+        self.clock.advance(READ_MS / MS)
+        self.assertTrue(self.held('c:1'))
+
+    def test_all_are_new(self):
+        """After the loss of all nobody waits."""
+        now_ms = int(self.clock.now * MS)
+        self.listed = [Candidate(each, now_ms) for each in ('a:1', 'b:1')]
+        self.assertEqual(40, len(self.held('a:1') | self.held('b:1')))
+
+    def test_a_taker_starts_with_little(self):
+        """A burst is one for the fleet, not one for each home."""
+        home = LimitHome(self.homes(), self.clock)
+        name = next(iter(self.held('a:1')))
+        asked = ASKED._replace(name=name)
+        passed = [not home.answer(asked).wait_s for _ in range(40)]
+        self.assertLess(sum(passed), TOLERANCE + LIMIT.burst / 2)
+
+    def test_stand_in_goes_on(self):
+        """It has what the home had left, and so has the next home."""
+        one, two = self.homes('a:1'), self.homes('b:1')
+        self.clock.advance(10)
+        home, other = LimitHome(one, self.clock), LimitHome(two, self.clock)
+        home.on_counted(other.copied)
+        asked = ASKED._replace(name=next(iter(self.held('a:1'))))
+        for _ in range(8):
+            self.assertEqual(0, home.answer(asked).wait_s)
+        stood_in = asked._replace(stand_in=True)
+        self.assertFalse(other.answer(asked).counted)
+        passed = [not other.answer(stood_in).wait_s for _ in range(40)]
+        self.assertEqual(LIMIT.burst + TOLERANCE - 8, sum(passed))
+        self.listed = [Candidate('b:1', 0)]
+        two.look()
+        self.assertTrue(other.answer(asked).wait_s)
+
+    def test_newer_limit(self):
+        """A lower limit counts as soon as one question has it."""
+        home = LimitHome(self.homes(), self.clock)
+        self.clock.advance(10)
+        asked = ASKED._replace(name=next(iter(self.held('a:1'))))
+        home.answer(asked)
+        lower = asked._replace(limit=RateLimit(1, 1), version=2)
+        passed = [not home.answer(lower).wait_s for _ in range(20)]
+        self.assertEqual(1 + TOLERANCE, sum(passed))
+
+
+class TestLimiters(unittest.TestCase):
+    """Limiters by themselves."""
+
+    def test_refusal(self):
+        """It says when there is a token again."""
+        clock = ManualClock()
+        limiter = FixedShares(lambda: 1, clock)
+        organisation = Organisation('o', None, RateLimit(2, 1))
+        limiter.check(organisation, 1)
+        with self.assertRaises(OverLimit) as refused:
+            limiter.check(organisation, 1)
+        self.assertEqual(0.5, refused.exception.retry_after_s)
+        limiter.give_back('o')
+        limiter.check(organisation, 1)
+
+    def test_no_limit(self):
+        """Who has none is never counted."""
+        FixedShares(lambda: 1, ManualClock()).check(Organisation('o'), 1)
+        self.assertEqual(0, NoLimits().take('o', LIMIT, 1))
+
+    @params((0, 0, 1), (0.5, 0, 0.5), (0, 1, 0), (10, 0, 0))
+    def test_bucket(self, after_s, tokens, wait_s):
+        """It fills at the rate."""
+        bucket = TokenBucket(RateLimit(1, 2), tokens, 0)
+        self.assertEqual(wait_s, bucket.take(after_s))
+
+    def test_bucket_is_full_at_its_burst(self):
+        """What is not asked for is not kept."""
+        bucket = TokenBucket(RateLimit(1, 2), 0, 0)
+        taken = [not bucket.take(100) for _ in range(4)]
+        self.assertEqual([True, True, False, False], taken)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -16,6 +16,9 @@
 from cactusridge.dispatch.returns import AfterBurst, NextSlot
 from cactusridge.jobs import policies as batch
 from cactusridge.jobs.urgency import DueFirst, OnTimeFirst
+from cactusridge.organisations.home_limits import HomeLimits
+from cactusridge.organisations.limiter import FixedShares
+from cactusridge.organisations.policies import LIMITERS
 from cactusridge.quarantine.policies import RULES
 from cactusridge.quarantine.rules import ByCrashes, HoldNothing
 from cactusridge.routing.outliers import OutlierEjector, TrustAll
@@ -31,6 +34,7 @@
     'claims': (ToldClaims, NoClaims),
     'cells': (ByZone, OneCell),
     'quarantine': (ByCrashes, HoldNothing),
+    'limits': (HomeLimits, FixedShares),
 }
 
 
@@ -48,7 +52,8 @@
         'cells': online.make_cell_rule(names),
         'quarantine': RULES[names.quarantine](),
     }
-    return {name: type(each) for name, each in found.items()}
+    classes = {name: type(each) for name, each in found.items()}
+    return {**classes, 'limits': LIMITERS[names.limits]}
 
 
 class TestPolicies(unittest.TestCase):
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -4,6 +4,8 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.jobs.session import LEASE_S, Session
+from cactusridge.jobs.tenure import Tenure
+from cactusridge.store.store_clock import StoreClock
 from standins.memory_table import MemoryTable
 
 
@@ -21,7 +23,9 @@
 
     def session(self, name):
         """Return the session of an entry."""
-        return Session(self.table, self.clock, name, ('127.0.0.1', 1), 'z')
+        address = ('127.0.0.1', 1)
+        tenure = Tenure(StoreClock(self.clock))
+        return Session(self.table, self.clock, name, address, 'z', tenure)
 
     def names(self):
         """Return whom the first takes to live."""
--- a/tests/test_spoilt_jobs.py
+++ b/tests/test_spoilt_jobs.py
@@ -31,7 +31,7 @@
 class TestSpoiltHead(SpoiltJobCase):
     """A job's head."""
 
-    optional = ('catalog_version',)
+    optional = ('catalog_version', 'organisation')
 
     @params(*spoilings(head_value(HEAD), optional))
     def test_ledger(self, name, value):
--- a/tests/test_spoilt_members.py
+++ b/tests/test_spoilt_members.py
@@ -15,6 +15,8 @@
 from cactusridge.jobs.model import JobHead, JobItem
 from cactusridge.jobs.orphans import UNREADABLE_PAUSE_S, Orphans
 from cactusridge.jobs.session import LEASE_S, PREFIX, Session
+from cactusridge.jobs.tenure import Tenure
+from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table import Priority
 from tests.emitted import emitted
 from tests.memory_objects import MemoryObjects
@@ -43,7 +45,9 @@
 
     def session(self, name):
         """Return the session of an entry."""
-        return Session(self.table, self.clock, name, ('127.0.0.1', 1), 'z')
+        address = ('127.0.0.1', 1)
+        tenure = Tenure(StoreClock(self.clock))
+        return Session(self.table, self.clock, name, address, 'z', tenure)
 
     def names(self):
         """Return whom the first takes to live."""
--- a/tests/test_spoilt_settings.py
+++ b/tests/test_spoilt_settings.py
@@ -5,9 +5,11 @@
 from nose2.tools import params
 
 from cactusridge import events
+from cactusridge.clock import ManualClock
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import json_reply
 from cactusridge.http.server import Server
+from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.platform.catalog_peers import CATALOG_PATH, CatalogPeers
 from cactusridge.platform.operator import KEY, CatalogHolder
 from cactusridge.store.table import Row
@@ -80,7 +82,7 @@
 
     def setUp(self):
         """Have a good one in force."""
-        self.holder = CatalogHolder()
+        self.holder = CatalogHolder(KeyLease(ManualClock(), None))
         self.holder.put(Row(KEY, GOOD, 1))
 
     @params(*((raw,) for raw in SPOILT))
--- a/tests/test_stop_races.py
+++ b/tests/test_stop_races.py
@@ -24,11 +24,13 @@
 from cactusridge.jobs.model import JobHead, JobItem
 from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.session import PREFIX, Session
+from cactusridge.jobs.tenure import Tenure
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.startup.models import (
     BatchSettings,
     EntryPolicy,
 )
+from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table import Priority, Write
 from standins.memory_table import MemoryTable
 from tests.memory_objects import MemoryObjects
@@ -72,7 +74,8 @@
 
 def session_on(table, clock) -> Session:
     """Return the session of an entry called ``one``."""
-    return Session(table, clock, 'one', ('127.0.0.1', 1), 'z')
+    tenure = Tenure(StoreClock(clock))
+    return Session(table, clock, 'one', ('127.0.0.1', 1), 'z', tenure)
 
 
 class TestSpans(unittest.TestCase):
