--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,5 +1,7 @@
 """Requests that crash each replica that runs them come again and again."""
 
+import itertools
+
 import gevent
 
 from standins.waiting import wait_for
@@ -17,6 +19,8 @@
 SHORT_MS = 400
 # Over the time in which a replica is back.
 LONG_MS = 1200
+# Addresses from which the same request comes by turns.
+ADDRESSES = 5
 # Streams, one of which may go on elsewhere, and plain requests.
 REQUESTS = (
     ('/on/1', STREAM),
@@ -41,6 +45,22 @@
                     gevent.sleep(0.3)
                 self.check_budget()
 
+    def test_repeats_from_other_addresses(self):
+        """The address does not say who calls."""
+        for target, body in REQUESTS:
+            with self.subTest(target):
+                self.forget_crashes()
+                numbers = itertools.cycle(range(1, ADDRESSES + 1))
+                while len(self.crashes()) < CRASHES:
+                    source = f'127.0.0.{next(numbers)}'
+                    self.bring(target, body, source=source)
+                gevent.sleep(CONTACT_S)
+                for _ in range(REPEATS):
+                    source = f'127.0.0.{next(numbers)}'
+                    self.bring(target, body, source=source)
+                    gevent.sleep(0.3)
+                self.check_budget()
+
     def test_request_that_silences_replicas_is_held_back(self):
         """Its replicas end without a word; nobody waits for long."""
         for target, body in REQUESTS:
