Leases on keys are renewed by plain reads and by peers

Change: where the lease is over 2.9 s old the row of the configuration is read by itself, and peers are asked since when they have it confirmed. The age is counted from the sending of the question; a peer's answer about another version renews nothing.

--- a/cactusridge/organisations/key_lease.py
+++ b/cactusridge/organisations/key_lease.py
@@ -2,7 +2,8 @@
 
 A key that was taken away opens nothing any more after a bounded time, at
 no entry, whether it can reach the store or not. So what an entry knows of
-keys is a lease, renewed by each read of the store and by nothing else.
+keys is a lease, renewed by each read of the store, its own or a peer's, and
+as old as that.
 """
 
 from cactusridge.clock import Clock
@@ -29,7 +30,7 @@
         """Hold for ``lasts_s`` seconds; None: for ever, once read."""
         self._clock = clock
         self._lasts_s = lasts_s
-        self._confirmed_at: float | None = None
+        self.confirmed_at: float | None = None
 
     @property
     def reread_s(self) -> float:
@@ -42,19 +43,30 @@
 
     def quiet(self, asked_at: float) -> None:
         """Note that a watch on the configuration was answered."""
-        if self._confirmed_at is not None:
+        if self.confirmed_at is not None:
             self._confirm(asked_at - DEAF_S)
 
     @property
     def valid(self) -> bool:
         """Whether the keys that are known may be gone by."""
-        if self._confirmed_at is None:
+        if self.confirmed_at is None:
             return False
         if self._lasts_s is None:
             return True
-        age_s = self._clock.monotonic() - self._confirmed_at
+        age_s = self._clock.monotonic() - self.confirmed_at
         return age_s < self._lasts_s - MARGIN_S
 
+    @property
+    def bounded(self) -> bool:
+        """Whether what is known ceases to count."""
+        return self._lasts_s is not None
+
+    def older_than(self, age_s: float) -> bool:
+        """Tell whether what was read once was confirmed longer ago."""
+        if self.confirmed_at is None:
+            return False
+        return self._clock.monotonic() - self.confirmed_at > age_s
+
     def _confirm(self, at: float) -> None:
-        if self._confirmed_at is None or at > self._confirmed_at:
-            self._confirmed_at = at
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -21,21 +21,23 @@
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.server import Server
-from cactusridge.jobs.heads import TABLE as JOBS
-from cactusridge.jobs.keys import head_prefixes
 from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.platform import discovery, names, operator
 from cactusridge.platform.caller_app import CallerApp
 from cactusridge.platform.callers import Callers
 from cactusridge.platform.catalog_peers import CATALOG_PATH, CatalogPeers
 from cactusridge.platform.job_parts import JobParts
+from cactusridge.platform.key_keeper import KeyKeeper
 from cactusridge.platform.limit_parts import LimitParts
 from cactusridge.platform.store_access import StoreAccess
-from cactusridge.platform.strike_parts import STRIKES, StrikeParts
+from cactusridge.platform.strike_parts import (
+    TABLE,
+    StrikeParts,
+    followed_prefixes,
+)
 from cactusridge.platform.upstream import HttpUpstream
 from cactusridge.serving import Role
 from cactusridge.startup.models import DirectEntrySettings
-from cactusridge.store.listeners import ListenersByPrefix
 from cactusridge.work_meter import METER, InnerCallGreenlet, Part, spawn
 from cactusridge.work_report import WorkReport
 
@@ -96,6 +98,14 @@
             self._holder,
             lease.reread_s,
         )
+        self._keeper = KeyKeeper(
+            self._holder,
+            lease,
+            self._store.rows,
+            self._peers,
+            loads,
+            clock,
+        )
         self._limits = LimitParts(
             cfg,
             self._jobs.session,
@@ -145,14 +155,9 @@
                 self._discovery,
             ),
             self._store.follower(
-                JOBS,
-                [STRIKES, *head_prefixes()],
-                ListenersByPrefix(
-                    {
-                        STRIKES: self._strikes.store,
-                        f'{JOBS}/': self._jobs.heads,
-                    },
-                ),
+                TABLE,
+                followed_prefixes(),
+                self._strikes.beside(self._jobs.heads),
             ),
         )
         for follower in followers:
@@ -162,6 +167,7 @@
         trim = self._upstream.connections.trim
         gevent.spawn(keep_doing_every, TRIM_S, trim)
         self._limits.start()
+        self._keeper.start()
         METER.start()
         report = WorkReport(METER, self._jobs.scheduler.depths)
         gevent.spawn(keep_doing, report.step)
--- a/cactusridge/platform/strike_parts.py
+++ b/cactusridge/platform/strike_parts.py
@@ -3,18 +3,26 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.peer_strikes import PeerStrikes
 from cactusridge.dispatch.peers import PeerExchange
-from cactusridge.jobs.heads import TABLE as JOBS
+from cactusridge.jobs.heads import TABLE
+from cactusridge.jobs.keys import head_prefixes
 from cactusridge.quarantine.policies import RULES
 from cactusridge.quarantine.strike_store import StrikeStore
 from cactusridge.quarantine.suspects import Suspects
 from cactusridge.startup.models import DirectEntrySettings
+from cactusridge.store.listeners import ListenersByPrefix
 from cactusridge.store.table import Table
+from cactusridge.store.table_follower import TableListener
 
 # Peers are told of each strike at once. Most requests that share one crash
 # with its cause have no second, and need not be stored.
 STORED_STRIKES = 2
 # Beside the jobs, whose table every entry follows anyway.
-STRIKES = f'{JOBS}/strikes/'
+STRIKES = f'{TABLE}/strikes/'
+
+
+def followed_prefixes() -> list[str]:
+    """Return the prefixes of the strikes and of the heads of all jobs."""
+    return [STRIKES, *head_prefixes()]
 
 
 class StrikeParts:
@@ -36,6 +44,10 @@
             STORED_STRIKES,
         )
 
+    def beside(self, heads: TableListener) -> TableListener:
+        """Return who is told of strikes, and ``heads`` of the jobs."""
+        return ListenersByPrefix({STRIKES: self.store, f'{TABLE}/': heads})
+
     def speak_through(self, peers: PeerExchange) -> None:
         """Pass on what this entry sees."""
         self.suspects.pass_on(self.store)
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -2,13 +2,17 @@
 
 import unittest
 
+import gevent
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
+from cactusridge.dispatch.key_questions import KeyQuestions
+from cactusridge.dispatch.loads import LoadTable
 from cactusridge.organisations.directory import Directory, Holder
 from cactusridge.organisations.errors import KeysUnsure, UnknownKey
 from cactusridge.organisations.key_check import KeyCheck
 from cactusridge.organisations.key_lease import DEAF_S, MARGIN_S, KeyLease
+from cactusridge.organisations.key_source import KeysConfirmed, KeySource
 from cactusridge.organisations.keys import bearer_key, key_digest
 from cactusridge.organisations.organisation import Organisation
 from cactusridge.platform.operator import KEY, CatalogHolder
@@ -152,6 +156,71 @@
         self.assertIsNone(self.holder.catalog.organisations)
 
 
+class Wire:
+    """Stands in for the exchange: passes what is sent on when told to."""
+
+    def __init__(self):
+        """Begin with nothing sent."""
+        self.listeners = {}
+        self.sent = []
+
+    def on_sent(self, topic, listener):
+        """Keep who listens."""
+        self.listeners[topic] = listener
+
+    def send(self, target, topic, about):
+        """Keep what is sent."""
+        self.sent.append((topic, about))
+
+    def pass_on(self, other):
+        """Let another hear what was sent here."""
+        while self.sent:
+            topic, about = self.sent.pop(0)
+            other.listeners[topic](('127.0.0.1', 9), about)
+
+
+class Known(KeySource):
+    """What an entry knows of keys."""
+
+    def __init__(self, found):
+        """Tell ``found``."""
+        self.found = found
+
+    def confirmed(self):
+        """Return what is known."""
+        return self.found
+
+
+class TestKeyQuestions(unittest.TestCase):
+    """What a peer has confirmed, and how old that is here."""
+
+    def asked(self, known, way_s, back_s):
+        """Return an answer after the ways there and back, in seconds."""
+        clock = ManualClock(50)
+        loads = LoadTable(clock)
+        loads.heard('127.0.0.1:9', {})
+        here, there = Wire(), Wire()
+        asker = KeyQuestions(here, loads, Known(None), clock)
+        KeyQuestions(there, loads, Known(known), clock)
+        answer = gevent.spawn(asker.ask)
+        gevent.sleep(0)
+        clock.advance(way_s)
+        here.pass_on(there)
+        clock.advance(back_s)
+        there.pass_on(here)
+        return answer.get()
+
+    @params((0, 0, 48), (1, 0, 47), (0, 3, 48), (1, 3, 47))
+    def test_never_younger(self, way_s, back_s, at):
+        """Whatever the ways take, also before it is read here."""
+        found = self.asked(KeysConfirmed(7, 48), way_s, back_s)
+        self.assertEqual(KeysConfirmed(7, at), found)
+
+    def test_nothing_to_tell(self):
+        """A peer that may not go by its keys says nothing."""
+        self.assertIsNone(self.asked(None, 0, 0))
+
+
 class TestBearerKey(unittest.TestCase):
     """The header by itself."""
 
