An entry that does not answer about limits or keys costs a moment only

Tests red before: test_silence of limits, test_no_answer of keys.

Change: the answer is waited for, not raised for.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -4,9 +4,6 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route
-from cactusridge.dispatch.cells import Cells
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import WorkKind
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.placement import (
@@ -16,7 +13,6 @@
     silence_s,
 )
 from cactusridge.dispatch.policies import DispatchPolicies
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.retries import NO_REPLICA_RETRY_S, may_go_again
 from cactusridge.dispatch.returns import Refusal
 from cactusridge.dispatch.run import NotRun, Run, Runner
@@ -32,6 +28,10 @@
     OutcomeUnknown,
     Overloaded,
 )
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica
+from cactusridge.peers.cells import Cells
+from cactusridge.peers.load import WorkKind
 
 
 class Attempts:
--- a/cactusridge/dispatch/claims.py
+++ b/cactusridge/dispatch/claims.py
@@ -12,8 +12,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from cactusridge.dispatch.load import Load
 from cactusridge.hashing import hash64, rendezvous
+from cactusridge.peers.load import Load
 
 # How long a claim waits for others, in seconds: the longest way between
 # entries (1.4 ms) and two turns of a busy event loop (2 ms each). An
--- a/cactusridge/dispatch/crash_watch.py
+++ b/cactusridge/dispatch/crash_watch.py
@@ -4,8 +4,8 @@
 
 import gevent
 
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.upstream import Upstream
+from cactusridge.fleet.replica import Replica
 from cactusridge.quarantine.strike import Stage
 from cactusridge.quarantine.suspects import Suspects
 
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -4,17 +4,17 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
 from cactusridge.dispatch.catalog import RouteKind
-from cactusridge.dispatch.cells import Cells
-from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.dispatch.online_call import Answer, OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.policies import DispatchPolicies
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.retries import check_retry, may_go_again
 from cactusridge.dispatch.run import SERVER_FAULT, Run, Runner, is_success
 from cactusridge.dispatch.streams import Streams
 from cactusridge.dispatch.upstream import UpstreamHead
 from cactusridge.errors import CactusridgeError, UpstreamFailed
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica
+from cactusridge.peers.cells import Cells
 
 
 class OnlineDispatcher:
--- a/cactusridge/dispatch/online_log.py
+++ b/cactusridge/dispatch/online_log.py
@@ -3,12 +3,12 @@
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.event_splitter import EventSplitter
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online_call import OnlineCall, Progress
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Run
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import CactusridgeError
+from cactusridge.fleet.replica import Replica
+from cactusridge.peers.loads import LoadTable
 
 
 class OnlineLog:
--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -10,8 +10,8 @@
 from collections.abc import Sequence, Set
 from typing import NamedTuple
 
-from cactusridge.dispatch.load import Load
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.replica import Replica
+from cactusridge.peers.load import Load
 
 # Until a service has answered something: seconds a request holds a slot.
 FIRST_GUESS_S = 0.5
--- a/cactusridge/dispatch/policies.py
+++ b/cactusridge/dispatch/policies.py
@@ -6,9 +6,9 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.admission import Admission, Everybody, InTime
-from cactusridge.dispatch.cell_rules import ByZone, CellRule, OneCell
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline, Placing
 from cactusridge.dispatch.returns import AfterBurst, NextSlot, Returns
+from cactusridge.peers.cell_rules import ByZone, CellRule, OneCell
 from cactusridge.routing.outliers import (
     OutlierDetector,
     OutlierEjector,
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -5,11 +5,7 @@
 from cactusridge import metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.crash_watch import BrokenRun, CrashWatch
-from cactusridge.dispatch.life_listener import LifeListener
-from cactusridge.dispatch.load import WorkKind
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.placement import HoldTime
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.upstream import (
     Exchange,
     Upstream,
@@ -24,6 +20,10 @@
     Refused,
     TruncatedReply,
 )
+from cactusridge.fleet.life_listener import LifeListener
+from cactusridge.fleet.replica import Replica
+from cactusridge.peers.load import WorkKind
+from cactusridge.peers.loads import LoadTable
 from cactusridge.quarantine.strike import Stage
 from cactusridge.quarantine.suspects import Suspects
 from cactusridge.routing.outliers import OutlierDetector
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -3,8 +3,8 @@
 import abc
 from typing import NamedTuple
 
-from cactusridge.dispatch.replica import Replica
 from cactusridge.errors import CactusridgeError, Refused
+from cactusridge.fleet.replica import Replica
 
 HeaderList = list[tuple[str, str]]
 
--- a/cactusridge/dispatch/yielding.py
+++ b/cactusridge/dispatch/yielding.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Mapping
 
-from cactusridge.dispatch.load import Load
+from cactusridge.peers.load import Load
 
 
 def shares_to_yield(
--- /dev/null
+++ b/cactusridge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which replicas there are, life by life."""
--- a/cactusridge/dispatch/fleet_view.py
+++ b/cactusridge/fleet/fleet_view.py
@@ -5,10 +5,10 @@
 from gevent.event import Event
 
 from cactusridge import events, logs
-from cactusridge.dispatch.life_listener import LifeListener
-from cactusridge.dispatch.life_order import LifeOrder
-from cactusridge.dispatch.life_rule import lives_told, names_replica
-from cactusridge.dispatch.replica import (
+from cactusridge.fleet.life_listener import LifeListener
+from cactusridge.fleet.life_order import LifeOrder
+from cactusridge.fleet.life_rule import lives_told, names_replica
+from cactusridge.fleet.replica import (
     NOT_TOLD,
     Replica,
     ReplicaState,
--- a/cactusridge/dispatch/life_order.py
+++ b/cactusridge/fleet/life_order.py
@@ -2,9 +2,9 @@
 
 from collections import OrderedDict
 
-from cactusridge.dispatch.life_rule import names_replica
-from cactusridge.dispatch.replica import NOT_TOLD
 from cactusridge.errors import CactusridgeError
+from cactusridge.fleet.life_rule import names_replica
+from cactusridge.fleet.replica import NOT_TOLD
 
 # Replicas without an entry whose newest life is remembered. The lists of
 # the largest deployments have some tens of replicas; a list that is read
--- a/cactusridge/dispatch/life_rule.py
+++ b/cactusridge/fleet/life_rule.py
@@ -4,7 +4,7 @@
 and keeps the replicas of a platform whose entries do not tell them.
 """
 
-from cactusridge.dispatch.replica import NOT_TOLD
+from cactusridge.fleet.replica import NOT_TOLD
 
 
 def lives_told(telling: int, known: int) -> bool:
--- a/cactusridge/jobs/free_replicas.py
+++ b/cactusridge/jobs/free_replicas.py
@@ -4,12 +4,12 @@
 import random
 from collections.abc import Set
 
-from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import Route
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.yielding import room
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica
+from cactusridge.peers.batch_sharing import BatchSharing
 
 
 class FreeReplicas:
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -5,8 +5,6 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.event_splitter import EventSplitter
-from cactusridge.dispatch.load import WorkKind
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Run, Runner
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import (
@@ -14,7 +12,9 @@
     CrossedReply,
     TruncatedReply,
 )
+from cactusridge.fleet.replica import Replica
 from cactusridge.jobs.model import JobHead, JobItem
+from cactusridge.peers.load import WorkKind
 from cactusridge.quarantine.fingerprint import fingerprint_of
 
 METHOD = 'POST'
--- a/cactusridge/jobs/look_pacer.py
+++ b/cactusridge/jobs/look_pacer.py
@@ -4,7 +4,7 @@
 from gevent.event import Event
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.cells import Cells
+from cactusridge.peers.cells import Cells
 
 # With nothing else to wake it the scheduler looks this often: a peer's
 # silence or a replica's recovery frees slots without a word.
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -6,7 +6,6 @@
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
-from cactusridge.dispatch.peers import tell_nobody
 from cactusridge.errors import CactusridgeError
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.held_job import HeldJob, restored_job
@@ -16,6 +15,7 @@
 from cactusridge.jobs.orphans import Orphans
 from cactusridge.jobs.scheduler import BatchScheduler
 from cactusridge.jobs.session import Session
+from cactusridge.peers.exchange import tell_nobody
 from cactusridge.work_meter import Part, spawn
 
 # How often orphaned jobs are looked for, in seconds.
--- a/cactusridge/jobs/running.py
+++ b/cactusridge/jobs/running.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.replica import Replica
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemTask
 
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -7,15 +7,12 @@
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
-from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import Route
 from cactusridge.dispatch.claims import ClaimRule
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.yielding import shares_to_yield
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica
 from cactusridge.jobs.free_replicas import FreeReplicas
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemRun, ItemTask, RunEnd
@@ -23,6 +20,9 @@
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.running import Running
 from cactusridge.jobs.waiting_line import Waiting, WaitingLine
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.load import Load, WorkKind
+from cactusridge.peers.loads import LoadTable
 from cactusridge.work_meter import METER, Part, PartGreenlet, spawn
 
 
--- /dev/null
+++ b/cactusridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What entries tell each other: counts, offers, strikes, limits, keys."""
--- a/cactusridge/dispatch/audience.py
+++ b/cactusridge/peers/audience.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.cell_rules import EntryPlace
-from cactusridge.dispatch.load import NO_LOAD
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.offers import CellOffer, share_offered
-from cactusridge.dispatch.peer_socket import Target
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.replica import Replica
 from cactusridge.http.client import parse_address
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.cell_rules import EntryPlace
+from cactusridge.peers.load import NO_LOAD
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.offers import CellOffer, share_offered
+from cactusridge.peers.peer_socket import Target
 
 # Names of entries whose address is kept; they come and go for ever.
 KEPT_NAMES = 4096
--- a/cactusridge/dispatch/batch_sharing.py
+++ b/cactusridge/peers/batch_sharing.py
@@ -10,10 +10,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from cactusridge.dispatch.cells import LEAST_REPLICAS, Cells, ReplicaCells
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica
 from cactusridge.hashing import hash64, rendezvous
+from cactusridge.peers.cells import LEAST_REPLICAS, Cells, ReplicaCells
 
 # Entries that run batch at one replica: enough that its slots find work
 # though not all of them have any, few enough that what they tell each
--- a/cactusridge/dispatch/cell_rules.py
+++ b/cactusridge/peers/cell_rules.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.replica import Replica
 from cactusridge.hashing import hash64, rendezvous
 
 # Entries that can tell each other of every request. A fleet of no more is
--- a/cactusridge/dispatch/cells.py
+++ b/cactusridge/peers/cells.py
@@ -13,10 +13,10 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
-from cactusridge.dispatch.cell_rules import WHOLE, CellRule, EntryPlace
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica
 from cactusridge.hashing import hash64, rendezvous
+from cactusridge.peers.cell_rules import WHOLE, CellRule, EntryPlace
 
 # Replicas that an entry has for batch on average at least, so that a job
 # spreads. Where cells have fewer, batch runs across cells.
--- a/cactusridge/dispatch/peers.py
+++ b/cactusridge/peers/exchange.py
@@ -19,12 +19,12 @@
 
 from cactusridge import events, logs
 from cactusridge.background import keep_doing
-from cactusridge.dispatch.audience import Audience
-from cactusridge.dispatch.cells import Cells
-from cactusridge.dispatch.load import NO_LOAD, Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.offers import offer_in
-from cactusridge.dispatch.peer_socket import PeerSocket, Target
+from cactusridge.peers.audience import Audience
+from cactusridge.peers.cells import Cells
+from cactusridge.peers.load import NO_LOAD, Load, WorkKind
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.offers import offer_in
+from cactusridge.peers.peer_socket import PeerSocket, Target
 from cactusridge.work_meter import Part, spawn
 
 # All counts are repeated this often, in seconds.
--- a/cactusridge/dispatch/key_questions.py
+++ b/cactusridge/peers/key_questions.py
@@ -7,11 +7,11 @@
 from gevent.event import AsyncResult
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.peer_socket import Target
-from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.http.client import parse_address
 from cactusridge.organisations.key_source import KeysConfirmed, KeySource
+from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.peer_socket import Target
 
 ASKED = 'keys_asked'
 TOLD = 'keys_told'
@@ -56,11 +56,12 @@
         for name in self._rng.sample(heard, min(ASKED_PEERS, len(heard))):
             self._peers.send(parse_address(name), ASKED, number)
         try:
-            version, age_s = answer.get(timeout=ANSWER_S)
-        except TimeoutError:
-            return None
+            told = answer.wait(timeout=ANSWER_S)
         finally:
             self._open.pop(number)
+        if told is None:
+            return None
+        version, age_s = told
         return KeysConfirmed(version, sent_at - age_s)
 
     def _hear_question(self, peer: Target, raw: Any) -> None:
--- a/cactusridge/dispatch/limit_questions.py
+++ b/cactusridge/peers/limit_questions.py
@@ -5,8 +5,6 @@
 
 from gevent.event import AsyncResult
 
-from cactusridge.dispatch.peer_socket import Target
-from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.http.client import parse_address
 from cactusridge.organisations.homes import Homes
 from cactusridge.organisations.limit_ask import (
@@ -17,6 +15,8 @@
 )
 from cactusridge.organisations.limit_home import LimitHome
 from cactusridge.organisations.organisation import RateLimit
+from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.peer_socket import Target
 
 ASKED = 'limit_asked'
 TOLD = 'limit_told'
@@ -57,9 +57,7 @@
         about = [number, name, list(limit), *more]
         self._peers.send(parse_address(entry), ASKED, about)
         try:
-            return answer.get(timeout=ANSWER_S)
-        except TimeoutError:
-            return None
+            return answer.wait(timeout=ANSWER_S)
         finally:
             self._open.pop(number)
 
--- a/cactusridge/dispatch/loads.py
+++ b/cactusridge/peers/loads.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Iterator
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.load import NO_LOAD, ONE, Load, WorkKind
-from cactusridge.dispatch.offers import CellOffer, Offers
-from cactusridge.dispatch.peer_counts import PeerCounts
+from cactusridge.peers.load import NO_LOAD, ONE, Load, WorkKind
+from cactusridge.peers.offers import CellOffer, Offers
+from cactusridge.peers.peer_counts import PeerCounts
 
 
 class LoadTable:
--- a/cactusridge/dispatch/peer_counts.py
+++ b/cactusridge/peers/peer_counts.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.load import NO_LOAD, Load
+from cactusridge.peers.load import NO_LOAD, Load
 
 # A peer repeats its counts every half second; three repeats lost in a
 # row are a peer that is gone or cut off.
--- a/cactusridge/dispatch/peer_strikes.py
+++ b/cactusridge/peers/peer_strikes.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from cactusridge.dispatch.peers import PeerExchange
+from cactusridge.peers.exchange import PeerExchange
 from cactusridge.quarantine.strike import Pair, Stage, Strike
 from cactusridge.quarantine.strike_listener import StrikeListener
 from cactusridge.quarantine.suspects import Suspects
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -8,8 +8,8 @@
 from gevent import socket
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.life_listener import LifeListener
 from cactusridge.dispatch.upstream import ConnectFailed
+from cactusridge.fleet.life_listener import LifeListener
 from cactusridge.http.client import Address
 from cactusridge.http.probe import is_quiet
 
--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -4,9 +4,9 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.life_order import LifeNotTold, LifeOver
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.life_order import LifeNotTold, LifeOver
+from cactusridge.fleet.replica import Replica
 from cactusridge.platform.replica_entry import UnreadableEntry, read_entry
 from cactusridge.store.table import Row
 from cactusridge.store.table_follower import TableListener
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -5,13 +5,9 @@
 from cactusridge import events, logs
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import Clock
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.cell_rules import EntryPlace
-from cactusridge.dispatch.cells import Cells
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.dispatch.policies import make_cell_rule
 from cactusridge.dispatch.run import Runner
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.http.client import Address
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.intake import Intake
@@ -25,6 +21,10 @@
 from cactusridge.jobs.session import RENEW_S, Session, ignore_store_errors
 from cactusridge.jobs.tenure import Tenure
 from cactusridge.jobs.waiting_line import WaitingLine
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.cell_rules import EntryPlace
+from cactusridge.peers.cells import Cells
+from cactusridge.peers.exchange import PeerExchange
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.operator import CatalogHolder
 from cactusridge.platform.store_access import StoreAccess
--- a/cactusridge/platform/key_keeper.py
+++ b/cactusridge/platform/key_keeper.py
@@ -4,12 +4,12 @@
 
 from cactusridge.background import keep_doing_every
 from cactusridge.clock import Clock
-from cactusridge.dispatch.key_questions import KeyQuestions
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.errors import StoreUnavailable
 from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.organisations.key_source import KeysConfirmed, KeySource
+from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.key_questions import KeyQuestions
+from cactusridge.peers.loads import LoadTable
 from cactusridge.platform.operator import KEY, CatalogHolder
 from cactusridge.store.table import Priority, Table
 
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -4,8 +4,6 @@
 
 from cactusridge.background import keep_doing_every
 from cactusridge.clock import Clock
-from cactusridge.dispatch.limit_questions import LimitQuestions
-from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.http.client import Address
 from cactusridge.jobs.session import Session
 from cactusridge.organisations.home_limits import HomeLimits
@@ -13,6 +11,8 @@
 from cactusridge.organisations.limit_home import LimitHome
 from cactusridge.organisations.limiter import FixedShares, Limiter, NoLimits
 from cactusridge.organisations.policies import LIMITERS
+from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.limit_questions import LimitQuestions
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.store.store_clock import StoreClock
 
--- a/cactusridge/platform/replica_entry.py
+++ b/cactusridge/platform/replica_entry.py
@@ -11,8 +11,8 @@
 import msgspec
 from msgspec import Meta
 
-from cactusridge.dispatch.replica import NOT_TOLD, Replica, ReplicaState
 from cactusridge.errors import CactusridgeError
+from cactusridge.fleet.replica import NOT_TOLD, Replica, ReplicaState
 from cactusridge.http.client import Address, parse_address
 
 # Bytes of a text, as the platform's store bounds those of a key.
--- a/cactusridge/platform/replica_probe.py
+++ b/cactusridge/platform/replica_probe.py
@@ -5,7 +5,7 @@
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
 
-from cactusridge.dispatch.replica import Replica
+from cactusridge.fleet.replica import Replica
 from cactusridge.platform import names
 from cactusridge.platform.reply_parser import ReplyParser
 
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -7,21 +7,21 @@
 from cactusridge import events, logs, metrics
 from cactusridge.background import keep_doing, keep_doing_every
 from cactusridge.clock import BootClock
-from cactusridge.dispatch.audience import Audience
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online import OnlineDispatcher
-from cactusridge.dispatch.peer_socket import PeerSocket, Target
-from cactusridge.dispatch.peers import PeerExchange, Word
 from cactusridge.dispatch.policies import make_outliers, make_policies
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.http.app import App, route
 from cactusridge.http.client import parse_address
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.server import Server
 from cactusridge.organisations.key_lease import KeyLease
+from cactusridge.peers.audience import Audience
+from cactusridge.peers.exchange import PeerExchange, Word
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.peer_socket import PeerSocket, Target
 from cactusridge.platform import discovery, names, operator
 from cactusridge.platform.caller_app import CallerApp
 from cactusridge.platform.callers import Callers
--- a/cactusridge/platform/strike_parts.py
+++ b/cactusridge/platform/strike_parts.py
@@ -1,10 +1,10 @@
 """The parts of an entry that hold back requests that crash replicas."""
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.peer_strikes import PeerStrikes
-from cactusridge.dispatch.peers import PeerExchange
 from cactusridge.jobs.heads import TABLE
 from cactusridge.jobs.keys import head_prefixes
+from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.peer_strikes import PeerStrikes
 from cactusridge.quarantine.policies import RULES
 from cactusridge.quarantine.strike_store import StrikeStore
 from cactusridge.quarantine.suspects import Suspects
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -5,7 +5,6 @@
 from geventhttpclient.response import HTTPParseError
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.replica import Replica
 from cactusridge.dispatch.upstream import (
     ConnectFailed,
     Exchange,
@@ -16,6 +15,7 @@
     UpstreamSilent,
 )
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
+from cactusridge.fleet.replica import Replica
 from cactusridge.platform import names
 from cactusridge.platform.connections import Connections, idle_s
 from cactusridge.platform.replica_probe import (
--- a/tests/burst_entry.py
+++ b/tests/burst_entry.py
@@ -6,17 +6,17 @@
 import orjson
 
 from cactusridge.dispatch.attempts import Attempts
-from cactusridge.dispatch.audience import Audience
-from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import RouteKind
-from cactusridge.dispatch.cell_rules import CellRule
-from cactusridge.dispatch.cells import Cells
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online_call import Progress
-from cactusridge.dispatch.peers import PeerExchange, Word
 from cactusridge.dispatch.placement import Placing
 from cactusridge.dispatch.policies import make_policies
 from cactusridge.http.client import parse_address
+from cactusridge.peers.audience import Audience
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.cell_rules import CellRule
+from cactusridge.peers.cells import Cells
+from cactusridge.peers.exchange import PeerExchange, Word
+from cactusridge.peers.loads import LoadTable
 from cactusridge.routing.outliers import TrustAll
 from cactusridge.startup.models import DirectPolicy
 from tests.cells_play import SERVICE
--- a/tests/burst_play.py
+++ b/tests/burst_play.py
@@ -11,12 +11,12 @@
 from typing import Any, NamedTuple
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.cell_rules import CellRule
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import WorkKind
-from cactusridge.dispatch.peers import REPEAT_S
 from cactusridge.dispatch.placement import Placing
 from cactusridge.errors import Overloaded
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.peers.cell_rules import CellRule
+from cactusridge.peers.exchange import REPEAT_S
+from cactusridge.peers.load import WorkKind
 from tests.burst_entry import AIM_S, HOLD_S, Entry
 from tests.cells_play import put_replicas, spread
 
--- a/tests/discovery_case.py
+++ b/tests/discovery_case.py
@@ -8,8 +8,8 @@
 
 from cactusridge import logs, wire
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.fleet_view import FleetView
 from cactusridge.errors import BadRequest
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.platform.discovery import PREFIX, Discovery
 from cactusridge.store.table import Row
 from standins.machines.spoiled import SPOILED
--- a/tests/exchange_play.py
+++ b/tests/exchange_play.py
@@ -1,7 +1,7 @@
 """An exchange between entries for tests."""
 
-from cactusridge.dispatch.audience import Audience
-from cactusridge.dispatch.peers import PeerExchange, Word
+from cactusridge.peers.audience import Audience
+from cactusridge.peers.exchange import PeerExchange, Word
 
 
 def exchange_of(sock, loads, addresses, sharing):
--- a/tests/list_play.py
+++ b/tests/list_play.py
@@ -1,8 +1,8 @@
 """Plays what happens to a list of replicas to both of its readers."""
 
 from cactusridge import wire
-from cactusridge.dispatch.life_listener import LifeListener
-from cactusridge.dispatch.replica import life_key
+from cactusridge.fleet.life_listener import LifeListener
+from cactusridge.fleet.replica import life_key
 from cactusridge.platform.discovery import LAPSED_GRACE_S, PREFIX
 from cactusridge.store.table import Row
 from standins.machines.spoiled import SPOILED
--- a/tests/test_batch_sharing.py
+++ b/tests/test_batch_sharing.py
@@ -6,14 +6,14 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.batch_sharing import (
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.peers.batch_sharing import (
     FAR_SHARERS,
     SHARERS,
     BatchSharing,
 )
-from cactusridge.dispatch.cell_rules import ByZone
-from cactusridge.dispatch.cells import LEAST_REPLICAS, REFRESH_S, Cells
-from cactusridge.dispatch.fleet_view import FleetView
+from cactusridge.peers.cell_rules import ByZone
+from cactusridge.peers.cells import LEAST_REPLICAS, REFRESH_S, Cells
 from tests.cells_play import SERVICE, places, put_replicas
 
 
--- a/tests/test_burst_play.py
+++ b/tests/test_burst_play.py
@@ -4,8 +4,8 @@
 
 from nose2.tools import params
 
-from cactusridge.dispatch.cell_rules import ByZone, OneCell
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
+from cactusridge.peers.cell_rules import ByZone, OneCell
 from tests.burst_entry import HOLD_S
 from tests.burst_play import BurstPlay, Fleet, Newcomers
 from tests.cells_play import SLOTS
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -8,15 +8,15 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.cell_rules import (
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.peers.cell_rules import (
     MAX_ENTRIES,
     WHOLE,
     ByZone,
     EntryPlace,
     OneCell,
 )
-from cactusridge.dispatch.cells import REFRESH_S, Cells
-from cactusridge.dispatch.fleet_view import FleetView
+from cactusridge.peers.cells import REFRESH_S, Cells
 from tests.cells_play import (
     SERVICE,
     cells_of,
--- a/tests/test_cells_told.py
+++ b/tests/test_cells_told.py
@@ -11,20 +11,20 @@
 
 from cactusridge import events
 from cactusridge.clock import SystemClock
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.cell_rules import EntryPlace
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.offers import CellOffer
-from cactusridge.dispatch.peer_socket import PeerSocket
-from cactusridge.dispatch.peers import (
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.http.client import Address, parse_address
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.cell_rules import EntryPlace
+from cactusridge.peers.exchange import (
     ALL,
     CHANGED,
     NEWS,
     OFFER,
 )
-from cactusridge.http.client import Address, parse_address
+from cactusridge.peers.load import Load, WorkKind
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.offers import CellOffer
+from cactusridge.peers.peer_socket import PeerSocket
 from standins.ports import Ports
 from tests.cells_play import (
     SERVICE,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -10,8 +10,8 @@
 from nose2.tools import params
 
 from cactusridge.dispatch.claims import CLAIM_S, claims_kept
-from cactusridge.dispatch.load import Load
 from cactusridge.dispatch.yielding import room
+from cactusridge.peers.load import Load
 
 SLOTS = 8
 ENTRIES = tuple(f'10.0.{number}.1:80' for number in range(9))
--- a/tests/test_connection_lost.py
+++ b/tests/test_connection_lost.py
@@ -6,9 +6,9 @@
 from nose2.tools import params
 
 from cactusridge.clock import SystemClock
-from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
 from cactusridge.errors import OutcomeUnknown, TruncatedReply
+from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.platform.connections import Connections
 from cactusridge.platform.upstream import HttpExchange
 
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -7,17 +7,17 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch.admission import Everybody, InTime
-from cactusridge.dispatch.load import Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.placement import (
     Choice,
     choose,
     expected_wait_s,
     silence_s,
 )
-from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.dispatch.yielding import room, shares_to_yield
+from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
+from cactusridge.peers.load import Load, WorkKind
+from cactusridge.peers.loads import LoadTable
 
 SLOTS = 8
 
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -14,16 +14,16 @@
 
 from cactusridge.clock import ManualClock, SystemClock
 from cactusridge.dispatch.attempts import Attempts
-from cactusridge.dispatch.batch_sharing import BatchSharing
 from cactusridge.dispatch.catalog import RouteKind
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import Load
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.dispatch.online_call import Progress
 from cactusridge.dispatch.policies import make_policies
-from cactusridge.dispatch.replica import Replica, ReplicaState
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.jobs.free_replicas import FreeReplicas
 from cactusridge.jobs.look_pacer import LookPacer
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.load import Load
+from cactusridge.peers.loads import LoadTable
 from cactusridge.routing.outliers import TrustAll
 from cactusridge.startup.models import DirectPolicy
 from tests.cells_play import cells_of, places
--- a/tests/test_free_replicas.py
+++ b/tests/test_free_replicas.py
@@ -4,12 +4,12 @@
 from types import SimpleNamespace
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import Load
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.offers import CellOffer
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.jobs.free_replicas import FreeReplicas
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.load import Load
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.offers import CellOffer
 from cactusridge.routing.outliers import TrustAll
 from tests.cells_play import SERVICE, SLOTS, cells_of, put_replicas, spread
 
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -6,8 +6,6 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.key_questions import KeyQuestions
-from cactusridge.dispatch.loads import LoadTable
 from cactusridge.organisations.directory import Directory, Holder
 from cactusridge.organisations.errors import KeysUnsure, UnknownKey
 from cactusridge.organisations.key_check import KeyCheck
@@ -15,8 +13,11 @@
 from cactusridge.organisations.key_source import KeysConfirmed, KeySource
 from cactusridge.organisations.keys import bearer_key, key_digest
 from cactusridge.organisations.organisation import Organisation
+from cactusridge.peers.key_questions import KeyQuestions
+from cactusridge.peers.loads import LoadTable
 from cactusridge.platform.operator import KEY, CatalogHolder
 from cactusridge.store.table import Row
+from tests.sent_wire import Wire
 
 LASTS_S = 5.0
 ONE = Organisation('one')
@@ -156,29 +157,6 @@
         self.assertIsNone(self.holder.catalog.organisations)
 
 
-class Wire:
-    """Stands in for the exchange: passes what is sent on when told to."""
-
-    def __init__(self):
-        """Begin with nothing sent."""
-        self.listeners = {}
-        self.sent = []
-
-    def on_sent(self, topic, listener):
-        """Keep who listens."""
-        self.listeners[topic] = listener
-
-    def send(self, target, topic, about):
-        """Keep what is sent."""
-        self.sent.append((topic, about))
-
-    def pass_on(self, other):
-        """Let another hear what was sent here."""
-        while self.sent:
-            topic, about = self.sent.pop(0)
-            other.listeners[topic](('127.0.0.1', 9), about)
-
-
 class Known(KeySource):
     """What an entry knows of keys."""
 
@@ -216,6 +194,14 @@
         found = self.asked(KeysConfirmed(7, 48), way_s, back_s)
         self.assertEqual(KeysConfirmed(7, at), found)
 
+    def test_no_answer(self):
+        """A peer that is silent is waited for no longer than a moment."""
+        clock = ManualClock(50)
+        loads = LoadTable(clock)
+        loads.heard('127.0.0.1:9', {})
+        asker = KeyQuestions(Wire(), loads, Known(None), clock)
+        self.assertIsNone(asker.ask())
+
     def test_nothing_to_tell(self):
         """A peer that may not go by its keys says nothing."""
         self.assertIsNone(self.asked(None, 0, 0))
--- a/tests/test_life_ends.py
+++ b/tests/test_life_ends.py
@@ -3,13 +3,13 @@
 from unittest import mock
 
 from cactusridge import events
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.life_listener import LifeListener
-from cactusridge.dispatch.load import Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.replica import life_key
 from cactusridge.dispatch.run import Runner
+from cactusridge.fleet.life_listener import LifeListener
+from cactusridge.fleet.replica import life_key
 from cactusridge.http.client import Address
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.load import Load, WorkKind
+from cactusridge.peers.loads import LoadTable
 from cactusridge.platform.connections import Connections
 from cactusridge.quarantine.rules import ByCrashes
 from cactusridge.quarantine.suspects import Suspects
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import gevent
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
@@ -18,7 +19,9 @@
 from cactusridge.organisations.limiter import FixedShares, NoLimits
 from cactusridge.organisations.organisation import Organisation, RateLimit
 from cactusridge.organisations.token_bucket import TokenBucket
+from cactusridge.peers.limit_questions import LimitQuestions
 from tests.limits_play import Loss, ToldCounts, by_homes, by_shares, play
+from tests.sent_wire import Wire
 
 SEEDS = (1, 2)
 LOSSES = (
@@ -193,3 +196,46 @@
         bucket = TokenBucket(RateLimit(1, 2), 0, 0)
         taken = [not bucket.take(100) for _ in range(4)]
         self.assertEqual([True, True, False, False], taken)
+
+
+class TestLimitQuestions(unittest.TestCase):
+    """What entries ask each other, over a wire that may lose it."""
+
+    def setUp(self):
+        """Let one entry be the home of all."""
+        self.clock = ManualClock(100)
+        self.wires = Wire(), Wire()
+        listed = [Candidate('127.0.0.1:9', 0)]
+        homes = [
+            Homes(
+                me,
+                lambda: listed,
+                lambda: self.clock.now * MS,
+                lambda: True,
+                self.clock,
+            )
+            for me in ('127.0.0.1:8', '127.0.0.1:9')
+        ]
+        questions = [
+            LimitQuestions(wire, LimitHome(each, self.clock), each)
+            for wire, each in zip(self.wires, homes, strict=True)
+        ]
+        self.asker = questions[0]
+
+    def test_answer(self):
+        """It comes back to the question that it answers."""
+        here, there = self.wires
+        answers = [
+            gevent.spawn(self.asker.ask, '127.0.0.1:9', ASKED) for _ in range(8)
+        ]
+        gevent.sleep(0)
+        here.pass_on(there)
+        there.pass_on(here)
+        told = [each.get() for each in answers]
+        self.assertTrue(all(each.counted for each in told))
+        self.assertEqual(0, told[0].wait_s)
+        self.assertGreater(told[-1].wait_s, 0)
+
+    def test_silence(self):
+        """An entry that does not answer is waited for no longer."""
+        self.assertIsNone(self.asker.ask('127.0.0.1:9', ASKED))
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -5,9 +5,9 @@
 from nose2.tools import params
 
 from cactusridge import events
-from cactusridge.dispatch.life_order import MAX_GONE
-from cactusridge.dispatch.life_rule import lives_told, names_replica
-from cactusridge.dispatch.replica import NOT_TOLD, life_key
+from cactusridge.fleet.life_order import MAX_GONE
+from cactusridge.fleet.life_rule import lives_told, names_replica
+from cactusridge.fleet.replica import NOT_TOLD, life_key
 from cactusridge.http.client import Address
 from tests.discovery_case import BORN, ENTRY, UNTOLD, DiscoveryCase
 
--- a/tests/test_peer_strikes.py
+++ b/tests/test_peer_strikes.py
@@ -6,11 +6,11 @@
 from nose2.tools import params
 
 from cactusridge.clock import SystemClock
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.peer_socket import PeerSocket
-from cactusridge.dispatch.peer_strikes import STRIKES, PeerStrikes
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.peer_socket import PeerSocket
+from cactusridge.peers.peer_strikes import STRIKES, PeerStrikes
 from cactusridge.quarantine.rules import ByCrashes
 from cactusridge.quarantine.strike import Stage
 from cactusridge.quarantine.suspects import Suspects
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,16 +5,16 @@
 import orjson
 
 from cactusridge.clock import SystemClock
-from cactusridge.dispatch.batch_sharing import BatchSharing
-from cactusridge.dispatch.fleet_view import FleetView
-from cactusridge.dispatch.load import Load, WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.peer_socket import PeerSocket
-from cactusridge.dispatch.peers import (
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.exchange import (
     ALL,
     WORD,
     Word,
 )
+from cactusridge.peers.load import Load, WorkKind
+from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.peer_socket import PeerSocket
 from standins.ports import Ports
 from standins.waiting import wait_for
 from tests.cells_play import (
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -9,9 +9,7 @@
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch import policies as online
 from cactusridge.dispatch.admission import Everybody, InTime
-from cactusridge.dispatch.cell_rules import ByZone, OneCell
 from cactusridge.dispatch.claims import NoClaims, ToldClaims
-from cactusridge.dispatch.load import Load
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
 from cactusridge.dispatch.returns import AfterBurst, NextSlot
 from cactusridge.jobs import policies as batch
@@ -19,6 +17,8 @@
 from cactusridge.organisations.home_limits import HomeLimits
 from cactusridge.organisations.limiter import FixedShares
 from cactusridge.organisations.policies import LIMITERS
+from cactusridge.peers.cell_rules import ByZone, OneCell
+from cactusridge.peers.load import Load
 from cactusridge.quarantine.policies import RULES
 from cactusridge.quarantine.rules import ByCrashes, HoldNothing
 from cactusridge.routing.outliers import OutlierEjector, TrustAll
--- a/tests/test_run_strikes.py
+++ b/tests/test_run_strikes.py
@@ -7,9 +7,6 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch.crash_watch import LEFT_AFTER_S
-from cactusridge.dispatch.load import WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.upstream import (
     Exchange,
@@ -24,7 +21,10 @@
     OutcomeUnknown,
     TruncatedReply,
 )
+from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
+from cactusridge.peers.load import WorkKind
+from cactusridge.peers.loads import LoadTable
 from cactusridge.quarantine.rules import ByCrashes
 from cactusridge.quarantine.strike import Stage
 from cactusridge.quarantine.strike_listener import StrikeListener
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -5,9 +5,6 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.load import WorkKind
-from cactusridge.dispatch.loads import LoadTable
-from cactusridge.dispatch.replica import Replica, ReplicaState
 from cactusridge.dispatch.run import Runner
 from cactusridge.dispatch.upstream import (
     Exchange,
@@ -15,7 +12,10 @@
     UpstreamHead,
     UpstreamRequest,
 )
+from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
+from cactusridge.peers.load import WorkKind
+from cactusridge.peers.loads import LoadTable
 from cactusridge.quarantine.rules import ByCrashes
 from cactusridge.quarantine.suspects import Suspects
 from cactusridge.routing.outliers import OutlierEjector
