--- a/cactusridge/organisations/key_lease.py
+++ b/cactusridge/organisations/key_lease.py
@@ -20,10 +20,11 @@
 
 
 class KeyLease:
-    """Times the last read of the configuration by a clock that no pause stops.
+    """Knows since when the configuration is confirmed to be the newest.
 
-    Times are those at which a read was begun: what was changed later may
-    be missing in it.
+    That is the moment at which a read of it was begun: what was changed
+    later may be missing in it. The clock has to be one that goes on while
+    the host is suspended.
     """
 
     def __init__(self, clock: Clock, lasts_s: float | None) -> None:
--- a/cactusridge/organisations/limiter.py
+++ b/cactusridge/organisations/limiter.py
@@ -48,8 +48,8 @@
 class FixedShares(Limiter):
     """Naive: each entry has an equal share of every limit.
 
-    Callers come unevenly, so much is refused that is within the limit; a
-    limit smaller than the fleet is kept by whole tokens of nobody.
+    Callers come unevenly, so much is refused that is within the limit, most
+    of all where a share is less than one request.
     """
 
     def __init__(self, entries: Callable[[], int], clock: Clock) -> None:
--- a/cactusridge/organisations/permit.py
+++ b/cactusridge/organisations/permit.py
@@ -23,7 +23,7 @@
 
     @abc.abstractmethod
     def give_back(self) -> None:
-        """Take the count back: the request has not run and never will."""
+        """Undo the count: the request has not run and never will."""
 
 
 class Open(Permit):
