--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -78,30 +78,12 @@
         """Return a job that this entry runs."""
         return self._scheduler.jobs.get(job_id)
 
-    def new_head(
-        self,
-        job_id: str,
-        host: str,
-        path: str,
-        items: int,
-        now_ms: int,
-        catalog_version: int,
-        organisation: str = '',
-    ) -> JobHead:
+    def held_here(self, head: JobHead) -> JobHead:
         """Return the head of a job that this entry runs, if it stays."""
+        if self._stopping:
+            return head
         me = self._session.me
-        name, life = ('', '') if self._stopping else (me.name, me.life)
-        return JobHead(
-            job_id,
-            host,
-            path,
-            items,
-            now_ms,
-            name,
-            life,
-            catalog_version=catalog_version,
-            organisation=organisation,
-        )
+        return head._replace(holder=me.name, life=me.life)
 
     def accept(self, head: JobHead, items: list[JobItem]) -> JobHead:
         """Store a job and begin to run it; a resend finds the first."""
--- a/cactusridge/jobs/model.py
+++ b/cactusridge/jobs/model.py
@@ -51,8 +51,8 @@
     path: str
     items: int
     created_ms: int
-    holder: str
-    life: str
+    holder: str = ''
+    life: str = ''
     state: JobState = JobState.open
     version: int = 0
     catalog_version: int = 0
--- a/cactusridge/organisations/home_limits.py
+++ b/cactusridge/organisations/home_limits.py
@@ -15,7 +15,8 @@
 class HomeLimits(Limiter):
     """Asks the home of an organisation for each of its requests.
 
-    A question costs a datagram each way, whatever the size of the fleet,
+    A question costs a datagram each way and two copies of what is left,
+    whatever the size of the fleet,
     and nothing is handed out before it is asked for: no share is left
     where nobody comes, or lost with who held it.
     """
@@ -37,7 +38,7 @@
         self._silent_until: dict[str, float] = {}
 
     def take(self, name: str, limit: RateLimit, version: int) -> float:
-        """Ask the home, then who stands in for it."""
+        """Ask the home, then those who stand in for it."""
         asked = LimitAsk(name, limit, version)
         for entry in self._homes.ranked(name):
             told = self._ask(entry, asked)
--- a/cactusridge/organisations/homes.py
+++ b/cactusridge/organisations/homes.py
@@ -15,13 +15,13 @@
 
 MS = 1000
 # How often it is found out who may be a home, in seconds.
-LOOK_S = 0.25
+LOOK_S = 0.5
 # Listed for this long without a gap an entry may be a home, in ms.
 SETTLE_MS = 3000
 # And counts this much later: the others read the list every second.
 READ_MS = 1500
-# The home, and who is asked where that does not answer.
-RANKED = 2
+# The home, and those who are asked in turn where that does not answer.
+RANKED = 3
 
 
 class Candidate(NamedTuple):
@@ -63,7 +63,7 @@
         self._ranked: dict[str, list[str]] = {}
 
     def ranked(self, organisation: str) -> list[str]:
-        """Return the home of an organisation and who stands in for it."""
+        """Return the home of an organisation and who stand in for it."""
         if not self._eligible:
             self.look()
         found = self._ranked.get(organisation)
@@ -85,7 +85,7 @@
 
     def stands_in(self, organisation: str) -> bool:
         """Tell whether this entry stands in for the home."""
-        return self.ranked(organisation)[1:] == [self._me]
+        return self._me in self.ranked(organisation)[1:]
 
     def look(self) -> None:
         """Find out who may be a home now, and whether this entry counts."""
--- a/cactusridge/organisations/limit_home.py
+++ b/cactusridge/organisations/limit_home.py
@@ -21,7 +21,7 @@
 TAKEN_OVER_S = 0.25
 # What somebody who stands in without a copy of the count may let pass: so
 # many requests at once, and this share of the rate.
-STAND_IN_BURST = 6
+STAND_IN_BURST = 4
 STAND_IN_SHARE = 0.02
 
 
@@ -37,7 +37,7 @@
 class LimitHome:
     """Answers what other entries, and this one, ask about limits.
 
-    What is left after each request is told to who stands in for the home,
+    What is left after each request is told to who stand in for the home,
     so that it goes on where the home was lost. A home that takes over
     without such a copy starts with few tokens: what was let pass before is
     not known, and at the rate of the limit both together stay under it.
--- a/cactusridge/peers/exchange.py
+++ b/cactusridge/peers/exchange.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import Any
 
 import gevent
 import orjson
@@ -25,6 +25,7 @@
 from cactusridge.peers.loads import LoadTable
 from cactusridge.peers.offers import offer_in
 from cactusridge.peers.peer_socket import PeerSocket, Target
+from cactusridge.peers.word import Word
 from cactusridge.work_meter import Part, spawn
 
 # All counts are repeated this often, in seconds.
@@ -46,20 +47,6 @@
 NOTHING: Mapping[str, Any] = MappingProxyType({})
 
 
-class Word(NamedTuple):
-    """What an entry tells of itself.
-
-    ``version`` is that of the configuration in force there,
-    ``has_store`` whether the store answers it, ``store_s`` for how many
-    seconds it has done so without an outage; 0 vouches for nothing, as
-    the word of an entry that does not tell it yet.
-    """
-
-    version: int
-    has_store: bool
-    store_s: float = 0
-
-
 class PeerExchange:
     """Sends this entry's counts to its peers and takes theirs."""
 
@@ -84,8 +71,7 @@
         self._news: dict[str, tuple[int, int]] = {}
         self._on_news: Callable[[str, int], None] | None = None
         self._on_word: Callable[[Target, Word], None] | None = None
-        self._on_said: dict[str, Callable[[Any], None]] = {}
-        self._on_sent: dict[str, Callable[[Target, Any], None]] = {}
+        self._on_said: dict[str, Callable[[Target, Any], None]] = {}
         self._silent_s = float(0)
         self._told: dict[str, Load] = {}
         self._counts: dict[Target, dict[str, Load]] = {}
@@ -113,27 +99,20 @@
         """Tell every peer something once."""
         self._sock.send(self._audience.everybody(), {topic: about})
 
-    def on_said(self, topic: str, listener: Callable[[Any], None]) -> None:
-        """Call ``listener`` with what peers ``say`` on a topic.
-
-        It raises ValueError or TypeError for what it cannot read.
-        """
-        self._on_said[topic] = listener
-
-    def send(self, target: Target, topic: str, about: Any) -> None:
+    def say_to(self, target: Target, topic: str, about: Any) -> None:
         """Tell one peer something once."""
         self._sock.send([target], {topic: about})
 
-    def on_sent(
+    def on_said(
         self,
         topic: str,
         listener: Callable[[Target, Any], None],
     ) -> None:
-        """Call ``listener`` with a peer and what it has sent on a topic.
+        """Call ``listener`` with a peer and what it says on a topic.
 
         It raises ValueError or TypeError for what it cannot read.
         """
-        self._on_sent[topic] = listener
+        self._on_said[topic] = listener
 
     def start(self) -> None:
         """Bind and begin to speak and to listen."""
@@ -219,9 +198,7 @@
             if self._on_news is not None:
                 self._on_news(subject, version)
         for topic in said.keys() & self._on_said.keys():
-            self._on_said[topic](said[topic])
-        for private in said.keys() & self._on_sent.keys():
-            self._on_sent[private](sender, said[private])
+            self._on_said[topic](sender, said[topic])
         offer = said.get(OFFER)
         if offer is not None:
             self._loads.heard_offer(offer_in(offer))
--- a/cactusridge/peers/key_questions.py
+++ b/cactusridge/peers/key_questions.py
@@ -39,8 +39,8 @@
         self._rng = random.Random()  # noqa: S311
         self._numbers = itertools.count()
         self._open: dict[int, AsyncResult] = {}
-        peers.on_sent(ASKED, self._hear_question)
-        peers.on_sent(TOLD, self._hear_answer)
+        peers.on_said(ASKED, self._hear_question)
+        peers.on_said(TOLD, self._hear_answer)
 
     def ask(self) -> KeysConfirmed | None:
         """Return the first answer; None if there is none in time.
@@ -54,7 +54,7 @@
         self._open[number] = answer
         sent_at = self._clock.monotonic()
         for name in self._rng.sample(heard, min(ASKED_PEERS, len(heard))):
-            self._peers.send(parse_address(name), ASKED, number)
+            self._peers.say_to(parse_address(name), ASKED, number)
         try:
             told = answer.wait(timeout=ANSWER_S)
         finally:
@@ -68,7 +68,7 @@
         confirmed = self._source.confirmed()
         if confirmed is not None:
             age_s = self._clock.monotonic() - confirmed.at
-            self._peers.send(peer, TOLD, [raw, confirmed.version, age_s])
+            self._peers.say_to(peer, TOLD, [raw, confirmed.version, age_s])
 
     def _hear_answer(self, peer: Target, raw: Any) -> None:
         """Take a peer's answer; raise ValueError or TypeError."""
--- a/cactusridge/peers/limit_questions.py
+++ b/cactusridge/peers/limit_questions.py
@@ -42,10 +42,10 @@
         self._home = home
         self._numbers = itertools.count()
         self._open: dict[int, AsyncResult] = {}
-        peers.on_sent(ASKED, self._hear_question)
-        peers.on_sent(TOLD, self._hear_answer)
-        peers.on_sent(GIVEN_BACK, self._hear_back)
-        peers.on_sent(LEFT, self._hear_left)
+        peers.on_said(ASKED, self._hear_question)
+        peers.on_said(TOLD, self._hear_answer)
+        peers.on_said(GIVEN_BACK, self._hear_back)
+        peers.on_said(LEFT, self._hear_left)
         home.on_counted(self._tell_left)
 
     def ask(self, entry: str, asked: LimitAsk) -> LimitTold | None:
@@ -55,7 +55,7 @@
         self._open[number] = answer
         name, limit, *more = asked
         about = [number, name, list(limit), *more]
-        self._peers.send(parse_address(entry), ASKED, about)
+        self._peers.say_to(parse_address(entry), ASKED, about)
         try:
             return answer.wait(timeout=ANSWER_S)
         finally:
@@ -63,13 +63,13 @@
 
     def give_back(self, entry: str, name: str) -> None:
         """Tell an entry that a request it counted has not run."""
-        self._peers.send(parse_address(entry), GIVEN_BACK, name)
+        self._peers.say_to(parse_address(entry), GIVEN_BACK, name)
 
     def _hear_question(self, peer: Target, raw: Any) -> None:
         """Answer a peer; raise ValueError or TypeError."""
         number, *asked = raw
         told = self._home.answer(_ask_in(*asked))
-        self._peers.send(peer, TOLD, [number, *told])
+        self._peers.say_to(peer, TOLD, [number, *told])
 
     def _hear_answer(self, peer: Target, raw: Any) -> None:
         number, counted, wait_s = raw
@@ -82,7 +82,7 @@
         name, limit, *more = copy
         for entry in self._homes.ranked(name)[1:]:
             about = [name, list(limit), *more]
-            self._peers.send(parse_address(entry), LEFT, about)
+            self._peers.say_to(parse_address(entry), LEFT, about)
 
     def _hear_left(self, peer: Target, raw: Any) -> None:
         """Take what a home has left; raise ValueError or TypeError."""
--- a/cactusridge/peers/peer_strikes.py
+++ b/cactusridge/peers/peer_strikes.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.peer_socket import Target
 from cactusridge.quarantine.strike import Pair, Stage, Strike
 from cactusridge.quarantine.strike_listener import StrikeListener
 from cactusridge.quarantine.suspects import Suspects
@@ -34,11 +35,11 @@
         """Tell that strikes were taken back."""
         self._peers.say(WITHDRAWN, [list(each) for each in pairs])
 
-    def _hear(self, raw: Any) -> None:
+    def _hear(self, peer: Target, raw: Any) -> None:
         """Take a peer's strikes; raise ValueError or TypeError."""
         self._suspects.hear([_strike_in(each) for each in raw])
 
-    def _hear_withdrawn(self, raw: Any) -> None:
+    def _hear_withdrawn(self, peer: Target, raw: Any) -> None:
         pairs = [(str(found), str(life)) for found, life in raw]
         self._suspects.hear_withdrawn(pairs)
 
--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -103,18 +103,21 @@
         if catalog.organisations is not None:
             items = [_without_key(item) for item in items]
         self._intake.check(job_id)
-        head = self._manager.new_head(
+        head = JobHead(
             job_id,
             call.host,
             route.prefix,
             len(items),
             self._store_clock.now_ms(),
-            catalog.version,
-            organisation,
+            catalog_version=catalog.version,
+            organisation=organisation,
         )
         unknown = OutcomeUnknown('the store did not say in time')
         with gevent.Timeout(ACCEPT_S, unknown):
-            stored = self._manager.accept(head, items)
+            stored = self._manager.accept(
+                self._manager.held_here(head),
+                items,
+            )
         if stored.organisation != organisation:
             raise Conflict(f'{job_id} is the id of another job')
         return json_reply({}, HTTPStatus.ACCEPTED)
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -19,9 +19,10 @@
 from cactusridge.http.server import Server
 from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.peers.audience import Audience
-from cactusridge.peers.exchange import PeerExchange, Word
+from cactusridge.peers.exchange import PeerExchange
 from cactusridge.peers.loads import LoadTable
 from cactusridge.peers.peer_socket import PeerSocket, Target
+from cactusridge.peers.word import Word
 from cactusridge.platform import discovery, names, operator
 from cactusridge.platform.caller_app import CallerApp
 from cactusridge.platform.callers import Callers
--- a/cactusridge/sidecar/lane.py
+++ b/cactusridge/sidecar/lane.py
@@ -14,7 +14,8 @@
     FixedLimit,
     ObjectiveLimit,
 )
-from cactusridge.sidecar.upstream import Stopwatch, Upstream
+from cactusridge.sidecar.stopwatch import Stopwatch
+from cactusridge.sidecar.upstream import Upstream
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
 SMOOTHING = 0.05
--- a/cactusridge/sidecar/run.py
+++ b/cactusridge/sidecar/run.py
@@ -19,7 +19,8 @@
 from cactusridge.sidecar.gate import Ticket
 from cactusridge.sidecar.lane import Lane
 from cactusridge.sidecar.ledger import RunLedger
-from cactusridge.sidecar.upstream import Answer, Stopwatch, is_failure
+from cactusridge.sidecar.stopwatch import Stopwatch
+from cactusridge.sidecar.upstream import Answer, is_failure
 
 HEARTBEAT = frames.encode(FrameHead(kind=FrameKind.heartbeat))
 QUEUE_DEPTH = 1024
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -1,13 +1,11 @@
 """One upstream: sends it requests and reads whole or streamed answers."""
 
-import time
 from collections.abc import Iterator
 from http import HTTPStatus
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import HTTPConnection
 from typing import NamedTuple
 
 import gevent
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from cactusridge import events, logs
 from cactusridge.errors import (
@@ -22,6 +20,12 @@
 from cactusridge.http.client import Clients, parse_address
 from cactusridge.http.probe import stays_open
 from cactusridge.orders import RunOrder, WorkClass
+from cactusridge.sidecar.answer_bodies import (
+    IO_ERRORS,
+    read_available,
+    read_blocks,
+    read_events,
+)
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
 ID_HEADER = 'X-Request-Id'
@@ -40,10 +44,6 @@
         'content-length',
     ),
 )
-EVENT_END = b'\n\n'
-STREAM_END = b'data: [DONE]'
-READ_BLOCK = 65536
-IO_ERRORS = (OSError, HTTPParseError, HTTPException)
 
 
 class UpstreamHead(NamedTuple):
@@ -141,8 +141,8 @@
             raise OutcomeUnknown(f'no answer: {exc!r}') from exc
         head = UpstreamHead(resp.status_code, end_to_end(resp.headers))
         if order.streamed and head.status == HTTPStatus.OK:
-            return Answer(head, self._guarded(_read_events(resp)))
-        return Answer(head, self._guarded(_read_blocks(resp)))
+            return Answer(head, self._guarded(read_events(resp)))
+        return Answer(head, self._guarded(read_blocks(resp)))
 
     def _call_once(
         self,
@@ -173,7 +173,7 @@
             self._raise_if_crashed(exc)
             raise OutcomeUnknown(f'no answer: {exc!r}') from exc
         head = UpstreamHead(resp.status, end_to_end(resp.getheaders()))
-        return Answer(head, self._guarded(_read_available(conn, resp)))
+        return Answer(head, self._guarded(read_available(conn, resp)))
 
     def _guarded(self, blocks: Iterator[bytes]) -> Iterator[bytes]:
         """Yield a body; tell an upstream that ended from a broken answer."""
@@ -214,63 +214,6 @@
                 raise CrossedReply(f'asked {order.id}, got {text}')
 
 
-def _read_events(resp: HTTPSocketPoolResponse) -> Iterator[bytes]:
-    """Yield server-sent events; raise TruncatedReply without the last."""
-    last = b''
-    try:
-        with resp:
-            while event := resp.readline(EVENT_END):
-                last = event
-                yield event
-    except IO_ERRORS as exc:
-        raise TruncatedReply(f'the stream broke: {exc!r}') from exc
-    if not last.startswith(STREAM_END):
-        raise TruncatedReply('the stream ended without [DONE]')
-
-
-def _read_blocks(resp: HTTPSocketPoolResponse) -> Iterator[bytes]:
-    try:
-        with resp:
-            while block := resp.read(READ_BLOCK):
-                yield block
-    except IO_ERRORS as exc:
-        raise TruncatedReply(f'the body broke: {exc!r}') from exc
-
-
-def _read_available(
-    conn: HTTPConnection,
-    resp: HTTPResponse,
-) -> Iterator[bytes]:
-    try:
-        while block := resp.read1(READ_BLOCK):
-            yield block
-    except IO_ERRORS as exc:
-        raise TruncatedReply(f'the body broke: {exc!r}') from exc
-    finally:
-        conn.close()
-    if resp.length:
-        raise TruncatedReply('the body is shorter than its Content-Length')
-
-
 def is_failure(exc: BaseException) -> bool:
     """Tell whether ``exc`` says that the upstream itself failed."""
     return isinstance(exc, (UpstreamFailed, OutcomeUnknown, NoReplica))
-
-
-class Stopwatch:
-    """Measures first-token and between-token times of one answer."""
-
-    def __init__(self) -> None:
-        """Start at the sending of the request."""
-        self.sent = time.monotonic()
-        self.last = self.sent
-        self.first_s: float | None = None
-
-    def token(self) -> float:
-        """Note a token; return the seconds since the one before."""
-        now = time.monotonic()
-        gap_s = now - self.last
-        self.last = now
-        if self.first_s is None:
-            self.first_s = gap_s
-        return gap_s
--- a/tests/exchange_play.py
+++ b/tests/exchange_play.py
@@ -1,7 +1,8 @@
 """An exchange between entries for tests."""
 
 from cactusridge.peers.audience import Audience
-from cactusridge.peers.exchange import PeerExchange, Word
+from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.word import Word
 
 
 def exchange_of(sock, loads, addresses, sharing):
