--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -21,6 +21,7 @@
     UpstreamRequest,
     UpstreamSilent,
 )
+from cactusridge.dispatch.wait_too_long import WaitEstimate, WaitTooLong
 from cactusridge.errors import (
     CallerDisconnected,
     DeadlineExceeded,
@@ -200,10 +201,15 @@
             return
         left_s = call.deadline_at - self._clock.monotonic()
         refusal = Refusal(excess_s, left_s)
-        raise Overloaded(
-            f'the expected wait is {wait_s:.3f} s',
-            retry_after_s=self._policies.returns.delay_s(refusal),
+        estimate = WaitEstimate(
+            best.replica.id,
+            best.queue,
+            best.replica.slots,
+            slot_time.mean_s,
+            wait_s,
+            self._runner.loads.age_s(),
         )
+        raise WaitTooLong(estimate, self._policies.returns.delay_s(refusal))
 
     def _service(self, route: Route) -> str:
         """Return one of the route's services, drawn by their weights."""
--- a/cactusridge/dispatch/online_log.py
+++ b/cactusridge/dispatch/online_log.py
@@ -1,11 +1,14 @@
 """Logs each decision about an online request with its inputs."""
 
+from typing import Any
+
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.event_splitter import EventSplitter
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.run import Run
 from cactusridge.dispatch.upstream import UpstreamRequest
+from cactusridge.dispatch.wait_too_long import WaitEstimate, WaitTooLong
 from cactusridge.errors import CactusridgeError
 from cactusridge.fleet.replica import Replica
 from cactusridge.peers.loads import LoadTable
@@ -81,6 +84,9 @@
     ) -> None:
         """Log the error that a caller gets instead of an answer."""
         now = self._clock.monotonic()
+        estimate = {}
+        if isinstance(exc, WaitTooLong):
+            estimate = _rounded(exc.estimate)
         logs.emit(
             events.REQUEST_FAILED,
             request=call.req.id,
@@ -91,4 +97,15 @@
             may_have_run=progress.may_have_run,
             took_s=round(now - call.arrived_at, 4),
             left_s=round(call.deadline_at - now, 4),
+            organisation=call.req.organisation,
+            priority=call.route.priority,
+            **estimate,
         )
+
+
+def _rounded(estimate: WaitEstimate) -> dict[str, Any]:
+    """Return the fields of an estimate, with times rounded to 1 ms."""
+    return {
+        name: round(field, 3) if isinstance(field, float) else field
+        for name, field in estimate._asdict().items()
+    }
