Membership: a failed read does not end the right to count

Cause: the first read of the member list that failed set the time of the last read to None, on which is_current() relies, so that every owner of a limit stopped counting within a second of a store outage although its lease held for 2.5 s more. Change: the time of the last successful read is kept; a separate flag restarts the leases of the others after a failed read, as before. Result: test_failed_read_ends_no_right failed before and passes; the expiry of other members is unchanged (test_leases_restart_after_failed_read).

--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -81,7 +81,10 @@
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
         self._reader = RowReader()
+        # When the members were last read; whether they have been read since
+        # the last attempt that failed.
         self._read_at: float | None = None
+        self._is_read = False
         self._has_left = False
         self._on_read: Callable[[], None] | None = None
         # Serialises the writes of this entry's row: a renewal that reached
@@ -112,7 +115,7 @@
         except StoreUnavailable as read_error:
             # Without a read, other entries may have renewed their leases
             # unnoticed: all leases count anew from the next read.
-            self._read_at = None
+            self._is_read = False
             logs.emit(events.RENEWAL_FAILED, error=str(read_error))
 
     def lease_is_valid(self) -> bool:
@@ -129,7 +132,8 @@
         """Return whether both the last read and the last renewal are recent.
 
         All entries for which this holds know the same members, except for
-        those that joined a few moments ago.
+        those that joined a few moments ago. A read that fails does not end
+        it: what counts is the age of the last one that succeeded.
         """
         if self._read_at is None:
             return False
@@ -168,7 +172,7 @@
         """
         if name == self.me.name:
             return life == self.me.life
-        if self._read_at is None:
+        if not self._is_read:
             return True
         record = self._records.get(name)
         if record is None:
@@ -192,7 +196,7 @@
 
         No lease counts as expired after a read that failed.
         """
-        if self._read_at is None:
+        if not self._is_read:
             return False
         return self._clock.monotonic() - record.seen_at >= MEMBER_LEASE_S
 
@@ -216,7 +220,7 @@
     def _read(self) -> None:
         rows = self._table.scan(MEMBER_PREFIX, Priority.lease)
         now = self._clock.monotonic()
-        restart = self._read_at is None
+        restart = not self._is_read
         known = set(self._records)
         self._records = {
             row.key.removeprefix(MEMBER_PREFIX): self._updated_record(
@@ -226,6 +230,7 @@
             if not row.absent
         }
         self._read_at = now
+        self._is_read = True
         if self._on_read is not None:
             self._on_read()
         for name in set(self._records) - known:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -5,7 +5,11 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.errors import StoreUnavailable
-from cactusridge.jobs.membership import MEMBER_LEASE_S, Membership
+from cactusridge.jobs.membership import (
+    LEASE_MARGIN_S,
+    MEMBER_LEASE_S,
+    Membership,
+)
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.store.store_clock import StoreClock
 from standins.memory_table import MemoryTable
@@ -70,6 +74,31 @@
         self.one.renew_and_read()
         self.assertFalse(self.one.is_current())
 
+    def test_failed_read_ends_no_right(self):
+        """One failed read does not end the right to count at once.
+
+        It lasts from the last successful read and renewal. No other member
+        expires after a failed read.
+        """
+        self.table.fail_reads = 1
+        self.one.renew_and_read()
+        self.assertTrue(self.one.is_current())
+        self.clock.advance(MEMBER_LEASE_S - LEASE_MARGIN_S)
+        self.assertFalse(self.one.is_current())
+        self.clock.advance(MEMBER_LEASE_S)
+        self.assertEqual(['one', 'two'], self.names())
+
+    def test_leases_restart_after_failed_read(self):
+        """After a failed read the leases of others count from the next one."""
+        self.table.fail_reads = 1
+        self.one.renew_and_read()
+        self.clock.advance(MEMBER_LEASE_S)
+        self.one.renew_and_read()
+        self.clock.advance(MEMBER_LEASE_S - 1)
+        self.assertEqual(['one', 'two'], self.names())
+        self.clock.advance(1)
+        self.assertEqual(['one'], self.names())
+
     def test_since_the_row_is_back(self):
         """After an outage the membership starts at the first renewal stored."""
         self.clock.advance(MEMBER_LEASE_S * 2)
