Dispatch: slot times from the moment of sending, without queueing

Cause: for plain requests SlotTime was measured from the caller's arrival, so waits in a replica's queue, retries and another replica's silence counted as work. It started at 0.5 s and fell by a twentieth per request. At six slots with 15 online requests of some 0.065 s each, waits of 0.5 to 1.1 s were expected and requests refused.

Change: capacity.py has the abstract base class CapacityEstimates with MeanCapacity (today's average) and ObservedCapacity, selected by the policy field `capacity`. The latter measures from sending, for streams from the first event, removes the share spent queueing, keeps a mean per route and one over the routes of a service, and gives the first observation full weight.

Result: tests.test_capacity; the naive average gives 0.55 s after a request of 0.065 s in test_naive_mean, the observed one 0.065 s. test_fleet_cost uses the real estimates in place of a slot time of 0.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -4,6 +4,7 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route
+from cactusridge.dispatch.expectation import Expectation
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.placement import (
@@ -105,6 +106,8 @@
         OutcomeUnknown if the connection broke while sending.
         """
         progress.tried.append(replica.incarnation)
+        load = self._runner.loads.total_at(replica.incarnation)
+        progress.expected = self._expect(Choice(replica, load))
         left_s = call.deadline_at - self._clock.monotonic()
         try:
             run = self._runner.open(
@@ -185,17 +188,11 @@
             raise DeadlineExceeded
         return left_s if limit_s is None else min(left_s, limit_s)
 
-    def record_slot_time(self, replica: Replica, begun_at: float) -> None:
-        """Record how long a completed request occupied its slot."""
-        held_s = self._clock.monotonic() - begun_at
-        self._runner.slot_time(replica.service).add(held_s)
-
     def _check_wait(self, call: OnlineCall, best: Choice) -> None:
         """Raise Overloaded if the expected wait at ``best`` is too long."""
-        slot_time = self._runner.slot_time(best.replica.service)
-        wait_s = expected_wait_s(best, slot_time.mean_s)
+        expected = self._expect(best)
         excess_s = self._policies.admission.excess_s(
-            wait_s, call.route.target_latency_s
+            expected.wait_s, call.route.target_latency_s
         )
         if excess_s <= 0:
             return
@@ -203,14 +200,19 @@
         refusal = Refusal(excess_s, left_s)
         estimate = WaitEstimate(
             best.replica.id,
-            best.queue,
+            expected.queue,
             best.replica.slots,
-            slot_time.mean_s,
-            wait_s,
+            expected.queued_slot_s,
+            expected.wait_s,
             self._runner.loads.age_s(),
         )
         raise WaitTooLong(estimate, self._policies.returns.delay_s(refusal))
 
+    def _expect(self, choice: Choice) -> Expectation:
+        slot_s = self._runner.capacity.queued_slot_s(choice.replica)
+        wait_s = expected_wait_s(choice, slot_s)
+        return Expectation(choice.queue, slot_s, wait_s)
+
     def _service(self, route: Route) -> str:
         """Return one of the route's services, drawn by their weights."""
         if len(route.shares) == 1:
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -9,6 +9,7 @@
 from cactusridge.dispatch.policies import DispatchPolicies
 from cactusridge.dispatch.retries import check_retry, may_retry
 from cactusridge.dispatch.run import SERVER_ERROR, Run, Runner, is_success
+from cactusridge.dispatch.run_recorder import RunRecorder
 from cactusridge.dispatch.streams import Streams
 from cactusridge.dispatch.upstream import UpstreamHead
 from cactusridge.errors import CactusridgeError, UpstreamFailed
@@ -40,7 +41,10 @@
             self._log,
             policies,
         )
-        self._streams = Streams(self._attempts, clock, self._log)
+        self._recorder = RunRecorder(runner.capacity, clock)
+        self._streams = Streams(
+            self._attempts, clock, self._log, self._recorder
+        )
 
     def answer(self, call: OnlineCall) -> Answer:
         """Return the answer to a call.
@@ -96,10 +100,9 @@
         if call.route.kind == RouteKind.streaming and is_success(head.status):
             body = self._streams.relay(call, run, progress)
             return Answer(head.status, head.headers, body)
-        begun_at = call.arrived_at
         whole = self._read_body(call, run)
         run.record_completion()
-        self._attempts.record_slot_time(run.replica, begun_at)
+        self._recorder.plain(call, run, progress)
         run.close()
         return Answer(head.status, head.headers, [whole])
 
--- a/cactusridge/dispatch/online_call.py
+++ b/cactusridge/dispatch/online_call.py
@@ -5,6 +5,7 @@
 
 from cactusridge.dispatch.caller import CallerWatch
 from cactusridge.dispatch.catalog import Route
+from cactusridge.dispatch.expectation import Expectation
 from cactusridge.dispatch.upstream import HeaderList, UpstreamRequest
 from cactusridge.organisations.permit import OPEN_PERMIT, Permit
 
@@ -41,7 +42,8 @@
 
     ``tried`` lists the incarnations of replicas in the order of the
     attempts. ``may_have_run`` counts the attempts that may have run the
-    request, ``rejections`` those rejected before it ran.
+    request, ``rejections`` those rejected before it ran. ``expected`` is what
+    was expected of the last replica to which the request was sent.
     """
 
     def __init__(self) -> None:
@@ -49,3 +51,4 @@
         self.tried: list[str] = []
         self.may_have_run = 0
         self.rejections = 0
+        self.expected = Expectation(0, 0, 0)
--- a/cactusridge/dispatch/policies.py
+++ b/cactusridge/dispatch/policies.py
@@ -6,6 +6,11 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.admission import Admission, AdmitAll, InTime
+from cactusridge.dispatch.capacity import (
+    CapacityEstimates,
+    MeanCapacity,
+    ObservedCapacity,
+)
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline, Placing
 from cactusridge.dispatch.retry_after import (
     AfterBurst,
@@ -33,6 +38,9 @@
 PLACINGS = MappingProxyType({'least_online': LeastOnline, 'any': AnyReplica})
 ADMISSIONS = MappingProxyType({'in_time': InTime, 'everybody': AdmitAll})
 
+CAPACITIES = MappingProxyType(
+    {'observed': ObservedCapacity, 'mean': MeanCapacity}
+)
 CELL_RULES = MappingProxyType({'by_zone': ByZone, 'one': OneCell})
 
 
@@ -65,6 +73,11 @@
     return CELL_RULES[names.cells]()
 
 
+def make_capacity(names: DirectPolicy) -> CapacityEstimates:
+    """Return the estimates of capacity selected in ``names``."""
+    return CAPACITIES[names.capacity]()
+
+
 def make_outliers(names: DirectPolicy, clock: Clock) -> OutlierDetector:
     """Return the outlier detector selected in ``names``."""
     if names.outliers == 'trust':
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -4,8 +4,8 @@
 
 from cactusridge import metrics
 from cactusridge.clock import Clock
+from cactusridge.dispatch.capacity import CapacityEstimates, MeanCapacity
 from cactusridge.dispatch.crash_watch import CrashWatch, InterruptedRun
-from cactusridge.dispatch.placement import SlotTime
 from cactusridge.dispatch.upstream import (
     Exchange,
     Upstream,
@@ -195,6 +195,7 @@
         health: OutlierDetector,
         suspects: CrashEvidence,
         clock: Clock,
+        capacity: CapacityEstimates | None = None,
     ) -> None:
         """Send requests through ``upstream`` and count them in ``loads``."""
         self.suspects = suspects
@@ -202,18 +203,14 @@
         self.loads = loads
         self.health = health
         self.clock = clock
+        self.capacity = capacity or MeanCapacity()
         self._upstream = upstream
-        self._slot_times: dict[str, SlotTime] = {}
 
     def incarnation_ended(self, incarnation: str) -> None:
         """Drop the health and the peers' counts of an ended incarnation."""
         self.health.forget(incarnation)
         self.loads.forget_incarnation(incarnation)
 
-    def slot_time(self, service: str) -> SlotTime:
-        """Return the mean time that a service's online requests hold a slot."""
-        return self._slot_times.setdefault(service, SlotTime())
-
     def open(
         self,
         replica: Replica,
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -9,6 +9,8 @@
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.retries import check_retry, may_retry
 from cactusridge.dispatch.run import Run, is_success
+from cactusridge.dispatch.run_recorder import RunRecorder
+from cactusridge.dispatch.stream_output import StreamOutput
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import (
     CactusridgeError,
@@ -30,8 +32,10 @@
         attempts: Attempts,
         clock: Clock,
         log: OnlineLog,
+        recorder: RunRecorder,
     ) -> None:
         """Resume broken streams by new attempts made with ``attempts``."""
+        self._recorder = recorder
         self._attempts = attempts
         self._clock = clock
         self._log = log
@@ -52,15 +56,15 @@
         while True:
             if failure is not None:
                 run = self._resume(call, progress, splitter, failure)
-            begun_at = self._clock.monotonic()
+            output = StreamOutput(self._clock)
             try:
-                yield from self._events(call, run, splitter, progress)
+                yield from self._events(call, run, splitter, progress, output)
             except CactusridgeError as exc:
                 failure = exc
                 self._log.broken(call, run, splitter, exc)
             else:
                 run.record_completion()
-                self._attempts.record_slot_time(run.replica, begun_at)
+                self._recorder.stream(call, run, output)
                 return
             finally:
                 run.close()
@@ -71,6 +75,7 @@
         run: Run,
         splitter: EventSplitter,
         progress: Progress,
+        output: StreamOutput,
     ) -> Iterator[bytes]:
         limit_s = None
         if may_retry(call, progress):
@@ -80,6 +85,7 @@
             whole = b''.join(event.raw for event in splitter.feed(received))
             if whole:
                 run.record_output()
+                output.record_events()
                 yield whole
             received = run.read(self._attempts.wait_s(call, limit_s))
         if splitter.pending:
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -7,8 +7,8 @@
 from cactusridge import events, logs, metrics
 from cactusridge.background import run_every, run_forever
 from cactusridge.clock import BootClock
+from cactusridge.dispatch import policies
 from cactusridge.dispatch.online import OnlineDispatcher
-from cactusridge.dispatch.policies import make_outliers, make_policies
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
 from cactusridge.fleet.fleet_view import FleetView
@@ -63,10 +63,17 @@
         self._discovery = discovery.Discovery(self._fleet, clock)
         self._upstream = HttpUpstream(clock)
         loads = LoadTable(clock)
-        health = make_outliers(cfg.policy, clock)
+        health = policies.make_outliers(cfg.policy, clock)
         self._strikes = StrikeParts(cfg, self._store.rows, clock)
         suspects = self._strikes.suspects
-        runner = Runner(self._upstream, loads, health, suspects, clock)
+        runner = Runner(
+            self._upstream,
+            loads,
+            health,
+            suspects,
+            clock,
+            policies.make_capacity(cfg.policy),
+        )
         self._fleet.add_incarnation_listener(runner)
         self._fleet.add_incarnation_listener(self._upstream.connections)
         self._jobs = JobParts(
@@ -123,7 +130,7 @@
                 runner,
                 cfg.zone,
                 clock,
-                make_policies(cfg.policy),
+                policies.make_policies(cfg.policy),
             ),
             self._jobs.calls,
             CallerResolver(
--- a/tests/burst_entry.py
+++ b/tests/burst_entry.py
@@ -65,7 +65,7 @@
         runner = SimpleNamespace(
             loads=self.loads,
             health=NoEjection(),
-            slot_time=lambda _: SimpleNamespace(mean_s=HOLD_S),
+            capacity=SimpleNamespace(queued_slot_s=lambda _: HOLD_S),
         )
         policies = make_policies(DirectPolicy())._replace(placing=placing)
         self._attempts = Attempts(
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,118 @@
+"""Estimates of the time that requests hold a slot, without a network."""
+
+import unittest
+from types import SimpleNamespace
+
+from nose2.tools import params
+
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch.capacity import (
+    CompletedRun,
+    MeanCapacity,
+    ObservedCapacity,
+)
+from cactusridge.dispatch.expectation import Expectation
+from cactusridge.dispatch.online_call import Progress
+from cactusridge.dispatch.placement import INITIAL_SLOT_TIME_S
+from cactusridge.dispatch.run_recorder import RunRecorder
+from cactusridge.dispatch.stream_output import StreamOutput
+from cactusridge.fleet.replica import Replica, ReplicaState
+from cactusridge.http.client import Address
+
+SLOTS = 6
+WORK_S = 0.065
+REPLICA = Replica(
+    'i-1', 's', Address('127.0.0.1', 1), 'z', SLOTS, ReplicaState.ready
+)
+ROUTE = SimpleNamespace(name='lookups')
+
+
+def done(held_s, queue=0, since_arrival_s=9.0, route=ROUTE.name):
+    """Return a completed request."""
+    return CompletedRun(REPLICA, route, queue, held_s, since_arrival_s)
+
+
+class TestSlotTime(unittest.TestCase):
+    """The slot time of a service."""
+
+    def test_first_observation(self):
+        """The assumed time is forgotten with the first observation.
+
+        An average that starts from 0.5 s refuses short requests for many
+        observations, since it expects waits that are several times too long.
+        """
+        capacity = ObservedCapacity()
+        before_s = capacity.slot_s(REPLICA, ROUTE)
+        self.assertEqual(INITIAL_SLOT_TIME_S, before_s)
+        capacity.record(done(WORK_S))
+        self.assertAlmostEqual(WORK_S, capacity.slot_s(REPLICA, ROUTE))
+        self.assertAlmostEqual(WORK_S, capacity.queued_slot_s(REPLICA))
+
+    def test_queueing_is_no_work(self):
+        """The wait in the queue and earlier attempts do not count.
+
+        With 15 online requests at six slots a request waits for ten slots.
+        """
+        queue = 15 - SLOTS + 1
+        capacity = ObservedCapacity()
+        for _ in range(50):
+            capacity.record(done(WORK_S * (1 + queue / SLOTS), queue))
+        self.assertAlmostEqual(WORK_S, capacity.queued_slot_s(REPLICA))
+
+    def test_queue_of_other_routes(self):
+        """Long requests ahead do not make a short route look long."""
+        capacity = ObservedCapacity()
+        mixed_s = (WORK_S + 0.75) / 2
+        for _ in range(30):
+            capacity.record(done(WORK_S + mixed_s / SLOTS, 1))
+            capacity.record(done(0.75, route='drafts'))
+        self.assertLess(capacity.slot_s(REPLICA, ROUTE), 1.2 * WORK_S)
+
+    def test_outlier(self):
+        """One request of twenty times the mean moves it by a sixth at most."""
+        capacity = ObservedCapacity()
+        for _ in range(20):
+            capacity.record(done(WORK_S))
+        capacity.record(done(20 * WORK_S))
+        self.assertLess(capacity.slot_s(REPLICA, ROUTE), WORK_S * 7 / 6)
+
+    def test_naive_mean(self):
+        """The naive policy is an average of the times since the arrival."""
+        capacity = MeanCapacity()
+        self.assertEqual(INITIAL_SLOT_TIME_S, capacity.queued_slot_s(REPLICA))
+        capacity.record(done(WORK_S, since_arrival_s=1.5))
+        self.assertAlmostEqual(0.55, capacity.slot_s(REPLICA, ROUTE))
+
+
+class TestRecorder(unittest.TestCase):
+    """What is recorded about a completed request."""
+
+    def setUp(self):
+        """Create a recorder of one request."""
+        self.clock = ManualClock(100)
+        self.found = []
+        capacity = SimpleNamespace(record=self.found.append)
+        self.recorder = RunRecorder(capacity, self.clock)
+        self.call = SimpleNamespace(route=ROUTE, arrived_at=98)
+
+    def test_plain(self):
+        """A plain request is measured from sending, with its queue."""
+        run = SimpleNamespace(replica=REPLICA, elapsed_s=lambda: 0.2)
+        progress = Progress()
+        progress.expected = Expectation(10, WORK_S, 0.1)
+        self.recorder.plain(self.call, run, progress)
+        self.assertEqual([done(0.2, 10, 2)], self.found)
+
+    @params((0.3, 0.75), (0, 0.5))
+    def test_stream(self, first_s, rest_s):
+        """A stream is measured from its first event, without a queue."""
+        output = StreamOutput(self.clock)
+        self.clock.advance(first_s)
+        output.record_events()
+        self.clock.advance(rest_s)
+        run = SimpleNamespace(replica=REPLICA)
+        self.recorder.stream(self.call, run, output)
+        found = self.found[0]
+        self.assertAlmostEqual(rest_s, found.held_s)
+        self.assertAlmostEqual(first_s + rest_s, found.since_arrival_s)
+        self.assertEqual(0, found.queue)
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -14,6 +14,7 @@
 
 from cactusridge.clock import ManualClock, SystemClock
 from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.capacity import CompletedRun, ObservedCapacity
 from cactusridge.dispatch.catalog import RouteKind
 from cactusridge.dispatch.online_call import Progress
 from cactusridge.dispatch.policies import make_policies
@@ -72,11 +73,14 @@
         loads = LoadTable(clock)
         for peer in names[1:]:
             loads.set_peer_loads(peer, dict.fromkeys(ids, Load(1, 1)))
-        slot_time = SimpleNamespace(mean_s=0)
+        # Slot times so short that the queues refuse no request.
+        capacity = ObservedCapacity()
+        for replica in fleet.ready(SERVICE):
+            capacity.record(CompletedRun(replica, 'r', 0, 1e-3, 0))
         runner = SimpleNamespace(
             loads=loads,
             health=NoEjection(),
-            slot_time=lambda service: slot_time,
+            capacity=capacity,
         )
         self.route = SimpleNamespace(
             shares=[SimpleNamespace(service=SERVICE, weight=1)],
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -9,6 +9,7 @@
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch import policies as online
 from cactusridge.dispatch.admission import AdmitAll, InTime
+from cactusridge.dispatch.capacity import MeanCapacity, ObservedCapacity
 from cactusridge.dispatch.claims import AnnouncedClaims, GrantAllClaims
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
 from cactusridge.dispatch.retry_after import AfterBurst, NextSlot
@@ -35,6 +36,7 @@
     'cells': (ByZone, OneCell),
     'quarantine': (ByCrashes, NoQuarantine),
     'limits': (OwnerLimiter, FixedShares),
+    'capacity': (ObservedCapacity, MeanCapacity),
 }
 
 
@@ -51,6 +53,7 @@
         'claims': of_items.claims,
         'cells': online.make_cell_rule(names),
         'quarantine': RULES[names.quarantine](),
+        'capacity': online.make_capacity(names),
     }
     classes = {name: type(each) for name, each in found.items()}
     return {**classes, 'limits': LIMITERS[names.limits]}
