Dispatch: speeds of replicas relative to their service

Cause: SlotTime was one average per service, so a replica of 0.6 times the usual speed was expected to serve its queue as fast as one of 1.6 times.

Change: ObservedCapacity compares each completed request with the usual time of its route, streams by their seconds per event. Streams that their callers delayed are left out. Runner.incarnation_ended discards the speed.

--- a/cactusridge/dispatch/capacity.py
+++ b/cactusridge/dispatch/capacity.py
@@ -6,16 +6,15 @@
 """
 
 import abc
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cactusridge.dispatch.catalog import Route
 from cactusridge.dispatch.placement import INITIAL_SLOT_TIME_S, SlotTime
-from cactusridge.dispatch.usual_time import UsualTime
 from cactusridge.fleet.replica import Replica
 
-# Number of pairs of service and route whose times are kept. Routes come and go
-# with the configuration for as long as the process runs.
-KEPT_ROUTES = 1024
+NO_SPEEDS: Mapping[str, float] = MappingProxyType({})
 
 
 class CompletedRun(NamedTuple):
@@ -26,6 +25,9 @@
     not include that wait. ``held_s`` is the time from sending, for a stream
     from the first event, to the end. ``since_arrival_s`` is the time from the
     arrival of the caller, for a stream from the head, to the end.
+    ``events`` is the number of events of a stream after the first ones.
+    ``delayed`` is True if the caller was too slow to tell from ``held_s`` how
+    long the replica took.
     """
 
     replica: Replica
@@ -33,10 +35,28 @@
     queue: int
     held_s: float
     since_arrival_s: float
+    events: int = 0
+    delayed: bool = False
+
+
+class ReplicaCapacity(NamedTuple):
+    """The estimate for one replica; times are in seconds.
+
+    ``slot_s`` is how long the requests of its service hold a slot there.
+    ``speed`` is relative to its service and 1 for a usual replica. ``samples``
+    is the number of observations, of which old ones count less, and ``age_s``
+    the age of the newest one. A replica without observations has 0 for both.
+    """
+
+    incarnation: str
+    slot_s: float
+    speed: float
+    samples: float
+    age_s: float
 
 
 class CapacityEstimates(abc.ABC):
-    """Estimates slot times from completed requests."""
+    """Estimates slot times and speeds from completed requests."""
 
     @abc.abstractmethod
     def record(self, done: CompletedRun) -> None:
@@ -54,6 +74,22 @@
         in a queue are of all its routes.
         """
 
+    @abc.abstractmethod
+    def unusual_speeds(self) -> Mapping[str, float]:
+        """Return the relative speeds, by incarnation, that are not 1."""
+
+    @abc.abstractmethod
+    def of_service(self, service: str) -> list[ReplicaCapacity]:
+        """Return the estimates for the ready replicas of a service."""
+
+    @abc.abstractmethod
+    def forget(self, incarnation: str) -> None:
+        """Discard the estimates of an incarnation that has ended."""
+
+    def speed(self, incarnation: str) -> float:
+        """Return the speed relative to the service, 1 for a usual replica."""
+        return self.unusual_speeds().get(incarnation, 1)
+
 
 class MeanCapacity(CapacityEstimates):
     """Naive policy: one moving average per service, since the arrival.
@@ -79,53 +115,13 @@
         times = self._times.get(replica.service)
         return times.mean_s if times else INITIAL_SLOT_TIME_S
 
+    def unusual_speeds(self) -> Mapping[str, float]:
+        """Return no speeds: all replicas count as usual."""
+        return NO_SPEEDS
 
-class ObservedCapacity(CapacityEstimates):
-    """Estimates slot times per route from the time of sending.
-
-    The part of the time that a request spent in the replica's queue is
-    removed. The assumed time applies only until the first observation.
-    """
-
-    def __init__(self) -> None:
-        """Start without observations."""
-        self._times: dict[tuple[str, str], UsualTime] = {}
-        # Over all routes of a service.
-        self._mixed: dict[str, UsualTime] = {}
-
-    def record(self, done: CompletedRun) -> None:
-        """Add the time for which a completed request held its slot."""
-        service = done.replica.service
-        key = (service, done.route)
-        if key not in self._times and len(self._times) >= KEPT_ROUTES:
-            self._times.pop(next(iter(self._times)))
-        times = self._times.setdefault(key, UsualTime())
-        mixed = self._mixed.setdefault(service, UsualTime())
-        slot_s = done.held_s * _running_share(done, times, mixed)
-        times.add(slot_s)
-        mixed.add(slot_s)
-
-    def slot_s(self, replica: Replica, route: Route) -> float:
-        """Return the usual time of the route, or that of all routes."""
-        times = self._times.get((replica.service, route.name))
-        return times.mean_s if times else self.queued_slot_s(replica)
-
-    def queued_slot_s(self, replica: Replica) -> float:
-        """Return the usual time over all routes of the service."""
-        times = self._mixed.get(replica.service)
-        return times.mean_s if times else INITIAL_SLOT_TIME_S
-
-
-def _running_share(
-    done: CompletedRun, times: UsualTime, mixed: UsualTime
-) -> float:
-    """Return the share of ``held_s`` in which the request held a slot.
+    def of_service(self, service: str) -> list[ReplicaCapacity]:
+        """Return nothing, since there are no estimates by replica."""
+        return []
 
-    While it waited, ``queue`` slots became free, of which each of the
-    replica's slots contributed an equal part. The requests ahead are assumed
-    to be of all routes of the service.
-    """
-    turns = done.queue / max(1, done.replica.slots)
-    if not (turns and times.count):
-        return 1 / (1 + turns)
-    return times.mean_s / (times.mean_s + turns * mixed.mean_s)
+    def forget(self, incarnation: str) -> None:
+        """Do nothing, since there are no estimates by replica."""
--- a/cactusridge/dispatch/policies.py
+++ b/cactusridge/dispatch/policies.py
@@ -6,17 +6,15 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.admission import Admission, AdmitAll, InTime
-from cactusridge.dispatch.capacity import (
-    CapacityEstimates,
-    MeanCapacity,
-    ObservedCapacity,
-)
+from cactusridge.dispatch.capacity import CapacityEstimates, MeanCapacity
+from cactusridge.dispatch.observed_capacity import ObservedCapacity
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline, Placing
 from cactusridge.dispatch.retry_after import (
     AfterBurst,
     NextSlot,
     RetryAfterPolicy,
 )
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.peers.cell_rules import ByZone, CellRule, OneCell
 from cactusridge.routing.outliers import (
     NoEjection,
@@ -38,9 +36,6 @@
 PLACINGS = MappingProxyType({'least_online': LeastOnline, 'any': AnyReplica})
 ADMISSIONS = MappingProxyType({'in_time': InTime, 'everybody': AdmitAll})
 
-CAPACITIES = MappingProxyType(
-    {'observed': ObservedCapacity, 'mean': MeanCapacity}
-)
 CELL_RULES = MappingProxyType({'by_zone': ByZone, 'one': OneCell})
 
 
@@ -73,9 +68,13 @@
     return CELL_RULES[names.cells]()
 
 
-def make_capacity(names: DirectPolicy) -> CapacityEstimates:
+def make_capacity(
+    names: DirectPolicy, fleet: FleetView, clock: Clock
+) -> CapacityEstimates:
     """Return the estimates of capacity selected in ``names``."""
-    return CAPACITIES[names.capacity]()
+    if names.capacity == 'mean':
+        return MeanCapacity()
+    return ObservedCapacity(fleet, clock)
 
 
 def make_outliers(names: DirectPolicy, clock: Clock) -> OutlierDetector:
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -207,9 +207,10 @@
         self._upstream = upstream
 
     def incarnation_ended(self, incarnation: str) -> None:
-        """Drop the health and the peers' counts of an ended incarnation."""
+        """Drop the health, speed and peers' counts of an ended incarnation."""
         self.health.forget(incarnation)
         self.loads.forget_incarnation(incarnation)
+        self.capacity.forget(incarnation)
 
     def open(
         self,
--- a/cactusridge/dispatch/run_recorder.py
+++ b/cactusridge/dispatch/run_recorder.py
@@ -6,6 +6,10 @@
 from cactusridge.dispatch.run import Run
 from cactusridge.dispatch.stream_output import StreamOutput
 
+# A stream whose caller delayed it for a larger share of its time is not taken
+# as an observation of its replica.
+MAX_DELAYED_SHARE = 0.1
+
 
 class RunRecorder:
     """Records how long completed requests held their slots."""
@@ -32,11 +36,14 @@
         The wait in the queue ends before the first event, so no queue is
         recorded.
         """
+        lasted_s = output.lasted_s()
         done = CompletedRun(
             run.replica,
             call.route.name,
             0,
-            output.lasted_s(),
+            lasted_s,
             output.since_head_s(),
+            output.later_events,
+            delayed=output.delayed_s > MAX_DELAYED_SHARE * lasted_s,
         )
         self._capacity.record(done)
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -82,11 +82,12 @@
             limit_s = STREAM_SILENCE_S
         received = run.read(self._attempts.wait_s(call, limit_s))
         while received:
-            whole = b''.join(event.raw for event in splitter.feed(received))
-            if whole:
+            found = splitter.feed(received)
+            if found:
                 run.record_output()
-                output.record_events()
-                yield whole
+                output.record_events(len(found))
+                yield b''.join(event.raw for event in found)
+                output.record_taken()
             received = run.read(self._attempts.wait_s(call, limit_s))
         if splitter.pending:
             run.record_failure()
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -72,7 +72,7 @@
             health,
             suspects,
             clock,
-            policies.make_capacity(cfg.policy),
+            policies.make_capacity(cfg.policy, self._fleet, clock),
         )
         self._fleet.add_incarnation_listener(runner)
         self._fleet.add_incarnation_listener(self._upstream.connections)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,16 +6,14 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.dispatch.capacity import (
-    CompletedRun,
-    MeanCapacity,
-    ObservedCapacity,
-)
+from cactusridge.dispatch.capacity import CompletedRun, MeanCapacity
 from cactusridge.dispatch.expectation import Expectation
+from cactusridge.dispatch.observed_capacity import ObservedCapacity
 from cactusridge.dispatch.online_call import Progress
 from cactusridge.dispatch.placement import INITIAL_SLOT_TIME_S
 from cactusridge.dispatch.run_recorder import RunRecorder
 from cactusridge.dispatch.stream_output import StreamOutput
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
 
@@ -27,6 +25,11 @@
 ROUTE = SimpleNamespace(name='lookups')
 
 
+def observed(clock=None):
+    """Return estimates without observations."""
+    return ObservedCapacity(FleetView(), clock or ManualClock(100))
+
+
 def done(held_s, queue=0, since_arrival_s=9.0, route=ROUTE.name):
     """Return a completed request."""
     return CompletedRun(REPLICA, route, queue, held_s, since_arrival_s)
@@ -41,7 +44,7 @@
         An average that starts from 0.5 s refuses short requests for many
         observations, since it expects waits that are several times too long.
         """
-        capacity = ObservedCapacity()
+        capacity = observed()
         before_s = capacity.slot_s(REPLICA, ROUTE)
         self.assertEqual(INITIAL_SLOT_TIME_S, before_s)
         capacity.record(done(WORK_S))
@@ -54,14 +57,14 @@
         With 15 online requests at six slots a request waits for ten slots.
         """
         queue = 15 - SLOTS + 1
-        capacity = ObservedCapacity()
+        capacity = observed()
         for _ in range(50):
             capacity.record(done(WORK_S * (1 + queue / SLOTS), queue))
         self.assertAlmostEqual(WORK_S, capacity.queued_slot_s(REPLICA))
 
     def test_queue_of_other_routes(self):
         """Long requests ahead do not make a short route look long."""
-        capacity = ObservedCapacity()
+        capacity = observed()
         mixed_s = (WORK_S + 0.75) / 2
         for _ in range(30):
             capacity.record(done(WORK_S + mixed_s / SLOTS, 1))
@@ -70,7 +73,7 @@
 
     def test_outlier(self):
         """One request of twenty times the mean moves it by a sixth at most."""
-        capacity = ObservedCapacity()
+        capacity = observed()
         for _ in range(20):
             capacity.record(done(WORK_S))
         capacity.record(done(20 * WORK_S))
@@ -108,7 +111,7 @@
         """A stream is measured from its first event, without a queue."""
         output = StreamOutput(self.clock)
         self.clock.advance(first_s)
-        output.record_events()
+        output.record_events(1)
         self.clock.advance(rest_s)
         run = SimpleNamespace(replica=REPLICA)
         self.recorder.stream(self.call, run, output)
@@ -116,3 +119,18 @@
         self.assertAlmostEqual(rest_s, found.held_s)
         self.assertAlmostEqual(first_s + rest_s, found.since_arrival_s)
         self.assertEqual(0, found.queue)
+
+    @params((0, False), (0.04, False), (0.4, True))
+    def test_slow_caller(self, delay_s, delayed):
+        """A caller that reads slowly does not make its replica look slow."""
+        output = StreamOutput(self.clock)
+        for _ in range(5):
+            output.record_events(2)
+            self.clock.advance(delay_s / 5)
+            output.record_taken()
+            self.clock.advance(0.1)
+        self.recorder.stream(
+            self.call, SimpleNamespace(replica=REPLICA), output
+        )
+        self.assertEqual(8, self.found[0].events)
+        self.assertEqual(delayed, self.found[0].delayed)
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -14,8 +14,9 @@
 
 from cactusridge.clock import ManualClock, SystemClock
 from cactusridge.dispatch.attempts import Attempts
-from cactusridge.dispatch.capacity import CompletedRun, ObservedCapacity
+from cactusridge.dispatch.capacity import CompletedRun
 from cactusridge.dispatch.catalog import RouteKind
+from cactusridge.dispatch.observed_capacity import ObservedCapacity
 from cactusridge.dispatch.online_call import Progress
 from cactusridge.dispatch.policies import make_policies
 from cactusridge.fleet.fleet_view import FleetView
@@ -74,7 +75,7 @@
         for peer in names[1:]:
             loads.set_peer_loads(peer, dict.fromkeys(ids, Load(1, 1)))
         # Slot times so short that the queues refuse no request.
-        capacity = ObservedCapacity()
+        capacity = ObservedCapacity(fleet, clock)
         for replica in fleet.ready(SERVICE):
             capacity.record(CompletedRun(replica, 'r', 0, 1e-3, 0))
         runner = SimpleNamespace(
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -9,10 +9,12 @@
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch import policies as online
 from cactusridge.dispatch.admission import AdmitAll, InTime
-from cactusridge.dispatch.capacity import MeanCapacity, ObservedCapacity
+from cactusridge.dispatch.capacity import MeanCapacity
 from cactusridge.dispatch.claims import AnnouncedClaims, GrantAllClaims
+from cactusridge.dispatch.observed_capacity import ObservedCapacity
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
 from cactusridge.dispatch.retry_after import AfterBurst, NextSlot
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.jobs import policies as batch
 from cactusridge.jobs.urgency import DueFirst, OnTimeFirst
 from cactusridge.organisations.limiter import FixedShares
@@ -53,7 +55,7 @@
         'claims': of_items.claims,
         'cells': online.make_cell_rule(names),
         'quarantine': RULES[names.quarantine](),
-        'capacity': online.make_capacity(names),
+        'capacity': online.make_capacity(names, FleetView(), ManualClock()),
     }
     classes = {name: type(each) for name, each in found.items()}
     return {**classes, 'limits': LIMITERS[names.limits]}
