--- a/cactusridge/dispatch/policies.py
+++ b/cactusridge/dispatch/policies.py
@@ -6,12 +6,15 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.admission import Admission, AdmitAll, InTime
+from cactusridge.dispatch.capacity import CapacityEstimates, MeanCapacity
+from cactusridge.dispatch.observed_capacity import ObservedCapacity
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline, Placing
 from cactusridge.dispatch.retry_after import (
     AfterBurst,
     NextSlot,
     RetryAfterPolicy,
 )
+from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.peers.cell_rules import ByZone, CellRule, OneCell
 from cactusridge.routing.outliers import (
     NoEjection,
@@ -65,6 +68,15 @@
     return CELL_RULES[names.cells]()
 
 
+def make_capacity(
+    names: DirectPolicy, fleet: FleetView, clock: Clock
+) -> CapacityEstimates:
+    """Return the estimates of capacity selected in ``names``."""
+    if names.capacity == 'mean':
+        return MeanCapacity()
+    return ObservedCapacity(fleet, clock)
+
+
 def make_outliers(names: DirectPolicy, clock: Clock) -> OutlierDetector:
     """Return the outlier detector selected in ``names``."""
     if names.outliers == 'trust':
