Peers: share observations of the speeds of replicas

Cause: each of 32 entries completes a request at a given replica only every 2 to 7 s, too few to estimate its speed.

Change: with the half-second repeat an entry sends its new observations, by replica the mean ratio, their number and age, to the audience of that replica's counts; the field `speeds` is left out where there is nothing new. A datagram has at most 16 replicas (under 1 kB), those waiting longest first. Observations of peers are not passed on. What a peer says is limited to sane values, and unreadable parts raise ValueError. Messages on topics are now handled after the counts of the same datagram, so that an unreadable one does not discard them.

Result: tests.test_capacity_sharing, test_peers, test_cells_told.

--- a/cactusridge/dispatch/capacity.py
+++ b/cactusridge/dispatch/capacity.py
@@ -13,6 +13,7 @@
 from cactusridge.dispatch.catalog import Route
 from cactusridge.dispatch.placement import INITIAL_SLOT_TIME_S, SlotTime
 from cactusridge.fleet.replica import Replica
+from cactusridge.peers.speed_observations import SpeedObservations
 
 NO_SPEEDS: Mapping[str, float] = MappingProxyType({})
 
@@ -86,6 +87,14 @@
     def forget(self, incarnation: str) -> None:
         """Discard the estimates of an incarnation that has ended."""
 
+    @abc.abstractmethod
+    def take_observations(self) -> dict[str, SpeedObservations]:
+        """Return new observations of this entry by incarnation, once each."""
+
+    @abc.abstractmethod
+    def add_observations(self, found: dict[str, SpeedObservations]) -> None:
+        """Add the observations of a peer."""
+
     def speed(self, incarnation: str) -> float:
         """Return the speed relative to the service, 1 for a usual replica."""
         return self.unusual_speeds().get(incarnation, 1)
@@ -125,3 +134,10 @@
 
     def forget(self, incarnation: str) -> None:
         """Do nothing, since there are no estimates by replica."""
+
+    def take_observations(self) -> dict[str, SpeedObservations]:
+        """Return nothing, since there are no estimates by replica."""
+        return {}
+
+    def add_observations(self, found: dict[str, SpeedObservations]) -> None:
+        """Do nothing, since there are no estimates by replica."""
--- a/cactusridge/dispatch/observed_capacity.py
+++ b/cactusridge/dispatch/observed_capacity.py
@@ -9,12 +9,14 @@
     ReplicaCapacity,
 )
 from cactusridge.dispatch.catalog import Route
+from cactusridge.dispatch.fresh_observations import FreshObservations
 from cactusridge.dispatch.placement import INITIAL_SLOT_TIME_S
-from cactusridge.dispatch.replica_speeds import ReplicaSpeeds
+from cactusridge.dispatch.replica_speeds import ReplicaSpeeds, clamped_ratio
 from cactusridge.dispatch.route_times import RouteTimes
 from cactusridge.dispatch.usual_time import UsualTime
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica
+from cactusridge.peers.speed_observations import SpeedObservations
 
 # Number of observations from which a usual time is precise enough to compare
 # single requests with it.
@@ -35,6 +37,7 @@
         self._fleet = fleet
         self._clock = clock
         self._speeds = ReplicaSpeeds(clock)
+        self._fresh = FreshObservations(clock)
         self._times = RouteTimes()
         # Seconds per event. The pace of streams varies less than their length.
         self._paces = RouteTimes()
@@ -83,6 +86,17 @@
     def forget(self, incarnation: str) -> None:
         """Discard the speed of an incarnation that has ended."""
         self._speeds.forget(incarnation)
+        self._fresh.forget(incarnation)
+
+    def take_observations(self) -> dict[str, SpeedObservations]:
+        """Return new observations of this entry by incarnation, once each."""
+        return self._fresh.take()
+
+    def add_observations(self, found: dict[str, SpeedObservations]) -> None:
+        """Add the observations of a peer about replicas known here."""
+        for incarnation, each in found.items():
+            if self._fleet.get(incarnation) is not None:
+                self._speeds.add(incarnation, *each)
 
     def _of(self, replica: Replica) -> ReplicaCapacity:
         samples, age_s = float(0), float(0)
@@ -105,6 +119,7 @@
         if usual.count >= LEAST_COMPARED:
             ratio = observed_s / usual.mean_s
             self._speeds.add(replica.incarnation, ratio)
+            self._fresh.add(replica.incarnation, clamped_ratio(ratio))
 
 
 def _running_share(
--- a/cactusridge/peers/exchange.py
+++ b/cactusridge/peers/exchange.py
@@ -11,7 +11,6 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from types import MappingProxyType
 from typing import Any
 
 import gevent
@@ -19,11 +18,19 @@
 
 from cactusridge import events, logs
 from cactusridge.background import run_forever
+from cactusridge.peers.announcement_repeats import AnnouncementRepeats
 from cactusridge.peers.audience import Audience
 from cactusridge.peers.cells import Cells
 from cactusridge.peers.entry_status import EntryStatus
 from cactusridge.peers.load import NO_LOAD, Load, WorkKind
 from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.message_parts import (
+    changed_counts,
+    decode_counts,
+    encode_counts,
+    part_of,
+    parts_of,
+)
 from cactusridge.peers.offers import decode_offer
 from cactusridge.peers.peer_socket import PeerSocket, Target
 from cactusridge.work_meter import Part, spawn
@@ -41,10 +48,6 @@
 OFFER = 'offer'
 STATUS = 'word'
 ANNOUNCED = 'news'
-# Number of repeats of an announcement, at two a second. They last longer than
-# an entry can be suspended or partitioned and still act on what it knew.
-ANNOUNCEMENT_REPEATS = 20
-EMPTY: Mapping[str, Any] = MappingProxyType({})
 
 
 class PeerExchange:
@@ -68,10 +71,11 @@
         self._cells = cells
         self._get_status = get_status
         self._on_loads: Callable[[], None] | None = None
-        self._announcements: dict[str, tuple[int, int]] = {}
+        self._announcements = AnnouncementRepeats()
         self._on_announcement: Callable[[str, int], None] | None = None
         self._on_status: Callable[[Target, EntryStatus], None] | None = None
         self._message_listeners: dict[str, Callable[[Target, Any], None]] = {}
+        self._added: dict[str, Callable[[], Mapping[str, Any]]] = {}
         self._since_repeat_s = float(0)
         self._last_sent: dict[str, Load] = {}
         self._counts: dict[Target, dict[str, Load]] = {}
@@ -93,7 +97,7 @@
 
     def announce(self, subject: str, version: int) -> None:
         """Announce a version of ``subject`` to all peers, repeatedly."""
-        self._announcements[subject] = (version, ANNOUNCEMENT_REPEATS)
+        self._announcements.add(subject, version)
         all_peers = self._audience.all_peers()
         self._sock.send(all_peers, {ANNOUNCED: {subject: version}})
 
@@ -116,6 +120,18 @@
         """
         self._message_listeners[topic] = listener
 
+    def add_to_repeats(
+        self,
+        topic: str,
+        take: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        """Send what ``take`` returns with each repeat of all counts.
+
+        It returns values by incarnation key. Each value is sent on ``topic`` to
+        the audience of that replica's counts.
+        """
+        self._added[topic] = take
+
     def start(self) -> None:
         """Bind the socket and start the greenlets that send and receive."""
         self._sock.bind()
@@ -136,19 +152,15 @@
 
     def _send_changes(self) -> None:
         now = self._loads.all_own()
-        changed = {
-            key: now.get(key, NO_LOAD)
-            for key in set(now) | set(self._last_sent)
-            if now.get(key) != self._last_sent.get(key)
-        }
+        changed = changed_counts(self._last_sent, now)
         self._last_sent = now
-        self._send_counts(CHANGED, changed)
+        self._send_changed(changed)
 
     def _send_increase(self, incarnation: str, kind: WorkKind) -> None:
         """Send the count of a replica at once after it has increased."""
         own = self._loads.own(incarnation)
         self._last_sent[incarnation] = own
-        self._send_counts(CHANGED, {incarnation: own})
+        self._send_changed({incarnation: own})
 
     def _send_all(self) -> None:
         now = self._loads.all_own()
@@ -157,11 +169,10 @@
         ended = dict.fromkeys(self._last_sent.keys() - now.keys(), NO_LOAD)
         self._last_sent = now
         status = list(self._get_status())
-        repeats = self._take_repeats()
+        repeats = self._announcements.take()
         local_peers = self._audience.local_peers()
-        self._send_counts(
-            ALL,
-            {**ended, **now},
+        self._send_repeats(
+            encode_counts({**ended, **now}),
             local_peers,
             {STATUS: status, ANNOUNCED: repeats},
         )
@@ -172,33 +183,28 @@
         for target, offer in self._audience.offers():
             self._sock.send([target], {OFFER: list(offer), STATUS: status})
 
-    def _take_repeats(self) -> dict[str, int]:
-        """Return the announcements due for a repeat, and count the repeats."""
-        repeats = self._announcements
-        self._announcements = {
-            subject: (version, left - 1)
-            for subject, (version, left) in repeats.items()
-            if left > 1
-        }
-        return {subject: version for subject, (version, _) in repeats.items()}
-
-    def _send_counts(
+    def _send_repeats(
         self,
-        kind: str,
-        loads: Mapping[str, Load],
-        local_peers: Iterable[Target] = (),
-        more: Mapping[str, Any] = EMPTY,
+        counts: Mapping[str, Any],
+        local_peers: Iterable[Target],
+        more: Mapping[str, Any],
     ) -> None:
-        """Send each count to its audience with ``more``.
+        """Send each count and what is added to repeats, with ``more``.
 
         Peers in ``local_peers`` receive ``more`` even if no count goes to them.
         """
-        for group in self._audience.groups(loads, local_peers):
-            counts = {
-                incarnation: loads[incarnation]
-                for incarnation in group.incarnations
-            }
-            self._sock.send(group.targets, {kind: _encode(counts), **more})
+        added = {topic: take() for topic, take in self._added.items()}
+        keys = counts.keys() | {key for each in added.values() for key in each}
+        for group in self._audience.groups(keys, local_peers):
+            message = {ALL: part_of(counts, group), **more}
+            message |= parts_of(added, group)
+            self._sock.send(group.targets, message)
+
+    def _send_changed(self, loads: Mapping[str, Load]) -> None:
+        """Send each count to its audience."""
+        counts = encode_counts(loads)
+        for group in self._audience.groups(loads):
+            self._sock.send(group.targets, {CHANGED: part_of(counts, group)})
 
     def _receive(self) -> None:
         try:
@@ -213,8 +219,6 @@
         for subject, version in message.get(ANNOUNCED, {}).items():
             if self._on_announcement is not None:
                 self._on_announcement(subject, version)
-        for topic in message.keys() & self._message_listeners.keys():
-            self._message_listeners[topic](sender, message[topic])
         offer = message.get(OFFER)
         if offer is not None:
             self._loads.set_offer(decode_offer(offer))
@@ -222,10 +226,13 @@
             self._apply_counts(message, sender)
         if STATUS in message and self._on_status is not None:
             self._on_status(sender, EntryStatus(*message[STATUS]))
+        # An unreadable message on a topic leaves the counts beside it in force.
+        for topic in message.keys() & self._message_listeners.keys():
+            self._message_listeners[topic](sender, message[topic])
 
     def _apply_counts(self, message: dict[str, Any], sender: Target) -> None:
         """Apply the counts in a peer's message."""
-        counts = _decode(message.get(ALL) or message.get(CHANGED) or {})
+        counts = decode_counts(message.get(ALL) or message.get(CHANGED) or {})
         if ALL not in message:
             counts = {**self._counts.get(sender, {}), **counts}
         counts = {key: load for key, load in counts.items() if load != NO_LOAD}
@@ -242,13 +249,5 @@
             self._on_loads()
 
 
-def _encode(loads: Mapping[str, Load]) -> dict[str, list[int]]:
-    return {incarnation: list(load) for incarnation, load in loads.items()}
-
-
-def _decode(raw: dict[str, list[int]]) -> dict[str, Load]:
-    return {key: Load(*pair) for key, pair in raw.items()}
-
-
 def ignore_announcement(subject: str, version: int) -> None:
     """Do nothing, in place of ``PeerExchange.announce`` before there is one."""
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -8,6 +8,7 @@
 from cactusridge.background import run_every, run_forever
 from cactusridge.clock import BootClock
 from cactusridge.dispatch import policies
+from cactusridge.dispatch.capacity_sharing import CapacitySharing
 from cactusridge.dispatch.online import OnlineDispatcher
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
@@ -100,6 +101,7 @@
         self._peers.on_status(self._receive_status)
         self._strikes.connect_peers(self._peers)
         self._jobs.connect_peers(self._peers)
+        CapacitySharing(self._peers, runner.capacity)
         self._catalog_follower = self._store.follower(
             catalog_holder.TABLE,
             [catalog_holder.KEY],
