--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -1,6 +1,7 @@
 """Makes attempts: chooses a replica, sends to it and limits the wait."""
 
 import random
+from collections.abc import Mapping, Set
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route
@@ -77,18 +78,14 @@
                 retry_after_s=NO_REPLICA_RETRY_S,
             )
         allowed = self._runner.health.selectable(ready) & fresh
-        loads = self._runner.loads
         local = self._cells.of_service(service).local
         compared = select_candidates(
             allowed or fresh,
             local,
-            loads.offered_replicas(),
+            self._runner.loads.offered_replicas(),
             self._rng,
         )
-        choices = [
-            Choice(ready[key], loads.total_at(key), key in local)
-            for key in compared
-        ]
+        choices = self._choices({key: ready[key] for key in compared}, local)
         best = self._policies.placing.choose(choices, self._zone, self._rng)
         self._check_wait(call, best)
         return best.replica
@@ -107,7 +104,8 @@
         """
         progress.tried.append(replica.incarnation)
         load = self._runner.loads.total_at(replica.incarnation)
-        progress.expected = self._expect(Choice(replica, load))
+        speed = self._runner.capacity.speed(replica.incarnation)
+        progress.expected = self._expect(Choice(replica, load, speed=speed))
         left_s = call.deadline_at - self._clock.monotonic()
         try:
             run = self._runner.open(
@@ -145,6 +143,7 @@
                 self._runner.loads.total_at(run.replica.incarnation),
                 run.replica.slots,
                 call.route.target_latency_s,
+                progress.expected.speed,
             )
         try:
             return run.head(self.wait_s(call, limit_s))
@@ -188,6 +187,19 @@
             raise DeadlineExceeded
         return left_s if limit_s is None else min(left_s, limit_s)
 
+    def _choices(
+        self, replicas: Mapping[str, Replica], local: Set[str]
+    ) -> list[Choice]:
+        """Return replicas, given by incarnation, with loads and speeds."""
+        loads = self._runner.loads
+        speeds = self._runner.capacity.unusual_speeds()
+        return [
+            Choice(
+                replica, loads.total_at(key), key in local, speeds.get(key, 1)
+            )
+            for key, replica in replicas.items()
+        ]
+
     def _check_wait(self, call: OnlineCall, best: Choice) -> None:
         """Raise Overloaded if the expected wait at ``best`` is too long."""
         expected = self._expect(best)
@@ -211,7 +223,7 @@
     def _expect(self, choice: Choice) -> Expectation:
         slot_s = self._runner.capacity.queued_slot_s(choice.replica)
         wait_s = expected_wait_s(choice, slot_s)
-        return Expectation(choice.queue, slot_s, wait_s)
+        return Expectation(choice.queue, slot_s, wait_s, choice.speed)
 
     def _service(self, route: Route) -> str:
         """Return one of the route's services, drawn by their weights."""
--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -35,18 +35,25 @@
     """A replica that may be chosen, with its load.
 
     ``local`` is True for a replica in the local cell. The load of a replica
-    in a remote cell may include only this entry's own requests.
+    in a remote cell may include only this entry's own requests. ``speed`` is
+    relative to the service, 1 for a usual replica.
     """
 
     replica: Replica
     load: Load
     local: bool = True
+    speed: float = 1
 
     @property
     def queue(self) -> int:
         """The least number of slots to become free before a request starts."""
         return max(0, self.load.online - self.replica.slots + 1)
 
+    @property
+    def usual_slots(self) -> float:
+        """The number of slots of a usual replica that do the same work."""
+        return max(1, self.replica.slots) * self.speed
+
 
 class SlotTime:
     """The moving average of the time a request holds a slot, in seconds."""
@@ -65,7 +72,8 @@
 
     Batch requests are not counted, since they are preempted by online
     ones. When all slots are in use, one becomes free every
-    ``hold_s / slots`` seconds.
+    ``hold_s / slots`` seconds, where ``hold_s`` is the time for which a
+    request holds a slot of this replica.
     """
     return choice.queue * hold_s / max(1, choice.replica.slots)
 
@@ -98,19 +106,19 @@
     zone: str,
     rng: random.Random,
 ) -> Choice:
-    """Return the choice with the shortest queue of online requests.
+    """Return the choice with the shortest expected wait.
 
     Ties are broken in this order: a replica in the local cell, whose
     traffic does not cross availability zones; the fewest requests per
-    slot, online and batch, so that batch work is preempted only if
-    necessary; a replica in ``zone``; a random one, so that entries do not
-    all choose the same replica.
+    slot, online and batch, relative to the speed, so that batch work is
+    preempted only if necessary; a replica in ``zone``; a random one, so
+    that entries do not all choose the same replica.
     """
     ranked = [
         (
-            choice.queue,
+            choice.queue / choice.usual_slots,
             not choice.local,
-            choice.load.total / max(1, choice.replica.slots),
+            choice.load.total / choice.usual_slots,
             choice.replica.zone != zone,
             rng.random(),
             number,
@@ -121,14 +129,16 @@
 
 
 def tolerated_silence_s(
-    load: Load, slots: int, target_latency_s: float
+    load: Load, slots: int, target_latency_s: float, speed: float = 1
 ) -> float:
     """Return the silence to tolerate before a retry, in seconds.
 
     ``load`` includes the request itself; ``target_latency_s`` is the target
-    latency in seconds.
+    latency in seconds. The silence is longer at a replica of a lower ``speed``
+    than usual, but not shorter at a faster one: a retry that was not needed
+    costs more than one that comes late.
     """
-    usual_s = max(MIN_SILENCE_S, target_latency_s)
+    usual_s = max(MIN_SILENCE_S, target_latency_s) / min(1, speed)
     return usual_s * QUEUED_SILENCE_FACTOR if load.online > slots else usual_s
 
 
@@ -154,7 +164,7 @@
         zone: str,
         rng: random.Random,
     ) -> Choice:
-        """Return the choice with the shortest queue of online requests."""
+        """Return the choice with the shortest expected wait."""
         return choose_least_online(choices, zone, rng)
 
 
--- a/tests/burst_entry.py
+++ b/tests/burst_entry.py
@@ -65,7 +65,9 @@
         runner = SimpleNamespace(
             loads=self.loads,
             health=NoEjection(),
-            capacity=SimpleNamespace(queued_slot_s=lambda _: HOLD_S),
+            capacity=SimpleNamespace(
+                queued_slot_s=lambda _: HOLD_S, unusual_speeds=dict
+            ),
         )
         policies = make_policies(DirectPolicy())._replace(placing=placing)
         self._attempts = Attempts(
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -28,6 +28,16 @@
     return Replica(name, 's', address, zone, SLOTS, ReplicaState.ready)
 
 
+def plain_rank(choice):
+    """Return the rank of a choice where all replicas are equal."""
+    return (
+        choice.queue,
+        not choice.local,
+        choice.load.total,
+        choice.replica.zone != 'a',
+    )
+
+
 class TestPlacement(unittest.TestCase):
     """Choice of the replica for an online request."""
 
@@ -45,6 +55,50 @@
         best = choose_least_online(choices, 'a', random.Random(1))
         self.assertEqual(wanted, best.replica.id)
 
+    @params(
+        # The expected wait decides, also against the length of the queue.
+        (Load(9), 1, Load(8), 0.4, 'x'),
+        (Load(9), 1.6, Load(8), 1, 'y'),
+        (Load(10), 1.6, Load(9), 1, 'x'),
+        # Without a queue the load relative to the speed decides.
+        (Load(3), 1.6, Load(2), 1, 'x'),
+        (Load(3), 1, Load(2), 0.6, 'x'),
+        (Load(4), 1.6, Load(2), 1, 'y'),
+        # A free slot of a slow replica is better than any queue.
+        (Load(8), 1.6, Load(7), 0.4, 'y'),
+    )
+    def test_speeds(self, load, speed, other_load, other_speed, wanted):
+        """A fast replica gets more requests than a slow one."""
+        choices = [
+            Choice(replica('x'), load, speed=speed),
+            Choice(replica('y'), other_load, speed=other_speed),
+        ]
+        best = choose_least_online(choices, 'a', random.Random(1))
+        self.assertEqual(wanted, best.replica.id)
+
+    def test_equal_replicas(self):
+        """Equal replicas are ranked by the keys of a fleet without speeds.
+
+        These are the queue, the cell, the requests per slot and the zone. An
+        estimate must not change where requests are placed as long as it shows
+        no difference.
+        """
+        rng = random.Random(7)
+        for _ in range(500):
+            choices = [
+                Choice(
+                    replica(str(number), rng.choice('ab')),
+                    Load(rng.randrange(0, 14), rng.randrange(0, 9)),
+                    rng.random() < rng.random(),
+                )
+                for number in range(6)
+            ]
+            best = choose_least_online(choices, 'a', random.Random(1))
+            self.assertEqual(
+                min(plain_rank(choice) for choice in choices),
+                plain_rank(best),
+            )
+
     def test_own_zone_between_equals(self):
         """The availability zone decides between equally loaded replicas."""
         choices = [
@@ -67,10 +121,21 @@
         found = expected_wait_s(Choice(replica('x'), load), 0.8)
         self.assertAlmostEqual(wanted, found)
 
-    @params((Load(8, 0), 0.3), (Load(2, 9), 0.3), (Load(9, 0), 0.9))
-    def test_silence(self, load, wanted):
-        """A longer silence is tolerated behind a queue of online requests."""
-        self.assertAlmostEqual(wanted, tolerated_silence_s(load, SLOTS, 0.3))
+    @params(
+        (Load(8, 0), 1, 0.3),
+        (Load(2, 9), 1, 0.3),
+        (Load(9, 0), 1, 0.9),
+        (Load(8, 0), 0.6, 0.5),
+        (Load(9, 0), 0.6, 1.5),
+        (Load(8, 0), 1.6, 0.3),
+    )
+    def test_silence(self, load, speed, wanted):
+        """A longer silence is tolerated where a longer one is expected.
+
+        That is behind a queue of online requests and at a slow replica.
+        """
+        found = tolerated_silence_s(load, SLOTS, 0.3, speed)
+        self.assertAlmostEqual(wanted, found)
 
     @params((1.0, 0.79), (0.21, 0), (0.1, -0.11))
     def test_admission(self, wait_s, excess_s):
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -26,6 +26,7 @@
 from cactusridge.peers.batch_sharing import BatchSharing
 from cactusridge.peers.load import Load
 from cactusridge.peers.loads import LoadTable
+from cactusridge.peers.speed_observations import SpeedObservations
 from cactusridge.routing.outliers import NoEjection
 from cactusridge.startup.models import DirectPolicy
 from tests.cells_play import cells_of, places
@@ -78,6 +79,10 @@
         capacity = ObservedCapacity(fleet, clock)
         for replica in fleet.ready(SERVICE):
             capacity.record(CompletedRun(replica, 'r', 0, 1e-3, 0))
+            # Two replicas of three do not count as usual.
+            slower = 1 + int(replica.id[1:]) % 3
+            seen = SpeedObservations(slower, 9, 0)
+            capacity.add_observations({replica.incarnation: seen})
         runner = SimpleNamespace(
             loads=loads,
             health=NoEjection(),
