Metrics and log: expected waits for a slot and their error

Cause: neither the log nor the metrics showed how far an expected wait was from the actual one; the wrong slot times of plain requests were found by a trace.

Change: the histogram cr_wait_error_seconds has the actual minus the expected wait of completed online requests, with buckets on both sides of zero. The line request_placed has expected_wait_s and speed.

--- a/cactusridge/dispatch/online_log.py
+++ b/cactusridge/dispatch/online_log.py
@@ -41,6 +41,8 @@
             after_event=req.resume_after,
             online=load.online,
             batch=load.batch,
+            expected_wait_s=round(progress.expected.wait_s, 3),
+            speed=round(progress.expected.speed, 2),
             loads_age_s=round(self._loads.age_s(), 3),
             left_s=round(call.deadline_at - self._clock.monotonic(), 3),
         )
--- a/cactusridge/dispatch/run_recorder.py
+++ b/cactusridge/dispatch/run_recorder.py
@@ -1,5 +1,6 @@
 """Records completed online requests in the estimates of capacity."""
 
+from cactusridge import metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.capacity import CapacityEstimates, CompletedRun
 from cactusridge.dispatch.online_call import OnlineCall, Progress
@@ -21,22 +22,32 @@
 
     def plain(self, call: OnlineCall, run: Run, progress: Progress) -> None:
         """Record a request that is answered as a whole."""
+        elapsed_s = run.elapsed_s()
+        work_s = self._capacity.slot_s(run.replica, call.route)
+        _observe_wait(run, progress, max(0, elapsed_s - work_s))
         done = CompletedRun(
             run.replica,
             call.route.name,
             progress.expected.queue,
-            run.elapsed_s(),
+            elapsed_s,
             self._clock.monotonic() - call.arrived_at,
         )
         self._capacity.record(done)
 
-    def stream(self, call: OnlineCall, run: Run, output: StreamOutput) -> None:
+    def stream(
+        self,
+        call: OnlineCall,
+        run: Run,
+        progress: Progress,
+        output: StreamOutput,
+    ) -> None:
         """Record a stream.
 
         The wait in the queue ends before the first event, so no queue is
         recorded.
         """
         lasted_s = output.lasted_s()
+        _observe_wait(run, progress, run.elapsed_s() - lasted_s)
         done = CompletedRun(
             run.replica,
             call.route.name,
@@ -47,3 +58,9 @@
             delayed=output.delayed_s > MAX_DELAYED_SHARE * lasted_s,
         )
         self._capacity.record(done)
+
+
+def _observe_wait(run: Run, progress: Progress, wait_s: float) -> None:
+    """Record by how much a wait was longer than expected."""
+    error_s = wait_s - progress.expected.wait_s
+    metrics.WAIT_ERROR.observe({'service': run.replica.service}, error_s)
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -64,7 +64,7 @@
                 self._log.broken(call, run, splitter, exc)
             else:
                 run.record_completion()
-                self._recorder.stream(call, run, output)
+                self._recorder.stream(call, run, progress, output)
                 return
             finally:
                 run.close()
--- a/cactusridge/metrics.py
+++ b/cactusridge/metrics.py
@@ -8,6 +8,13 @@
 from cactusridge.http.exchange import Reply, Req
 
 TTFT_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.64, 1, 2, 5, 10)
+# Symmetric, since a wait can be shorter or longer than expected.
+WAIT_ERRORS = (0.02, 0.05, 0.1, 0.2, 0.5, 1, 2)
+WAIT_ERROR_BUCKETS = (
+    *(-each for each in reversed(WAIT_ERRORS)),
+    0,
+    *WAIT_ERRORS,
+)
 
 REQUESTS = Counter('cr_requests_total', 'Requests by service, class, outcome')
 ATTEMPTS = Counter('cr_attempts_total', 'Dispatches to a replica, by service')
@@ -18,6 +25,11 @@
     'Time to the first byte of an answer, by service',
     buckets=list(TTFT_BUCKETS),
 )
+WAIT_ERROR = Histogram(
+    'cr_wait_error_seconds',
+    'Actual minus expected wait for a slot, by service',
+    buckets=list(WAIT_ERROR_BUCKETS),
+)
 RUNNING = Gauge('cr_running', 'Requests at the upstream, by service, class')
 WAITING = Gauge('cr_waiting', 'Requests queued, by service, class')
 LIMIT = Gauge('cr_limit', 'Concurrency limit, by service, class')
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,9 +2,11 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from nose2.tools import params
 
+from cactusridge import metrics
 from cactusridge.clock import ManualClock
 from cactusridge.dispatch.capacity import CompletedRun, MeanCapacity
 from cactusridge.dispatch.expectation import Expectation
@@ -94,17 +96,33 @@
         """Create a recorder of one request."""
         self.clock = ManualClock(100)
         self.found = []
-        capacity = SimpleNamespace(record=self.found.append)
+        capacity = SimpleNamespace(
+            record=self.found.append, slot_s=lambda *_: WORK_S
+        )
+        patched = mock.patch.object(metrics.WAIT_ERROR, 'observe')
+        self.observe = patched.start()
+        self.addCleanup(patched.stop)
+        self.progress = Progress()
+        self.progress.expected = Expectation(10, WORK_S, 0.1)
         self.recorder = RunRecorder(capacity, self.clock)
         self.call = SimpleNamespace(route=ROUTE, arrived_at=98)
 
+    def run_of(self, elapsed_s):
+        """Return a run that was sent ``elapsed_s`` seconds ago."""
+        return SimpleNamespace(replica=REPLICA, elapsed_s=lambda: elapsed_s)
+
+    def assert_wait_error(self, wanted):
+        """Check the actual minus the expected wait, in seconds."""
+        labels, error_s = self.observe.call_args.args
+        self.assertEqual({'service': 's'}, labels)
+        self.assertAlmostEqual(wanted, error_s)
+
     def test_plain(self):
         """A plain request is measured from sending, with its queue."""
-        run = SimpleNamespace(replica=REPLICA, elapsed_s=lambda: 0.2)
-        progress = Progress()
-        progress.expected = Expectation(10, WORK_S, 0.1)
-        self.recorder.plain(self.call, run, progress)
+        run = self.run_of(0.2)
+        self.recorder.plain(self.call, run, self.progress)
         self.assertEqual([done(0.2, 10, 2)], self.found)
+        self.assert_wait_error(0.2 - WORK_S - 0.1)
 
     @params((0.3, 0.75), (0, 0.5))
     def test_stream(self, first_s, rest_s):
@@ -113,12 +131,13 @@
         self.clock.advance(first_s)
         output.record_events(1)
         self.clock.advance(rest_s)
-        run = SimpleNamespace(replica=REPLICA)
-        self.recorder.stream(self.call, run, output)
+        run = self.run_of(0.05 + first_s + rest_s)
+        self.recorder.stream(self.call, run, self.progress, output)
         found = self.found[0]
         self.assertAlmostEqual(rest_s, found.held_s)
         self.assertAlmostEqual(first_s + rest_s, found.since_arrival_s)
         self.assertEqual(0, found.queue)
+        self.assert_wait_error(0.05 + first_s - 0.1)
 
     @params((0, False), (0.04, False), (0.4, True))
     def test_slow_caller(self, delay_s, delayed):
@@ -129,8 +148,6 @@
             self.clock.advance(delay_s / 5)
             output.record_taken()
             self.clock.advance(0.1)
-        self.recorder.stream(
-            self.call, SimpleNamespace(replica=REPLICA), output
-        )
+        self.recorder.stream(self.call, self.run_of(1), self.progress, output)
         self.assertEqual(8, self.found[0].events)
         self.assertEqual(delayed, self.found[0].delayed)
