--- a/bench/decisions/day.py
+++ b/bench/decisions/day.py
@@ -7,11 +7,14 @@
 import json
 import re
 import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
 
-# A log line in the output of a day: seconds, process name, JSON object.
-LINE = re.compile(r'\s+(-?[0-9.]+) (\S+) (\{.*\})$')
+# A log line in the output of a day: seconds, process name, JSON objects. What a
+# process writes at once arrives as one line, and the end may be missing.
+LINE = re.compile(r'\s+(-?[0-9.]+) (\S+) (\{.*)$')
+DECODER = json.JSONDecoder()
 BATCH = 'batch'
 
 
@@ -114,7 +117,12 @@
 def read_log(output: Path) -> list[Line]:
     """Return the log lines of all processes in the output of a day."""
     found = (LINE.match(line) for line in output.read_text().splitlines())
-    return [_line(match) for match in found if match]
+    return [
+        Line(float(match[1]), match[2], fields.get('event', ''), fields)
+        for match in found
+        if match
+        for fields in _whole_objects(match[3])
+    ]
 
 
 def _without_head(sheet: Path) -> str:
@@ -145,6 +153,13 @@
     )
 
 
-def _line(match: re.Match[str]) -> Line:
-    fields = json.loads(match[3])
-    return Line(float(match[1]), match[2], fields.get('event', ''), fields)
+def _whole_objects(text: str) -> Iterator[dict[str, Any]]:
+    """Yield the JSON objects of a line up to the first incomplete one."""
+    rest = text.lstrip()
+    while rest.startswith('{'):
+        try:
+            fields, end = DECODER.raw_decode(rest)
+        except json.JSONDecodeError:
+            return
+        yield fields
+        rest = rest[end:].lstrip()
