Disconnect callers that do not read their replies

Cause: an entry waited up to the idle timeout, 20 s, for a caller that did not read, and the time was that of a whole write. Of 200 callers that asked for streams of 16 MB and did not read, 193 held a slot after 10 s. In another trial the TCP buffers of the machine, the test process's ends included, were at 2.3 GB. A caller that read slowly but steadily was cut off if a single write took longer. Change: a server writes through CallerWrites. A caller that received nothing for 4 s is disconnected, and past 64 MB in all the one without progress for longest is; progress is what its system acknowledges, and a pause of this process does not count. Its run is cancelled by the closed connection, as for a caller that leaves. Event 432 and cr_slow_callers_dropped_total tell it. The send buffer of a caller and the receive buffer of a replica's connection have a fixed size, so that the entry stops reading the replica. Result: tests.test_slow_callers (fails before: slots are not free) and tests.test_caller_writes.

--- a/cactusridge/http/exchange.py
+++ b/cactusridge/http/exchange.py
@@ -15,6 +15,8 @@
 # environment the path is unquoted and repeated headers are joined.
 TARGET_KEY = 'cactusridge.target'
 HEADERS_KEY = 'cactusridge.headers'
+# The id of the request, set by the application once it is known.
+REQUEST_KEY = 'cactusridge.request'
 JSON_TYPE = 'application/json'
 HEADER_PREFIX = 'HTTP_'
 READ_BLOCK = 65536
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -10,7 +10,13 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import BootClock, Clock
-from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
+from cactusridge.http.caller_writes import CallerWrites, WriteLimits
+from cactusridge.http.exchange import (
+    HEADERS_KEY,
+    REQUEST_KEY,
+    SOCKET_KEY,
+    TARGET_KEY,
+)
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.unreadable import refusal
 from cactusridge.work_meter import CallGreenlet, PartGreenlet
@@ -23,6 +29,9 @@
 # connections that are already accepted may still be in transit.
 QUIET_S = 0.3
 SERVER_FAULT = 500
+# The system's send buffer of a connection, in bytes; Linux reserves twice as
+# much. It would grow to some megabytes for a caller that does not read.
+SEND_BUFFER_BYTES = 131_072
 
 
 class Handler(pywsgi.WSGIHandler):
@@ -35,6 +44,9 @@
         # second would wait up to 40 ms for the peer's delayed
         # acknowledgement.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         super().handle()
 
     def get_environ(self) -> dict[str, Any]:
@@ -101,6 +113,12 @@
             self.close_connection = True
         super().finalize_headers()
 
+    def _sendall(self, chunk: bytes) -> None:
+        """Send a part of a reply; the library calls this for every part."""
+        request = self.environ.get(REQUEST_KEY, '')
+        self.server.writes.send(self.socket, chunk, request)
+        self.response_length += len(chunk)
+
 
 class Server(pywsgi.WSGIServer):
     """An HTTP server that can stop without interrupting a request."""
@@ -129,6 +147,7 @@
             error_log=SILENT_LOG,
         )
         self.idle_timeout_s = idle_timeout_s
+        self.writes = CallerWrites(WriteLimits())
         self.late_application = late_application or LateRefusal()
         self.clock: Clock = BootClock()
         self.active = 0
--- a/cactusridge/metrics.py
+++ b/cactusridge/metrics.py
@@ -22,6 +22,9 @@
 WAITING = Gauge('cr_waiting', 'Requests queued, by service, class')
 LIMIT = Gauge('cr_limit', 'Concurrency limit, by service, class')
 PREEMPTED = Counter('cr_preempted_total', 'Batch runs yielded, by service')
+SLOW_CALLERS_DROPPED = Counter(
+    'cr_slow_callers_dropped_total', 'Callers that did not read, by cause'
+)
 EJECTIONS = Counter('cr_ejections_total', 'Replicas ejected from choice')
 CRASH_STRIKES = Counter('cr_crash_strikes_total', 'Runs that broke off')
 QUARANTINED_REQUESTS = Gauge('cr_requests_held_back', 'Requests in quarantine')
--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -16,7 +16,7 @@
     NotFound,
     TooLarge,
 )
-from cactusridge.http.exchange import SOCKET_KEY, Reply
+from cactusridge.http.exchange import REQUEST_KEY, SOCKET_KEY, Reply
 from cactusridge.platform.caller_request import CallerRequest
 from cactusridge.platform.caller_resolver import CATALOG_STALE_S, CallerResolver
 from cactusridge.platform.caller_watch import SocketWatch
@@ -136,6 +136,7 @@
         left_s = min(call.time_left_s(route.timeout_s), route.timeout_s)
         body = call.body()
         watch = SocketWatch(environ[SOCKET_KEY])
+        environ[REQUEST_KEY] = call.id
         req = UpstreamRequest(
             call.id,
             call.method,
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -27,6 +27,10 @@
 # The kernel breaks a connection whose sent bytes stay unacknowledged for
 # longer than this.
 UNACKED_TIMEOUT_MS = 2000
+# The system's receive buffer of a connection, in bytes; Linux reserves twice
+# as much. It would grow to several megabytes while a stream is not read because
+# its caller does not read.
+RECEIVE_BUFFER_BYTES = 131_072
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*(\d+)')
@@ -90,6 +94,11 @@
         try:
             sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
             detect_dead_peer(sock)
+            sock.setsockopt(
+                std_socket.SOL_SOCKET,
+                std_socket.SO_RCVBUF,
+                RECEIVE_BUFFER_BYTES,
+            )
         except OSError as exc:
             raise ConnectFailed(f'{address}: {exc!r}') from exc
         return sock
