Show the load of an entry: /load and cactusridge show-load

Cause: an operator could not see by what an entry refuses a request: its counts, their age, the replicas that it leaves out and who waits were only in log lines of requests. Change: a direct entry serves /load beside /metrics: for each service its replicas with the requests there, whose requests these are, their age, the cell and the ejection, and the requests that wait.

--- a/cactusridge/cli/api.py
+++ b/cactusridge/cli/api.py
@@ -14,17 +14,22 @@
 CONNECT_TIMEOUT_S = 3
 READ_TIMEOUT_S = 60
 DEFAULT_PORT = 8400
+HINT = 'check --url or CACTUSRIDGE_URL, or try another entry'
 IO_ERRORS = (OSError, HTTPParseError)
 
 
 class Api:
     """Sends requests to one entry with one token."""
 
-    def __init__(self, url: str, token: str) -> None:
-        """Connect to the entry at ``url``, whose host is an IP address."""
+    def __init__(self, url: str, token: str, hint: str = HINT) -> None:
+        """Connect to the entry at ``url``, whose host is an IP address.
+
+        ``hint`` says what to do if it cannot be reached.
+        """
         parts = urlsplit(url)
         host = parts.hostname or ''
         self.url = url
+        self._hint = hint
         self._address = Address(host, parts.port or DEFAULT_PORT)
         self._headers = {'Authorization': f'Bearer {token}'}
         self._clients = Clients(CONNECT_TIMEOUT_S, READ_TIMEOUT_S)
@@ -112,7 +117,7 @@
     def _unreachable(self, exc: Exception) -> Unreachable:
         return Unreachable(
             f'{self.url} cannot be reached: {exc}',
-            'check --url or CACTUSRIDGE_URL, or try another entry',
+            self._hint,
         )
 
 
--- a/cactusridge/cli/app.py
+++ b/cactusridge/cli/app.py
@@ -6,7 +6,12 @@
 import typer
 from typer.exceptions import TyperException
 
-from cactusridge.cli import job_commands, settings_commands, show_commands
+from cactusridge.cli import (
+    job_commands,
+    load_command,
+    settings_commands,
+    show_commands,
+)
 from cactusridge.cli.api import Api
 from cactusridge.cli.failures import CommandFailed
 from cactusridge.cli.session import Session
@@ -27,6 +32,7 @@
 app.command()(show_commands.services)
 app.command()(show_commands.hosts)
 app.command()(show_commands.chat)
+app.command('show-load')(load_command.show_load)
 
 
 @app.callback()
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -12,11 +12,9 @@
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
 from cactusridge.fleet.fleet_view import FleetView
-from cactusridge.http.app import App, route
-from cactusridge.http.client import parse_address
+from cactusridge.http.app import Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.http.late_refusal import LateRefusal
-from cactusridge.http.server import Server
 from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.peers.audience import Audience
 from cactusridge.peers.entry_status import EntryStatus
@@ -27,9 +25,12 @@
 from cactusridge.platform.caller_app import CallerApp
 from cactusridge.platform.caller_resolver import CallerResolver
 from cactusridge.platform.catalog_peers import CATALOG_PATH, CatalogPeers
+from cactusridge.platform.internal_server import start_internal
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.platform.key_lease_renewer import KeyLeaseRenewer
 from cactusridge.platform.limit_parts import LimitParts
+from cactusridge.platform.load_report import LOAD_PATH, LoadReport
+from cactusridge.platform.load_sources import LoadSources
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.platform.strike_parts import (
     JOBS_TABLE,
@@ -39,12 +40,9 @@
 from cactusridge.platform.upstream import HttpUpstream
 from cactusridge.serving import Role
 from cactusridge.startup.models import DirectEntrySettings
-from cactusridge.work_meter import METER, InnerCallGreenlet, Part, spawn
+from cactusridge.work_meter import METER, Part, spawn
 from cactusridge.work_report import WorkReport
 
-# Largest body of a request to an internal server, in bytes.
-MAX_INTERNAL_BODY_BYTES = 65_536
-INTERNAL_TIMEOUT_S = 2.0
 TRIM_PERIOD_S = 1.0
 
 
@@ -77,6 +75,12 @@
             runner,
             clock,
         )
+        self._load_report = LoadReport(
+            self._fleet,
+            self._jobs.cells,
+            runner,
+            LoadSources(),
+        )
         self._catalogs = CatalogPeers(self._holder)
         self._peers = PeerExchange(
             PeerSocket(cfg.peer_address),
@@ -172,13 +176,21 @@
         METER.start()
         report = WorkReport(METER, self._jobs.scheduler.depths)
         gevent.spawn(run_forever, report.step)
-        self._serve_at(self._cfg.metrics_listen, '/metrics', metrics.serve)
-        serve_catalog = self._catalogs.serve
-        self._serve_at(self._cfg.peer_listen, CATALOG_PATH, serve_catalog)
+        self._serve_at(
+            self._cfg.metrics_listen,
+            route('GET', '/metrics', metrics.serve),
+            route('GET', LOAD_PATH, self._load_report.serve),
+        )
+        self._serve_at(
+            self._cfg.peer_listen,
+            route('GET', CATALOG_PATH, self._catalogs.serve),
+        )
 
     def on_listening(self) -> None:
         """Start the readiness endpoint that the platform polls."""
-        self._serve_at(self._cfg.readiness_listen, '/.*', self._readiness)
+        self._serve_at(
+            self._cfg.readiness_listen, route('GET', '/.*', self._readiness)
+        )
 
     def begin_drain(self) -> None:
         """Make the readiness endpoint fail."""
@@ -206,20 +218,8 @@
             now = self._clock.monotonic()
             self._discovery.shorten_grace(now - word.store_uptime_s)
 
-    def _serve_at(self, listen: str, pattern: str, handler: object) -> None:
-        app = App(
-            [route('GET', pattern, handler)],
-            MAX_INTERNAL_BODY_BYTES,
-            INTERNAL_TIMEOUT_S,
-        )
-        address = parse_address(listen)
-        idle_s = self._cfg.idle_timeout_s
-        Server(
-            address,
-            app,
-            idle_s,
-            greenlets=InnerCallGreenlet,
-        ).start()
+    def _serve_at(self, listen: str, *routes: Route) -> None:
+        start_internal(listen, self._cfg.idle_timeout_s, *routes)
 
     def _readiness(self, req: Req) -> Reply:
         if not self._holder.known or self._draining:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -24,6 +24,7 @@
     ['jobs', 'submit'],
     ['report', 'burn'],
     ['chat'],
+    ['show-load'],
 )
 
 
