Log the parts of the time from a holder's loss to its successor's first item

Change: job_taken has silent_s, orphaned_s, rank and write_s, and item_started has held_s, the time since items of its job could start at this entry. Orphans keeps when a job was seen without a holder and when it was due, and forgets it with the takeover; before, such an entry stayed until the job was seen again. Result: tests.test_takeover_line (fails before), with a killed entry among its cases.

--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -60,6 +60,8 @@
         self._progress = progress
         self._ledger = ledger
         self._clock = clock
+        # Monotonic time in seconds from which on items can start.
+        self.held_at = clock.monotonic()
         self._checkpoint_at = clock.monotonic() + CHECKPOINT_S
         self._finished_items: list[FinishedItem] = []
         self._failures = dict(progress.failures)
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -167,12 +167,7 @@
                 self._refresh(head.id)
             return
         self._announce(taken.id, taken.version)
-        logs.emit(
-            events.JOB_TAKEN,
-            job=head.id,
-            previous=head.holder,
-            version=taken.version,
-        )
+        self._orphans.taken_over(head, taken.version)
         self._heads.update(taken)
         self._run(taken, items)
 
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -177,6 +177,16 @@
             return False
         return not self._is_expired(record)
 
+    def silent_s(self, name: str) -> float | None:
+        """Return for how long an entry's row has not changed, in seconds.
+
+        Returns None if it has no row, for instance after it has left.
+        """
+        record = self._records.get(name)
+        if record is None:
+            return None
+        return self._clock.monotonic() - record.seen_at
+
     def leave(self) -> None:
         """Remove this entry's row so that others need not await its expiry.
 
--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -1,5 +1,7 @@
 """Detects jobs whose holder is dead and chooses the entry to take over."""
 
+from typing import NamedTuple
+
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
@@ -18,6 +20,17 @@
 UNREADABLE_PAUSE_S = 5.0
 
 
+class Orphan(NamedTuple):
+    """When a job was first seen without a holder, and when it was to be taken.
+
+    Both are in seconds of the monotonic clock. ``due_at`` is None until this
+    entry has to take the job over.
+    """
+
+    since: float
+    due_at: float | None = None
+
+
 class Orphans:
     """Decides when this entry takes over an orphaned job."""
 
@@ -25,7 +38,7 @@
         """Read the live entries from ``session``."""
         self._session = session
         self._clock = clock
-        self._orphaned_since: dict[str, float] = {}
+        self._orphans: dict[str, Orphan] = {}
 
     def is_mine(self, head: JobHead) -> bool:
         """Return whether the holder is this incarnation of this entry."""
@@ -41,11 +54,33 @@
         as orphaned.
         """
         if head.state != JobState.open or not self._is_orphan(head):
-            self._orphaned_since.pop(head.id, None)
+            self._orphans.pop(head.id, None)
             return False
         now = self._clock.monotonic()
-        since = self._orphaned_since.setdefault(head.id, now)
-        return now - since >= self.rank(head) * RANK_DELAY_S
+        orphan = self._orphans.setdefault(head.id, Orphan(now))
+        is_due = now - orphan.since >= self.rank(head) * RANK_DELAY_S
+        if is_due:
+            self._orphans[head.id] = orphan._replace(due_at=now)
+        return is_due
+
+    def taken_over(self, head: JobHead, version: int) -> None:
+        """Log a takeover, with the parts of the time since the loss.
+
+        ``head`` names the previous holder; ``version`` is the new head's.
+        """
+        orphan = self._orphans.pop(head.id)
+        now = self._clock.monotonic()
+        silent_s = self._session.silent_s(head.holder)
+        logs.emit(
+            events.JOB_TAKEN,
+            job=head.id,
+            previous=head.holder,
+            version=version,
+            silent_s=None if silent_s is None else round(silent_s, 3),
+            orphaned_s=round(now - orphan.since, 3),
+            rank=self.rank(head),
+            write_s=round(now - (orphan.due_at or now), 3),
+        )
 
     def takeover_failed(self, head: JobHead, exc: CactusridgeError) -> None:
         """Log a failed takeover of a job.
@@ -56,7 +91,7 @@
         """
         logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
         if isinstance(exc, UnreadableRecord):
-            self._orphaned_since[head.id] = (
+            self._orphans[head.id] = Orphan(
                 self._clock.monotonic() + UNREADABLE_PAUSE_S
             )
 
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -198,6 +198,7 @@
             online=load.online,
             batch=load.batch,
             loads_age_s=round(self.loads.age_s(), 3),
+            held_s=round(now - job.held_at, 3),
         )
         greenlet.start()
 
--- /dev/null
+++ b/tests/test_takeover_line.py
@@ -0,0 +1,105 @@
+"""The log shows the parts of the time from a holder's loss to the next item.
+
+Without these fields it shows only the sum, and not whether the lease, the
+ranks, the store or the lack of a free slot took it.
+"""
+
+import json
+from unittest import mock
+
+from cactusridge import events, logs
+from cactusridge.jobs.membership import MEMBER_LEASE_S, RENEW_INTERVAL_S
+from cactusridge.jobs.model import JobHead
+from cactusridge.jobs.orphans import RANK_DELAY_S, Orphans
+from standins.waiting import wait_for
+from tests.machine_case import MachineCase
+from tests.test_spoilt_members import MemberCase
+
+# A renewal, a poll and a slow moment of the machine, in seconds.
+SLACK_S = 3.0
+
+
+class TestTakeoverFields(MemberCase):
+    """The fields of one takeover by a manual clock."""
+
+    def setUp(self):
+        """Let the second entry hold a job that the first one takes over."""
+        super().setUp()
+        self.orphans = Orphans(self.one, self.clock)
+        self.head = JobHead(
+            'j', 'h', '/p/', 1, 0, 'two', self.two.me.life, version=4
+        )
+
+    def taken(self):
+        """Take the job over after 0.25 s; return the fields of the line."""
+        self.clock.advance(0.25)
+        with mock.patch.object(logs, 'emit') as emit:
+            self.orphans.taken_over(self.head, 5)
+        self.assertEqual((events.JOB_TAKEN,), emit.call_args.args)
+        return emit.call_args.kwargs
+
+    def poll(self, wanted):
+        """Check whether the job is to be taken over now."""
+        self.assertEqual(wanted, self.orphans.should_take_over(self.head))
+
+    def test_lost(self):
+        """A lost holder was silent for its lease before it was noticed."""
+        self.poll(wanted=False)
+        for _ in range(4):
+            self.clock.advance(MEMBER_LEASE_S / 4)
+            self.three.renew_and_read()
+            self.one.renew_and_read()
+        with mock.patch.object(self.orphans, 'rank', lambda head: 1):
+            self.poll(wanted=False)
+            self.clock.advance(RANK_DELAY_S + 0.1)
+            self.poll(wanted=True)
+            found = self.taken()
+        wanted = {
+            'job': 'j',
+            'previous': 'two',
+            'version': 5,
+            'silent_s': round(MEMBER_LEASE_S + RANK_DELAY_S + 0.35, 3),
+            'orphaned_s': round(RANK_DELAY_S + 0.35, 3),
+            'rank': 1,
+            'write_s': 0.25,
+        }
+        self.assertEqual(wanted, found)
+
+    def test_left(self):
+        """An entry that left has no row and was silent for no time."""
+        self.two.leave()
+        self.one.renew_and_read()
+        with mock.patch.object(self.orphans, 'rank', lambda head: 0):
+            self.poll(wanted=True)
+            found = self.taken()
+        self.assertIsNone(found['silent_s'])
+        self.assertEqual(0.25, found['orphaned_s'])
+
+
+class TestTakeoverLines(MachineCase):
+    """The lines of a real takeover."""
+
+    def lines(self, name):
+        """Return the lines that an entry wrote about the job, by event."""
+        found = {}
+        for line in self.site.entries[name].log.read_text().splitlines():
+            if '"j1"' in line:
+                fields = json.loads(line)
+                found.setdefault(fields['event'], []).append(fields)
+        return found
+
+    def test_killed(self):
+        """The parts are there and the job's first item follows at once."""
+        self.site.submit('one', 'j1', ['200 0.05'] * 3)
+        wait_for('its items run', lambda: 'item_started' in self.lines('one'))
+        self.site.entries['one'].kill()
+        wait_for('a new start', lambda: 'item_started' in self.lines('two'))
+        found = self.lines('two')
+        taken = found['job_taken'][0]
+        least_s = MEMBER_LEASE_S
+        self.assertGreaterEqual(taken['silent_s'], least_s)
+        self.assertLess(taken['silent_s'], least_s + SLACK_S)
+        self.assertLess(taken['orphaned_s'], SLACK_S)
+        self.assertLessEqual(taken['write_s'], taken['orphaned_s'])
+        self.assertEqual(0, taken['rank'])
+        self.assertLess(found['item_started'][0]['held_s'], RENEW_INTERVAL_S)
