Orphans: a takeover without a record of the loss is logged all the same

Cause: taken_over raised KeyError for a job that was not seen as an orphan, and the job would have been taken over and not run. No caller does that today. Change: the times of such a takeover are 0.

--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -68,8 +68,8 @@
 
         ``head`` names the previous holder; ``version`` is the new head's.
         """
-        orphan = self._orphans.pop(head.id)
         now = self._clock.monotonic()
+        orphan = self._orphans.pop(head.id, Orphan(now))
         silent_s = self._session.silent_s(head.holder)
         logs.emit(
             events.JOB_TAKEN,
