Dispatch: errors and single events are no observations of speed

Cause: a replica that only answers errors, fast, looked faster than usual and would attract requests; a stream of one event has no pace, and its time of nearly 0 counted as one.

Change: CompletedRun.is_work is False for answers that are no success and for streams that their callers delayed; ObservedCapacity leaves them out. The mean counts them as before. Streams are told apart by `events`, and those without a later event are not compared.

Result: tests.test_capacity (test_errors_only, test_error).

--- a/cactusridge/dispatch/capacity.py
+++ b/cactusridge/dispatch/capacity.py
@@ -26,9 +26,9 @@
     not include that wait. ``held_s`` is the time from sending, for a stream
     from the first event, to the end. ``since_arrival_s`` is the time from the
     arrival of the caller, for a stream from the head, to the end.
-    ``events`` is the number of events of a stream after the first ones.
-    ``delayed`` is True if the caller was too slow to tell from ``held_s`` how
-    long the replica took.
+    ``events`` is the number of events of a stream after the first ones, None
+    for other requests. ``is_work`` is False if ``held_s`` does not show how
+    long the replica works: the answer is an error, or the caller delayed it.
     """
 
     replica: Replica
@@ -36,8 +36,8 @@
     queue: int
     held_s: float
     since_arrival_s: float
-    events: int = 0
-    delayed: bool = False
+    events: int | None = None
+    is_work: bool = True
 
 
 class ReplicaCapacity(NamedTuple):
--- a/cactusridge/dispatch/observed_capacity.py
+++ b/cactusridge/dispatch/observed_capacity.py
@@ -46,19 +46,19 @@
 
     def record(self, done: CompletedRun) -> None:
         """Add the time for which a completed request held its slot."""
-        if done.delayed:
+        if not done.is_work:
             return
         service = done.replica.service
         times = self._times.at(service, done.route)
         mixed = self._mixed.setdefault(service, UsualTime())
         slot_s = done.held_s * _running_share(done, times, mixed)
-        if done.events:
+        if done.events is None:
+            self._compare(done.replica, times, slot_s)
+        elif done.events:
             paces = self._paces.at(service, done.route)
             pace_s = done.held_s / done.events
             self._compare(done.replica, paces, pace_s)
             paces.add(pace_s)
-        else:
-            self._compare(done.replica, times, slot_s)
         times.add(slot_s)
         mixed.add(slot_s)
 
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -102,7 +102,7 @@
             return Answer(head.status, head.headers, body)
         whole = self._read_body(call, run)
         run.record_completion()
-        self._recorder.plain(call, run, progress)
+        self._recorder.plain(call, run, progress, head.status)
         run.close()
         return Answer(head.status, head.headers, [whole])
 
--- a/cactusridge/dispatch/run_recorder.py
+++ b/cactusridge/dispatch/run_recorder.py
@@ -4,7 +4,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.capacity import CapacityEstimates, CompletedRun
 from cactusridge.dispatch.online_call import OnlineCall, Progress
-from cactusridge.dispatch.run import Run
+from cactusridge.dispatch.run import Run, is_success
 from cactusridge.dispatch.stream_output import StreamOutput
 
 # A stream whose caller delayed it for a larger share of its time is not taken
@@ -20,8 +20,13 @@
         self._capacity = capacity
         self._clock = clock
 
-    def plain(self, call: OnlineCall, run: Run, progress: Progress) -> None:
-        """Record a request that is answered as a whole."""
+    def plain(
+        self, call: OnlineCall, run: Run, progress: Progress, status: int
+    ) -> None:
+        """Record a request that is answered as a whole with ``status``.
+
+        A replica that only answers errors, fast, must not look like a fast one.
+        """
         elapsed_s = run.elapsed_s()
         work_s = self._capacity.slot_s(run.replica, call.route)
         _observe_wait(run, progress, max(0, elapsed_s - work_s))
@@ -31,6 +36,7 @@
             progress.expected.queue,
             elapsed_s,
             self._clock.monotonic() - call.arrived_at,
+            is_work=is_success(status),
         )
         self._capacity.record(done)
 
@@ -55,7 +61,7 @@
             lasted_s,
             output.since_head_s(),
             output.later_events,
-            delayed=output.delayed_s > MAX_DELAYED_SHARE * lasted_s,
+            is_work=output.delayed_s <= MAX_DELAYED_SHARE * lasted_s,
         )
         self._capacity.record(done)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -81,6 +81,15 @@
         capacity.record(done(20 * WORK_S))
         self.assertLess(capacity.slot_s(REPLICA, ROUTE), WORK_S * 7 / 6)
 
+    def test_errors_only(self):
+        """A replica that answers errors fast does not attract requests."""
+        capacity = observed()
+        for _ in range(20):
+            capacity.record(done(WORK_S))
+            capacity.record(done(0.001)._replace(is_work=False))
+        self.assertAlmostEqual(WORK_S, capacity.slot_s(REPLICA, ROUTE))
+        self.assertEqual(1, capacity.speed(REPLICA.incarnation))
+
     def test_naive_mean(self):
         """The naive policy is an average of the times since the arrival."""
         capacity = MeanCapacity()
@@ -120,10 +129,18 @@
     def test_plain(self):
         """A plain request is measured from sending, with its queue."""
         run = self.run_of(0.2)
-        self.recorder.plain(self.call, run, self.progress)
+        self.recorder.plain(self.call, run, self.progress, 200)
         self.assertEqual([done(0.2, 10, 2)], self.found)
         self.assert_wait_error(0.2 - WORK_S - 0.1)
 
+    @params(400, 429, 500, 503)
+    def test_error(self, status):
+        """An error is no observation of the replica's work."""
+        self.recorder.plain(
+            self.call, self.run_of(0.001), self.progress, status
+        )
+        self.assertFalse(self.found[0].is_work)
+
     @params((0.3, 0.75), (0, 0.5))
     def test_stream(self, first_s, rest_s):
         """A stream is measured from its first event, without a queue."""
@@ -139,8 +156,8 @@
         self.assertEqual(0, found.queue)
         self.assert_wait_error(0.05 + first_s - 0.1)
 
-    @params((0, False), (0.04, False), (0.4, True))
-    def test_slow_caller(self, delay_s, delayed):
+    @params((0, True), (0.04, True), (0.4, False))
+    def test_slow_caller(self, delay_s, is_work):
         """A caller that reads slowly does not make its replica look slow."""
         output = StreamOutput(self.clock)
         for _ in range(5):
@@ -150,4 +167,4 @@
             self.clock.advance(0.1)
         self.recorder.stream(self.call, self.run_of(1), self.progress, output)
         self.assertEqual(8, self.found[0].events)
-        self.assertEqual(delayed, self.found[0].delayed)
+        self.assertEqual(is_work, self.found[0].is_work)
