Metrics: errors have no wait for a slot

Cause: answers that are no success were observed in cr_wait_error_seconds as waits of 0 s.

Change: RunRecorder observes the error of the wait only for successes.

Result: tests.test_capacity (test_error).

--- a/cactusridge/dispatch/run_recorder.py
+++ b/cactusridge/dispatch/run_recorder.py
@@ -29,7 +29,8 @@
         """
         elapsed_s = run.elapsed_s()
         work_s = self._capacity.slot_s(run.replica, call.route)
-        _observe_wait(run, progress, max(0, elapsed_s - work_s))
+        if is_success(status):
+            _observe_wait(run, progress, max(0, elapsed_s - work_s))
         done = CompletedRun(
             run.replica,
             call.route.name,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -140,6 +140,7 @@
             self.call, self.run_of(0.001), self.progress, status
         )
         self.assertFalse(self.found[0].is_work)
+        self.observe.assert_not_called()
 
     @params((0.3, 0.75), (0, 0.5))
     def test_stream(self, first_s, rest_s):
