--- a/tests/burst_entry.py
+++ b/tests/burst_entry.py
@@ -6,6 +6,8 @@
 import orjson
 
 from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.capacity import CapacityEstimates
+from cactusridge.dispatch.capacity_sharing import CapacitySharing
 from cactusridge.dispatch.catalog import RouteKind
 from cactusridge.dispatch.online_call import Progress
 from cactusridge.dispatch.placement import Placing
@@ -26,6 +28,8 @@
 # request that is on time, in seconds.
 HOLD_S = 0.6
 AIM_S = 0.3
+# Time from a request to its deadline, in seconds.
+LEFT_S = 5
 
 
 class Entry:
@@ -62,7 +66,7 @@
             cells,
             lambda: EntryStatus(1, True, 1),
         )
-        runner = SimpleNamespace(
+        self._runner = SimpleNamespace(
             loads=self.loads,
             health=NoEjection(),
             capacity=SimpleNamespace(
@@ -73,7 +77,7 @@
         self._attempts = Attempts(
             play.fleet,
             cells,
-            runner,
+            self._runner,
             self.zone,
             play.clock,
             None,
@@ -82,15 +86,30 @@
         self._attempts._rng = play.rng
         self.exchange._audience._rng = play.rng
 
-    def choose(self):
-        """Return the replica for one request; raises Overloaded."""
+    def use_capacity(self, capacity: CapacityEstimates, shares: bool) -> None:
+        """Use these estimates; share them with peers if ``shares`` is set."""
+        self.capacity = capacity
+        self._runner.capacity = capacity
+        if shares:
+            CapacitySharing(self.exchange, capacity)
+
+    def use_policies(self, **changed: Any) -> None:
+        """Replace some of the policies, given by their names."""
+        policies = self._attempts._policies
+        self._attempts._policies = policies._replace(**changed)
+
+    def choose(self, left_s: float = LEFT_S):
+        """Return the replica for one request; raises Overloaded.
+
+        The request has ``left_s`` seconds to its deadline.
+        """
         share = SimpleNamespace(service=SERVICE, weight=1)
         route = SimpleNamespace(
             shares=[share],
             kind=RouteKind.streaming,
             target_latency_s=AIM_S,
         )
-        deadline_at = self._play.clock.monotonic() + 5
+        deadline_at = self._play.clock.monotonic() + left_s
         call = SimpleNamespace(route=route, deadline_at=deadline_at)
         return self._attempts.choose(call, Progress())
 
--- a/tests/burst_play.py
+++ b/tests/burst_play.py
@@ -117,10 +117,7 @@
             at_s += self.rng.expovariate(per_s)
             entry = self.rng.choice(list(self.entries.values()))
             self._at(FIRST_TURNS * TURN_S + at_s, self._arrive, entry)
-        while self._todo and self.clock.now < begun_at + for_s + 1:
-            at, _, action, args = heapq.heappop(self._todo)
-            self.clock.advance(max(0, at - self.clock.now))
-            action(*args)
+        self.run_until(begun_at + for_s + 1)
         received = sum(entry.received for entry in self.entries.values())
         return Outcome(
             self._counts['asked'],
@@ -131,6 +128,13 @@
             received / len(self.entries) / for_s,
         )
 
+    def run_until(self, end: float) -> None:
+        """Do what is planned up to the first action at ``end`` or later."""
+        while self._todo and self.clock.now < end:
+            at, _, action, args = heapq.heappop(self._todo)
+            self.clock.advance(max(0, at - self.clock.now))
+            action(*args)
+
     def _at(self, in_s, action, *args):
         at = self.clock.now + in_s
         heapq.heappush(self._todo, (at, next(self._numbers), action, args))
