Limits: hand over counts at stops, joins and lost leases; count on in an outage

Cause: an owner that stopped left its counts behind, an entry that joined owned organisations for 1.5 s before it could count them, and 2.5 s without the store ended the right to count everywhere. Change: an owner stops counting, sends its counts and resends them until they are acknowledged; an entry asks its predecessor before it counts without counts; entries that all lack the store count on while more than half of the members confirm it. A restarted process begins its membership anew.

--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -94,11 +94,20 @@
     def on_read(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each read of the membership list.
 
+        Also when the membership of this entry begins anew.
+
         The listener must not block or switch greenlets, so that no other
         greenlet sees the new list before the listener has run.
         """
         self._on_read = listener
 
+    def continue_while(self, is_irreplaceable: Callable[[], bool]) -> None:
+        """Continue the membership after a gap while no entry can use it.
+
+        See MembershipStart.continue_while.
+        """
+        self._membership_start.continue_while(is_irreplaceable)
+
     def renew_and_read(self) -> None:
         """Renew the lease and read the members once.
 
@@ -143,6 +152,23 @@
             and self.lease_is_valid()
         )
 
+    def unrenewed_s(self) -> float:
+        """Return the seconds since the last renewal, infinity before it."""
+        if self.renewed_at is None:
+            return float('inf')
+        return self._clock.monotonic() - self.renewed_at
+
+    def unread_s(self) -> float:
+        """Return the seconds since the last read, infinity before it."""
+        if self._read_at is None:
+            return float('inf')
+        return self._clock.monotonic() - self._read_at
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the last attempt to read the members succeeded."""
+        return self._is_read
+
     @property
     def has_joined(self) -> bool:
         """Whether the members have been read and this entry is one of them."""
@@ -163,6 +189,22 @@
         ]
         return [self.me, *others]
 
+    def members_as_read(self) -> list[Member]:
+        """Return this entry and those that were live at the last read.
+
+        Unlike in ``members``, no lease expires between two reads: the row may
+        have been renewed since.
+        """
+        read_at = self._read_at or float(0)
+        others = [
+            record.member
+            for record in self._records.values()
+            if record.member is not None
+            and record.member.name != self.me.name
+            and read_at - record.seen_at < MEMBER_LEASE_S
+        ]
+        return [self.me, *others]
+
     def is_live(self, name: str, life: str) -> bool:
         """Return whether the holder of a job may still be running.
 
@@ -206,17 +248,26 @@
             if self._has_left:
                 return
             since_ms = self._membership_start.since_ms(self._table, key)
-            self.me = self.me._replace(since_ms=since_ms)
-            heartbeat = {
-                'beat': secrets.token_hex(4),
-                **self._membership_start.renewal_field(),
-            }
-            write = Write(key, {**self.me._asdict(), **heartbeat})
+            self._begin_at(since_ms)
+            self._membership_start.stamp_renewal()
+            beat = secrets.token_hex(4)
+            write = Write(key, {**self.me._asdict(), 'beat': beat})
             sent_at = self._clock.monotonic()
             self._table.transact([], [write], Priority.lease)
         self.renewed_at = sent_at
         self._membership_start.confirm_renewal()
 
+    def _begin_at(self, since_ms: int) -> None:
+        """Set the start of the membership; notify the listener of a new one.
+
+        Its rights must not be used between the renewal and the next read.
+        """
+        if self.me.since_ms == since_ms:
+            return
+        self.me = self.me._replace(since_ms=since_ms)
+        if self._on_read is not None:
+            self._on_read()
+
     def _read(self) -> None:
         rows = self._table.scan(MEMBER_PREFIX, Priority.lease)
         now = self._clock.monotonic()
--- a/cactusridge/jobs/membership_start.py
+++ b/cactusridge/jobs/membership_start.py
@@ -1,36 +1,22 @@
 """Determines since when an entry has been a member without interruption."""
 
-from typing import NamedTuple
+from collections.abc import Callable
 
-from cactusridge.store.fields import Fields
-from cactusridge.store.row_reader import RowReader
 from cactusridge.store.store_clock import StoreClock
-from cactusridge.store.table import Priority, Row, Table
-from cactusridge.store.unreadable import UnreadableRecord
+from cactusridge.store.table import Priority, Table
 
 # Longest time in milliseconds between two renewals that does not interrupt the
 # membership. It is shorter than the lease, after which other entries count an
 # entry as dead.
 MAX_RENEWAL_GAP_MS = 3000
-RENEWED_FIELD = 'renewed_ms'
-
-
-class _RowTimes(NamedTuple):
-    """Times in an entry's row, in milliseconds of the store's clock."""
-
-    since_ms: int
-    renewed_ms: int
-
-
-_NO_TIMES = _RowTimes(0, 0)
 
 
 class MembershipStart:
     """Tracks since when an entry has renewed its row without interruption.
 
-    A process that restarts before the lease has expired continues the
-    membership of the previous process, since the other entries have not
-    noticed the restart.
+    A process that restarts begins its membership anew, even before the lease
+    of the previous process has expired: that one may have handed over the
+    right to count the limits of organisations.
     """
 
     def __init__(self, clock: StoreClock) -> None:
@@ -39,45 +25,42 @@
         self._since_ms: int | None = None
         self._stamped_ms = 0
         self._renewed_ms = 0
-        self._reader = RowReader()
+        self._is_irreplaceable: Callable[[], bool] | None = None
+
+    def continue_while(self, is_irreplaceable: Callable[[], bool]) -> None:
+        """Continue the membership after a gap if no entry used it.
+
+        ``is_irreplaceable`` returns whether no other entry can have taken the
+        place of this one since its last renewal.
+        """
+        self._is_irreplaceable = is_irreplaceable
 
     def since_ms(self, table: Table, key: str) -> int:
         """Return the start of the uninterrupted membership.
 
-        It is in milliseconds of the store's clock. The first call reads
-        the row of the previous process at ``key``. Raises
+        It is in milliseconds of the store's clock. The first call reads the
+        row at ``key``, so that the time of the store is known. Raises
         StoreUnavailable.
         """
         if self._since_ms is None:
-            row = table.read([key], Priority.lease)[0]
-            found = self._previous_times(row)
-            self._since_ms = found.since_ms
-            self._renewed_ms = found.renewed_ms
+            table.read([key], Priority.lease)
         now_ms = self._clock.now_ms()
-        if now_ms - self._renewed_ms > MAX_RENEWAL_GAP_MS:
+        gap_ms = now_ms - self._renewed_ms
+        if self._since_ms is None or (
+            gap_ms > MAX_RENEWAL_GAP_MS and not self._can_continue()
+        ):
             self._since_ms = now_ms
         return self._since_ms
 
-    def renewal_field(self) -> dict[str, int]:
-        """Return the field of the row with the time of the renewal."""
+    def stamp_renewal(self) -> None:
+        """Record the time at which a renewal is sent."""
         self._stamped_ms = self._clock.now_ms()
-        return {RENEWED_FIELD: self._stamped_ms}
 
     def confirm_renewal(self) -> None:
-        """Record that the store has accepted the last stamped row."""
+        """Record that the store has accepted the last stamped renewal."""
         self._renewed_ms = self._stamped_ms
 
-    def _previous_times(self, row: Row) -> _RowTimes:
-        """Return the times in the row of the previous process."""
-        try:
-            found = self._reader.read(row, _parse_times)
-        except UnreadableRecord:
-            return _NO_TIMES
-        return found or _NO_TIMES
-
-
-def _parse_times(row: Row) -> _RowTimes:
-    fields = Fields(row.value)
-    return _RowTimes(
-        fields.integer('since_ms', 0), fields.integer(RENEWED_FIELD, 0)
-    )
+    def _can_continue(self) -> bool:
+        if self._is_irreplaceable is None or not self._renewed_ms:
+            return False
+        return self._is_irreplaceable()
--- a/cactusridge/metrics.py
+++ b/cactusridge/metrics.py
@@ -25,6 +25,9 @@
 EJECTIONS = Counter('cr_ejections_total', 'Replicas ejected from choice')
 CRASH_STRIKES = Counter('cr_crash_strikes_total', 'Runs that broke off')
 QUARANTINED_REQUESTS = Gauge('cr_requests_held_back', 'Requests in quarantine')
+LIMIT_HANDOVERS = Counter(
+    'cr_limit_handovers_total', 'Counts of limits handed over, by outcome'
+)
 SETTINGS_VERSION = Gauge('cr_settings_version', 'Settings version in force')
 SPANS_HELD = Gauge('cr_spans_held', 'Batch spans leased by this process')
 LEASE_LOST = Counter('cr_leases_lost_total', 'Leases lost to another holder')
--- /dev/null
+++ b/cactusridge/organisations/lease_state.py
@@ -0,0 +1,59 @@
+"""What the lease of an entry allows it to count."""
+
+import abc
+
+from cactusridge.organisations.common_outage import CommonOutage
+
+# Seconds without a renewal or a read after which counts are handed over to
+# entries that have the store: before the right to count ends, at 2.5 s.
+ENDING_S = 2.1
+# Seconds without a renewal after which others may have taken over: they do so
+# 3.2 s after it at the earliest.
+LAPSED_S = 3.0
+
+
+class StoreLease(abc.ABC):
+    """The lease of an entry in the store."""
+
+    @abc.abstractmethod
+    def is_current(self) -> bool:
+        """Return whether the lease is valid and the members known."""
+
+    @abc.abstractmethod
+    def unrenewed_s(self) -> float:
+        """Return the seconds since the last renewal."""
+
+    @abc.abstractmethod
+    def unread_s(self) -> float:
+        """Return the seconds since the last read of the members."""
+
+    @property
+    @abc.abstractmethod
+    def is_read(self) -> bool:
+        """Whether the last attempt to read the members succeeded."""
+
+
+class LeaseState:
+    """Whether the right to count by the membership list holds or is ending."""
+
+    def __init__(self, lease: StoreLease, outage: CommonOutage) -> None:
+        """Combine ``lease`` with what ``outage`` allows without one."""
+        self._lease = lease
+        self._outage = outage
+
+    def is_current(self) -> bool:
+        """Return whether this entry may count what it owns."""
+        return self._lease.is_current() or self._outage.holds()
+
+    def is_ending(self) -> bool:
+        """Return whether the lease ends soon while others have the store."""
+        age_s = max(self._lease.unrenewed_s(), self._lease.unread_s())
+        if age_s < ENDING_S or self._outage.holds():
+            return False
+        return self._outage.others_have_store()
+
+    def has_lapsed(self) -> bool:
+        """Return whether other entries may have taken over."""
+        if self._outage.holds():
+            return False
+        return self._lease.unrenewed_s() >= LAPSED_S
--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -1,11 +1,23 @@
 """Messages by which entries count organisations' requests at the owner."""
 
 import abc
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cactusridge.organisations.organisation import RateLimit
 
 
+class Candidate(NamedTuple):
+    """A live entry of the membership list.
+
+    ``name`` is its peer address. ``since_ms`` is the store time, in
+    milliseconds, since which it has been a member without interruption.
+    """
+
+    name: str
+    since_ms: int
+
+
 class LimitRequest(NamedTuple):
     """Request to count one call of the organisation ``name``.
 
@@ -27,11 +39,13 @@
 
     ``wait_s`` is the number of seconds until the call may run, 0 if it may
     run now. ``counted`` is False if the responding entry does not count
-    this organisation; ``wait_s`` has no meaning then.
+    this organisation; ``wait_s`` has no meaning then. ``moved_to`` is the
+    entry that counts it instead, if the responding entry knows it.
     """
 
     counted: bool
     wait_s: float = 0
+    moved_to: str = ''
 
 
 class LimitCopy(NamedTuple):
@@ -46,6 +60,47 @@
     tokens: float
 
 
+class Ceder(NamedTuple):
+    """An entry that has handed over an organisation although it is ranked.
+
+    It does not count the organisation in its own right until ``until_ms`` of
+    the store's clock.
+    """
+
+    entry: Candidate
+    until_ms: int
+
+
+class HeldCount(NamedTuple):
+    """The counts of one organisation as they are handed over.
+
+    ``ceders`` are entries that counted the organisation before the sender.
+    """
+
+    name: str
+    limit: RateLimit
+    version: int
+    tokens: float
+    ceders: tuple[Ceder, ...] = ()
+
+
+class Handover(NamedTuple):
+    """Handover of ``counts`` by an entry that has stopped counting them.
+
+    ``number`` is unique among the handovers of the sender. The receiver must
+    ignore a handover that arrives after ``until_ms`` of the store's clock, or
+    that was meant for an earlier membership of it. ``stopping`` is set if the
+    sender will not count any organisation again.
+    """
+
+    number: int
+    sender: Candidate
+    receiver: Candidate
+    until_ms: int
+    stopping: bool
+    counts: tuple[HeldCount, ...]
+
+
 NOT_COUNTED = LimitResponse(counted=False)
 
 
@@ -69,3 +124,31 @@
     @abc.abstractmethod
     def return_token(self, entry: str, name: str) -> None:
         """Notify ``entry`` that a request it counted has not run."""
+
+
+class HandoverLink(abc.ABC):
+    """Sends messages about handovers; any of them may be lost."""
+
+    @abc.abstractmethod
+    def send_handover(self, handover: Handover) -> None:
+        """Send counts to the receiver of ``handover``."""
+
+    @abc.abstractmethod
+    def send_acknowledgement(self, entry: str, number: int) -> None:
+        """Notify ``entry`` that its handover ``number`` has been received."""
+
+    @abc.abstractmethod
+    def ask(self, entry: str, asker: Candidate, names: Sequence[str]) -> None:
+        """Ask ``entry`` to hand over the organisations ``names``."""
+
+    @abc.abstractmethod
+    def decline(self, entry: str, names: Sequence[str], *, kept: bool) -> None:
+        """Respond to ``ask``: ``names`` are not handed over.
+
+        ``kept`` is set if they are still counted at this entry or one that
+        it has handed them over to.
+        """
+
+    @abc.abstractmethod
+    def announce_stop(self, stopping: Candidate, entry: str = '') -> None:
+        """Notify ``entry``, or all entries, that this one has stopped."""
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -8,40 +8,38 @@
 renew its own row does not count any organisation.
 """
 
-from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from collections.abc import Callable, Collection, Sequence
 
 from cactusridge.clock import Clock
-from cactusridge.hashing import hash64, rendezvous
+from cactusridge.organisations.limit_messages import Candidate
+from cactusridge.organisations.ranking import Ranking
 
 MS_PER_S = 1000
 # Seconds between two updates of the set of entries that may be owners.
 UPDATE_INTERVAL_S = 0.5
 # Milliseconds of uninterrupted membership before an entry may be an owner.
 SETTLE_MS = 3000
-# Further milliseconds before a new owner counts requests. The other entries
-# read the membership list every second and must have seen the change.
+# Further milliseconds before a new owner counts requests in its own right. The
+# other entries read the membership list every second and must have seen the
+# change.
 PEER_READ_MS = 1500
+# Milliseconds before that at which the previous owner stops, if it has not
+# handed over its counts until then: a margin for the clocks.
+STOP_MARGIN_MS = 500
+# Milliseconds of membership after which the previous owner hands over its
+# counts. All entries that send requests must have seen the change, or one of
+# them could ask a backup owner to count for an owner that has exited.
+CEDE_MS = 3600
 # Number of ranked entries per organisation: the owner and the backup owners,
 # which receive requests in turn when the owner does not respond.
 MAX_RANKED = 3
 
 
-class Candidate(NamedTuple):
-    """A live entry of the membership list.
-
-    ``name`` is its peer address. ``since_ms`` is the store time, in
-    milliseconds, since which it has been a member without interruption.
-    """
-
-    name: str
-    since_ms: int
-
-
 class LimitOwners:
     """Owners and backup owners of organisations, as seen by one entry.
 
-    ``changes`` counts how often the set of possible owners has changed.
+    ``changes`` counts how often the set of possible owners has changed, and
+    ``revision`` any change of who may count or receive counts.
     """
 
     def __init__(
@@ -56,19 +54,28 @@
 
         ``now_ms`` returns the store time in milliseconds. ``is_current``
         returns whether this entry has recently read the membership list
-        and renewed its own row.
+        and renewed its own row, or may count without.
         """
         self.changes = 0
-        self._own_name = own_name
-        self._listed = listed
-        self._now_ms = now_ms
-        self._is_current = is_current
+        self.revision = 0
+        self.own: Candidate | None = None
+        self.listed: frozenset[Candidate] = frozenset()
+        self.now_ms = now_ms
+        self.is_current = is_current
+        self.own_name = own_name
+        self._read_listed = listed
         self._clock = clock
-        self._eligible: frozenset[str] = frozenset()
+        self._stopping: frozenset[Candidate] = frozenset()
         self._owners_changed_at = clock.monotonic()
         self._may_count = False
-        # Ranked entries of the organisations queried since the last change.
-        self._ranked: dict[str, list[str]] = {}
+        self._next_change_ms = float('inf')
+        # Entries that may be owners, the ones before the last change, and
+        # those that may be counting in their own right.
+        self._eligible = Ranking(())
+        self._previous = Ranking(())
+        self._counting = Ranking(())
+        # Entries that counts may be handed over to.
+        self._receivers = Ranking(())
 
     def ranked_entries(self, organisation: str) -> list[str]:
         """Return the owner of an organisation, then its backup owners.
@@ -76,59 +83,151 @@
         The list holds up to MAX_RANKED peer addresses and is empty while
         no entry may be an owner.
         """
-        if not self._eligible:
+        if not self._eligible.members:
             self.update()
-        found = self._ranked.get(organisation)
-        if found is None:
-            found = rendezvous(self._eligible, hash64(organisation))[
-                :MAX_RANKED
-            ]
-            self._ranked[organisation] = found
-        return found
+        ranked = self._eligible.of(organisation)[:MAX_RANKED]
+        return [each.name for each in ranked]
 
     def owned_s(self, organisation: str) -> float | None:
         """Return how many seconds this entry has certainly been the owner.
 
         Returns None if this entry is not the owner or may not count now.
         """
-        if self.ranked_entries(organisation)[:1] != [self._own_name]:
+        self.update_if_due()
+        if self.ranked_entries(organisation)[:1] != [self.own_name]:
             return None
-        if not (self._may_count and self._is_current()):
+        if not (self._may_count and self.is_current()):
             return None
         return self._clock.monotonic() - self._owners_changed_at
 
-    def is_backup(self, organisation: str) -> bool:
-        """Return whether this entry is a backup owner of an organisation."""
-        return self._own_name in self.ranked_entries(organisation)[1:]
+    def may_continue(
+        self, organisation: str, ceders: Collection[Candidate]
+    ) -> bool:
+        """Return whether this entry may count on what it has counts of.
+
+        That holds until another entry may count in its own right, other than
+        ``ceders``, which have handed over the counts.
+        """
+        if not self.is_current() or self.own is None:
+            return False
+        self.update_if_due()
+        for each in self._counting.of(organisation):
+            if each not in ceders:
+                return each == self.own
+        return False
+
+    def receiver(
+        self, organisation: str, excluded: Collection[Candidate] = ()
+    ) -> Candidate | None:
+        """Return the entry that should have the counts of an organisation.
+
+        It is the first one apart from ``excluded`` that counts may be handed
+        over to, None if there is none.
+        """
+        for each in self._receivers.of(organisation):
+            if each not in excluded:
+                return each
+        return None
+
+    def predecessor(self, organisation: str) -> Candidate | None:
+        """Return the entry that may have counts of an organisation.
+
+        It is the first one before the last change, or the next one if this
+        entry was first then. None if nobody can have any.
+        """
+        before = self._previous.of(organisation)[:1]
+        after = self._eligible.of(organisation)[:2]
+        for each in (*before, *after):
+            if each != self.own:
+                return None if each in self._stopping else each
+        return None
+
+    def first(self, organisation: str) -> Candidate | None:
+        """Return the owner of an organisation, None while there is none."""
+        return next(iter(self._eligible.of(organisation)), None)
+
+    def is_ranked(self, organisation: str) -> bool:
+        """Return whether this entry is the owner or a backup owner."""
+        return self.own_name in self.ranked_entries(organisation)
+
+    def is_before(self, organisation: str, entry: Candidate) -> bool:
+        """Return whether ``entry`` is ranked before this one."""
+        for each in self._receivers.of(organisation):
+            if each in {entry, self.own}:
+                return each == entry
+        return False
+
+    def is_possible_owner(self, entry: Candidate) -> bool:
+        """Return whether an entry may be an owner."""
+        return entry in self._eligible.members
+
+    def note_stopping(self, entry: Candidate) -> None:
+        """Rank ``entry`` no longer: it has stopped counting for good."""
+        if entry not in self._stopping:
+            self._stopping |= {entry}
+            self.update()
 
     def update(self) -> None:
         """Update the possible owners and whether this entry may count."""
-        listed = self._listed()
-        settled_ms = _settled_ms(listed, self._now_ms() - SETTLE_MS)
-        eligible = frozenset(
-            each.name for each in listed if each.since_ms <= settled_ms
-        )
-        if eligible != self._eligible:
-            self._eligible = eligible
-            self._ranked = {}
-            self._owners_changed_at = self._clock.monotonic()
-            self.changes += 1
-        counts_ms = _settled_ms(
-            listed, self._now_ms() - SETTLE_MS - PEER_READ_MS
-        )
-        self._may_count = any(
-            each.name == self._own_name and each.since_ms <= counts_ms
-            for each in listed
+        before = (self.own, self._eligible, self._counting, self._receivers)
+        listed = self._read_listed()
+        now_ms = self.now_ms()
+        self.listed = frozenset(listed)
+        self._stopping &= self.listed | self._previous.members
+        self.own = next(
+            (each for each in listed if each.name == self.own_name), None
         )
+        self._next_change_ms = _next_change_ms(listed, now_ms)
+        self._set_eligible(_settled(listed, now_ms - SETTLE_MS))
+        counts_ms = now_ms - SETTLE_MS - PEER_READ_MS
+        self._may_count = self.own in _settled(listed, counts_ms)
+        others = _settled(listed, counts_ms + STOP_MARGIN_MS)
+        own = frozenset({self.own} if self.own else ())
+        self._counting = self._counting.updated((others | own) - self._stopping)
+        receivers = _settled(listed, now_ms - CEDE_MS) - self._stopping
+        self._receivers = self._receivers.updated(receivers)
+        if before != (
+            self.own,
+            self._eligible,
+            self._counting,
+            self._receivers,
+        ):
+            self.revision += 1
+
+    def update_if_due(self) -> None:
+        """Update if a member has been listed for long enough by now."""
+        if self.now_ms() >= self._next_change_ms:
+            self.update()
+
+    def _set_eligible(self, settled: frozenset[Candidate]) -> None:
+        eligible = settled - self._stopping
+        if eligible == self._eligible.members:
+            return
+        self._previous = self._eligible
+        self._eligible = Ranking(eligible)
+        self._owners_changed_at = self._clock.monotonic()
+        self.changes += 1
 
 
-def _settled_ms(listed: Sequence[Candidate], at_ms: float) -> float:
-    """Return the latest membership start that counts as settled, in ms.
+def _settled(listed: Sequence[Candidate], at_ms: float) -> frozenset[Candidate]:
+    """Return the members that have been listed since ``at_ms``.
 
-    The result is ``at_ms``, or SETTLE_MS after the oldest member's start if
-    that is later. Members that start together with the oldest one need not
+    Also those listed within SETTLE_MS of the oldest member. They need not
     wait: after a restart of the whole fleet no earlier owner is left that
     could still be counting.
     """
     first_ms = min((each.since_ms for each in listed), default=0)
-    return max(at_ms, first_ms + SETTLE_MS)
+    settled_ms = max(at_ms, first_ms + SETTLE_MS)
+    return frozenset(each for each in listed if each.since_ms <= settled_ms)
+
+
+def _next_change_ms(listed: Sequence[Candidate], now_ms: float) -> float:
+    """Return when another member will have been listed for long enough."""
+    waits_ms = (
+        SETTLE_MS,
+        CEDE_MS,
+        SETTLE_MS + PEER_READ_MS - STOP_MARGIN_MS,
+        SETTLE_MS + PEER_READ_MS,
+    )
+    times = (each.since_ms + wait for each in listed for wait in waits_ms)
+    return min((each for each in times if each > now_ms), default=float('inf'))
--- /dev/null
+++ b/cactusridge/organisations/outage_watch.py
@@ -0,0 +1,85 @@
+"""Exchange of reports about an outage of the store between entries.
+
+An entry that cannot renew its lease sends what it knows to a few others at a
+time, so that within a second each knows of most. What an entry sends and
+receives does not grow with the fleet.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+from cactusridge.organisations.common_outage import CommonOutage, StoreReport
+from cactusridge.organisations.lease_state import StoreLease
+
+# Seconds between two steps, and the number of entries that get the reports.
+WATCH_INTERVAL_S = 0.2
+RECIPIENTS = 4
+# Seconds without a renewal after which the store does not respond to an entry:
+# it renews its lease every second.
+WITHOUT_STORE_S = 1.3
+# Largest number of reports in one message, some 20 KB.
+MAX_REPORTS = 500
+
+
+class OutageWatch:
+    """Reports whether this entry has the store, and evaluates reports."""
+
+    def __init__(
+        self,
+        own_name: str,
+        outage: CommonOutage,
+        lease: StoreLease,
+        members: Callable[[], Sequence[str]],
+        now_ms: Callable[[], float],
+        send: Callable[[str, Sequence[StoreReport]], None],
+    ) -> None:
+        """Send reports to ``members`` with ``send``."""
+        self._own_name = own_name
+        self._outage = outage
+        self._lease = lease
+        self._members = members
+        self._now_ms = now_ms
+        self._send = send
+        self._rng = random.Random(own_name)  # noqa: S311
+
+    def step(self) -> None:
+        """Send reports if the store is away; call every WATCH_INTERVAL_S."""
+        members = self._members()
+        now_ms = int(self._now_ms())
+        if self._lacks_store():
+            self._outage.note(StoreReport(self._own_name, now_ms, False))
+            known = self._outage.reports()
+            reports = self._rng.sample(known, min(len(known), MAX_REPORTS))
+            others = [each for each in members if each != self._own_name]
+            count = min(len(others), RECIPIENTS)
+            for entry in self._rng.sample(others, count):
+                self._send(entry, reports)
+        self._outage.update(members, self._lease.unrenewed_s())
+
+    def receive(self, sender: str, reports: Iterable[StoreReport]) -> None:
+        """Record reports; respond if this entry has the store."""
+        for report in reports:
+            self._outage.note(report)
+        if self._lease.unrenewed_s() < WITHOUT_STORE_S and self._lease.is_read:
+            now_ms = int(self._now_ms())
+            own = StoreReport(self._own_name, now_ms, has_store=True)
+            self._send(sender, [own])
+
+    def receive_status(self, sender: str, *, has_store: bool) -> None:
+        """Record what an entry has said of the store in another message.
+
+        An entry notices an outage there later than in its reports.
+        """
+        if has_store and not self._outage.recently_lacked(sender):
+            now_ms = int(self._now_ms())
+            self._outage.note(StoreReport(sender, now_ms, has_store=True))
+
+    def _lacks_store(self) -> bool:
+        """Return whether neither a renewal nor a read succeeds.
+
+        Only after a failed read does an entry let the leases of the others
+        begin anew, on which they rely when the store is back.
+        """
+        return self._lease.unrenewed_s() > WITHOUT_STORE_S and (
+            not self._lease.is_read
+        )
--- a/cactusridge/organisations/owner_limiter.py
+++ b/cactusridge/organisations/owner_limiter.py
@@ -43,6 +43,8 @@
         self._counter = counter
         self._client = client
         self._clock = clock
+        # The entry that counted an organisation's last request.
+        self._counted_by: dict[str, str] = {}
         self._backoff_until: dict[str, float] = {}
         # Entries in backoff whose process is known to have exited.
         self._ended: set[str] = set()
@@ -55,7 +57,7 @@
         """
         request = LimitRequest(name, limit, version)
         for entry in self._owners.ranked_entries(name):
-            reply = self._request(entry, request)
+            reply = self._request_following(entry, request)
             if reply is not None and reply.counted:
                 return reply.wait_s
             first = not request.as_backup
@@ -68,12 +70,12 @@
         raise LimitUnavailable
 
     def return_token(self, name: str) -> None:
-        """Return a token to the owner.
+        """Return a token to the entry that counted the last request.
 
         The datagram is not acknowledged: if it is lost, the organisation
         loses that one token.
         """
-        owner = self._owners.ranked_entries(name)[0]
+        owner = self._counted_by[name]
         if owner == self._own_name:
             self._counter.return_token(name)
         else:
@@ -81,10 +83,30 @@
 
     def _is_known_ended(self, entry: str) -> bool:
         """Return whether ``entry`` is in backoff and known to have exited."""
-        if entry not in self._ended:
+        # An entry with an old list may not know who counts now.
+        if entry not in self._ended or not self._owners.is_current():
             return False
         return self._backoff_until.get(entry, 0) > self._clock.monotonic()
 
+    def _request_following(
+        self, entry: str, request: LimitRequest
+    ) -> LimitResponse | None:
+        """Request a token from an entry, or from the one that it names.
+
+        That one is not followed further, so a request costs at most two
+        round trips for each ranked entry.
+        """
+        reply = self._request(entry, request)
+        self._counted_by[request.name] = entry
+        if reply is None or reply.moved_to in {'', entry}:
+            return reply
+        moved_to = reply.moved_to
+        followed = self._request(moved_to, request)
+        if followed is None or not followed.counted:
+            return reply
+        self._counted_by[request.name] = moved_to
+        return followed
+
     def _request(
         self, entry: str, request: LimitRequest
     ) -> LimitResponse | None:
--- a/cactusridge/peers/limit_requests.py
+++ b/cactusridge/peers/limit_requests.py
@@ -21,6 +21,7 @@
 
 REQUEST_TOPIC = 'limit_asked'
 RESPONSE_TOPIC = 'limit_told'
+MOVED_TOPIC = 'limit_moved'
 RETURNED_TOPIC = 'limit_back'
 REMAINING_TOPIC = 'limit_left'
 # Timeout of a request in seconds. The round trip to any availability zone
@@ -45,6 +46,7 @@
         self._pending: dict[int, AsyncResult] = {}
         peers.on_message(REQUEST_TOPIC, self._handle_request)
         peers.on_message(RESPONSE_TOPIC, self._handle_response)
+        peers.on_message(MOVED_TOPIC, self._handle_moved)
         peers.on_message(RETURNED_TOPIC, self._handle_return)
         peers.on_message(REMAINING_TOPIC, self._handle_remaining)
         counter.on_counted(self._send_remaining)
@@ -89,7 +91,13 @@
         """Respond to a peer's request; raises ValueError or TypeError."""
         number, *asked = raw
         outcome = self._counter.count(_decode_request(*asked))
-        self._peers.send_to(peer, RESPONSE_TOPIC, [number, *outcome])
+        if outcome.moved_to:
+            # A message of its own: an entry of the previous version reads the
+            # response after it and ignores this one.
+            moved = [number, outcome.moved_to]
+            self._peers.send_to(peer, MOVED_TOPIC, moved)
+        response = [number, outcome.counted, outcome.wait_s]
+        self._peers.send_to(peer, RESPONSE_TOPIC, response)
 
     def _handle_response(self, peer: Target, raw: Any) -> None:
         number, counted, wait_s = raw
@@ -97,12 +105,22 @@
         if response is not None:
             response.set(LimitResponse(bool(counted), float(wait_s)))
 
+    def _handle_moved(self, peer: Target, raw: Any) -> None:
+        number, moved_to = raw
+        parse_address(moved_to)
+        response = self._pending.get(number)
+        if response is not None:
+            found = LimitResponse(counted=False, moved_to=moved_to)
+            response.set(found)
+
     def _send_remaining(self, copy: LimitCopy) -> None:
-        """Send the remaining tokens of an organisation to its backup owners."""
+        """Send the remaining tokens to the other ranked entries."""
         name, limit, *more = copy
-        for entry in self._owners.ranked_entries(name)[1:]:
-            payload = [name, list(limit), *more]
-            self._peers.send_to(parse_address(entry), REMAINING_TOPIC, payload)
+        for entry in self._owners.ranked_entries(name):
+            if entry != self._owners.own_name:
+                payload = [name, list(limit), *more]
+                target = parse_address(entry)
+                self._peers.send_to(target, REMAINING_TOPIC, payload)
 
     def _handle_remaining(self, peer: Target, raw: Any) -> None:
         """Apply an owner's remaining tokens; raises ValueError or TypeError."""
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -6,20 +6,34 @@
 from cactusridge.clock import Clock
 from cactusridge.http.client import Address
 from cactusridge.jobs.membership import Membership
+from cactusridge.organisations.common_outage import CommonOutage
+from cactusridge.organisations.lease_state import LeaseState
 from cactusridge.organisations.limit_counter import LimitCounter
+from cactusridge.organisations.limit_handover import LimitHandover
+from cactusridge.organisations.limit_messages import Candidate
 from cactusridge.organisations.limit_owners import (
     UPDATE_INTERVAL_S,
-    Candidate,
     LimitOwners,
 )
 from cactusridge.organisations.limiter import FixedShares, Limiter, NoLimits
+from cactusridge.organisations.outage_watch import (
+    WATCH_INTERVAL_S,
+    OutageWatch,
+)
 from cactusridge.organisations.owner_limiter import OwnerLimiter
 from cactusridge.organisations.policies import LIMITERS
 from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.limit_handovers import LimitHandovers
 from cactusridge.peers.limit_requests import LimitRequests
+from cactusridge.peers.outage_reports import OutageReports
+from cactusridge.peers.peer_socket import Target
+from cactusridge.platform.membership_lease import MembershipLease
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.store.store_clock import StoreClock
 
+# Seconds between two checks of what is to be handed over or sent again.
+HANDOVER_INTERVAL_S = 0.05
+
 
 class LimitParts:
     """The owner entries of organisations, and the configured limiter."""
@@ -34,18 +48,43 @@
     ) -> None:
         """Use the members of ``session``, reached through ``peers``."""
         self._session = session
+        self._has_handover = cfg.policy.limit_handover == 'acknowledged'
         own_name = str(cfg.peer_address)
+        lease = MembershipLease(session)
+        outage = CommonOutage(store_clock.now_ms, clock)
+        lease_state = LeaseState(lease, outage)
         self.owners = LimitOwners(
             own_name,
             self._candidates,
             store_clock.now_ms,
-            session.is_current,
+            lease_state.is_current,
             clock,
         )
         counter = LimitCounter(self.owners, clock)
-        questions = LimitRequests(peers, counter, self.owners)
+        link = LimitHandovers(peers)
+        self._handover = LimitHandover(
+            self.owners, counter.holds, lease_state, link, clock
+        )
+        reports = OutageReports(peers)
+        self._watch = OutageWatch(
+            own_name,
+            outage,
+            lease,
+            self._member_names,
+            store_clock.now_ms,
+            reports.send,
+        )
+        if self._has_handover:
+            counter.connect_handover(self._handover)
+            link.connect(self._handover)
+            reports.connect(self._watch)
+            session.continue_while(outage.holds)
         owner_limits = OwnerLimiter(
-            own_name, self.owners, counter, questions, clock
+            own_name,
+            self.owners,
+            counter,
+            LimitRequests(peers, counter, self.owners),
+            clock,
         )
         limiters: dict[type[Limiter], Limiter] = {
             OwnerLimiter: owner_limits,
@@ -58,6 +97,19 @@
         """Update the owner entries periodically, even without requests."""
         self._session.on_read(self.owners.update)
         gevent.spawn(run_every, UPDATE_INTERVAL_S, self.owners.update)
+        if self._has_handover:
+            gevent.spawn(run_every, WATCH_INTERVAL_S, self._watch.step)
+            gevent.spawn(run_every, HANDOVER_INTERVAL_S, self._handover.run_due)
+
+    def stop(self) -> None:
+        """Hand over what this entry counts; it counts nothing afterwards."""
+        if self._has_handover:
+            self._handover.stop()
+
+    def receive_status(self, peer: Target, *, has_store: bool) -> None:
+        """Record whether the store responds to a peer."""
+        name = str(Address(*peer))
+        self._watch.receive_status(name, has_store=has_store)
 
     def _candidates(self) -> list[Candidate]:
         """Return the live members; none until the membership list was read."""
@@ -65,8 +117,11 @@
             return []
         return [
             Candidate(str(Address(each.host, each.port)), each.since_ms)
-            for each in self._session.members()
+            for each in self._session.members_as_read()
         ]
 
+    def _member_names(self) -> list[str]:
+        return [each.name for each in self._candidates()]
+
     def _entry_count(self) -> int:
         return len(self._session.members())
--- /dev/null
+++ b/cactusridge/platform/membership_lease.py
@@ -0,0 +1,29 @@
+"""The lease by which an entry may count the limits of organisations."""
+
+from cactusridge.jobs.membership import Membership
+from cactusridge.organisations.lease_state import StoreLease
+
+
+class MembershipLease(StoreLease):
+    """The lease of a membership row."""
+
+    def __init__(self, session: Membership) -> None:
+        """Wrap the membership of this entry."""
+        self._session = session
+
+    def is_current(self) -> bool:
+        """Return whether the lease is valid and the members known."""
+        return self._session.is_current()
+
+    def unrenewed_s(self) -> float:
+        """Return the seconds since the last renewal."""
+        return self._session.unrenewed_s()
+
+    def unread_s(self) -> float:
+        """Return the seconds since the last read of the members."""
+        return self._session.unread_s()
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the last attempt to read the members succeeded."""
+        return self._session.is_read
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -181,8 +181,9 @@
         self._serve_at(self._cfg.readiness_listen, '/.*', self._readiness)
 
     def begin_drain(self) -> None:
-        """Make the readiness endpoint fail."""
+        """Make the readiness endpoint fail and hand over the limits."""
         self._draining = True
+        self._limits.stop()
 
     def hand_over(self, bound_s: float) -> None:
         """Hand over the jobs and leave the membership list."""
@@ -202,6 +203,7 @@
     def _receive_status(self, peer: Target, word: EntryStatus) -> None:
         self._catalogs.on_peer_version(peer, word.version)
         self._jobs.intake.record_peer_report(word.has_store)
+        self._limits.receive_status(peer, has_store=word.has_store)
         if word.has_store:
             now = self._clock.monotonic()
             self._discovery.shorten_grace(now - word.store_uptime_s)
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -170,6 +170,7 @@
     cells: Literal['by_zone', 'one'] = 'by_zone'
     quarantine: Literal['by_crashes', 'none'] = 'by_crashes'
     limits: Literal['homes', 'shares', 'none'] = 'homes'
+    limit_handover: Literal['acknowledged', 'none'] = 'acknowledged'
 
 
 class DirectEntrySettings(CommonSettings, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/limits_membership.py
@@ -0,0 +1,120 @@
+"""The membership list as a simulated entry knows it."""
+
+import typing
+
+from cactusridge.organisations.lease_state import StoreLease
+from cactusridge.organisations.limit_messages import Candidate
+from cactusridge.organisations.limit_owners import MS_PER_S
+
+if typing.TYPE_CHECKING:
+    from tests.limits_entry import Entry
+
+LEASE_S = 3.2
+ROW_CURRENT_S = 2.5
+MEMBERSHIP_GAP_S = 3.0
+NEVER = float('-inf')
+
+
+class FleetRow(typing.NamedTuple):
+    """A row of the list; both times in seconds of the store's clock."""
+
+    since: float
+    renewed: float
+
+
+class ReadRow(typing.NamedTuple):
+    """A row as read, and when it was first read in that version."""
+
+    row: FleetRow
+    changed_at: float
+
+
+class FleetMembership(StoreLease):
+    """Renews the row of one entry and reads those of the others."""
+
+    def __init__(self, entry: 'Entry') -> None:
+        """Start a process of ``entry`` that has no row yet."""
+        self.has_left = False
+        self._entry = entry
+        self._clock = entry.fleet.clock
+        self._since = NEVER
+        self._renewed = NEVER
+        self._read_at = NEVER
+        self._is_read = False
+        self._rows: dict[str, ReadRow] = {}
+
+    def is_current(self):
+        """Return whether the row was renewed and the rows read recently."""
+        return max(self.unrenewed_s(), self.unread_s()) < ROW_CURRENT_S
+
+    def unrenewed_s(self):
+        """Return the seconds since the last renewal."""
+        return self._clock.now - self._renewed
+
+    def unread_s(self):
+        """Return the seconds since the last read."""
+        return self._clock.now - self._read_at
+
+    @property
+    def is_read(self):
+        """Whether the last read succeeded."""
+        return self._is_read
+
+    def listed(self) -> list[Candidate]:
+        """Return the live entries according to this entry's reads."""
+        if not self._rows:
+            return []
+        # Ages count up to the last read, so that an entry that cannot read
+        # the list does not treat the others as expired.
+        others = [
+            _candidate(name, read.row.since)
+            for name, read in self._rows.items()
+            if self._read_at - read.changed_at < LEASE_S
+            and name != self._entry.name
+        ]
+        return [_candidate(self._entry.name, self._since), *others]
+
+    def names(self) -> list[str]:
+        """Return the names of the listed entries."""
+        return [each.name for each in self.listed()]
+
+    def step(self, continues: bool) -> None:
+        """Renew this entry's row and read the rows of all entries.
+
+        ``continues`` is whether the membership goes on after a gap.
+        """
+        now = self._clock.now
+        if self.has_left:
+            return
+        if self._entry.partitioned or self._entry.store_lost:
+            self._is_read = False
+            return
+        is_new = self._renewed == NEVER
+        if is_new or (self.unrenewed_s() > MEMBERSHIP_GAP_S and not continues):
+            self._since = now
+        self._renewed = now
+        rows = self._entry.fleet.rows
+        rows[self._entry.name] = FleetRow(self._since, now)
+        self._rows = {
+            name: ReadRow(row, self._changed_at(name, row))
+            for name, row in rows.items()
+        }
+        self._read_at = now
+        self._is_read = True
+
+    def leave(self) -> None:
+        """Remove the row if the store responds, and renew it no longer."""
+        self.has_left = True
+        if not (self._entry.partitioned or self._entry.store_lost):
+            self._entry.fleet.rows.pop(self._entry.name, None)
+
+    def _changed_at(self, name: str, row: FleetRow) -> float:
+        """Return since when a row is known; all begin anew after an outage."""
+        known = self._rows.get(name)
+        if known is not None and known.row == row and self._is_read:
+            return known.changed_at
+        return self._clock.now
+
+
+def _candidate(name: str, since: float) -> Candidate:
+    return Candidate(name, int(max(0, since) * MS_PER_S))
