--- a/cactusridge/organisations/lease_state.py
+++ b/cactusridge/organisations/lease_state.py
@@ -6,7 +6,7 @@
 
 # Seconds without a renewal or a read after which counts are handed over to
 # entries that have the store: before the right to count ends, at 2.5 s.
-ENDING_S = 2.1
+ENDING_S = 2.3
 # Seconds without a renewal after which others may have taken over: they do so
 # 3.2 s after it at the earliest.
 LAPSED_S = 3.0
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -123,19 +123,15 @@
     def receive_ask(self, asker: Candidate, names: Sequence[str]) -> None:
         """Hand over organisations that ``asker`` owns, or decline."""
         given = []
-        declined: defaultdict[bool, list[str]] = defaultdict(list)
+        declined: defaultdict[str, list[str]] = defaultdict(list)
         for name in names:
-            if self._holds.get(name) is None:
-                ceded_to = self._holds.ceded_to(name)
-                kept = ceded_to not in {None, asker}
-                declined[kept or self._is_pending(name)].append(name)
-            elif self._yields(name, asker):
+            if self._yields(name, asker):
                 given.append(name)
             else:
-                declined[True].append(name)
+                declined[self._kept_by(name, asker)].append(name)
         self._send(asker, given)
-        for is_kept, its_names in declined.items():
-            self._link.decline(asker.name, its_names, kept=is_kept)
+        for kept_by, its_names in declined.items():
+            self._link.decline(asker.name, its_names, kept_by)
 
     def receive_stop(self, entry: Candidate) -> None:
         """Record that ``entry`` counts nothing any more."""
@@ -150,17 +146,20 @@
         if is_due or self._lease.is_ending() or self._lease.has_lapsed():
             self.rebalance()
 
-    def _is_pending(self, name: str) -> bool:
-        """Return whether a handover of ``name`` is not acknowledged yet."""
-        return any(
-            each.name == name
-            for handover in self.outbox.pending()
-            for each in handover.counts
-        )
+    def _kept_by(self, name: str, asker: Candidate) -> str:
+        """Return the entry that counts what ``asker`` does not get, or ''."""
+        if self._holds.get(name) is not None:
+            return self.own_name
+        ceded_to = self._holds.ceded_to(name)
+        if ceded_to is not None and ceded_to != asker:
+            return ceded_to.name
+        # The counts may still be on their way to the entry that asks.
+        return self.own_name if self.outbox.has(name) else ''
 
     def _yields(self, name: str, asker: Candidate) -> bool:
         """Return whether ``asker`` may have what this entry holds."""
-        if asker not in self._owners.listed:
+        is_held = self._holds.get(name) is not None
+        if not is_held or asker not in self._owners.listed:
             return False
         before = self._owners.is_before(name, asker)
         return before or self._holds.usable(name) is None
--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -142,11 +142,11 @@
         """Ask ``entry`` to hand over the organisations ``names``."""
 
     @abc.abstractmethod
-    def decline(self, entry: str, names: Sequence[str], *, kept: bool) -> None:
+    def decline(self, entry: str, names: Sequence[str], kept_by: str) -> None:
         """Respond to ``ask``: ``names`` are not handed over.
 
-        ``kept`` is set if they are still counted at this entry or one that
-        it has handed them over to.
+        ``kept_by`` is the entry that still counts them, this one or one that
+        it has handed them over to; it is empty if there is none.
         """
 
     @abc.abstractmethod
--- a/cactusridge/organisations/limit_outbox.py
+++ b/cactusridge/organisations/limit_outbox.py
@@ -44,6 +44,14 @@
         """Return the handovers without an acknowledgement."""
         return iter([handover for handover, _ in self._pending.values()])
 
+    def has(self, name: str) -> bool:
+        """Return whether a handover of an organisation is pending."""
+        return any(
+            each.name == name
+            for handover in self.pending()
+            for each in handover.counts
+        )
+
     def give_up(self, handover: Handover) -> None:
         """Send a handover no longer."""
         self._pending.pop(handover.number, None)
--- a/cactusridge/organisations/limit_takeovers.py
+++ b/cactusridge/organisations/limit_takeovers.py
@@ -52,18 +52,19 @@
             return False
         return ask.declined or now - ask.begun_at >= ASK_FOR_S
 
-    def declined(self, entry: str, names: Sequence[str], *, kept: bool) -> None:
+    def declined(self, entry: str, names: Sequence[str], kept_by: str) -> None:
         """Record the response of ``entry``.
 
-        ``kept`` is set if the organisations are still being counted.
+        ``kept_by`` is the entry that still counts the organisations, which is
+        asked next, or empty.
         """
         now = self._clock.monotonic()
         for name in names:
             ask = self._asks.get(name)
             if ask is None or ask.entry != entry:
                 continue
-            if kept:
-                self._asks[name] = ask._replace(begun_at=now)
+            if kept_by:
+                self._asks[name] = ask._replace(entry=kept_by, begun_at=now)
             else:
                 self._asks[name] = ask._replace(declined=True)
 
--- a/cactusridge/peers/limit_handovers.py
+++ b/cactusridge/peers/limit_handovers.py
@@ -57,10 +57,10 @@
         """Ask ``entry`` to hand over the organisations ``names``."""
         self._send(entry, WANTED_TOPIC, [asker, names])
 
-    def decline(self, entry: str, names: Sequence[str], *, kept: bool) -> None:
+    def decline(self, entry: str, names: Sequence[str], kept_by: str) -> None:
         """Respond to ``ask``: ``names`` are not handed over."""
-        own = self._own_name()
-        self._send(entry, DECLINED_TOPIC, [own, names, kept])
+        own = self._parts().own_name
+        self._send(entry, DECLINED_TOPIC, [own, names, kept_by])
 
     def announce_stop(self, stopping: Candidate, entry: str = '') -> None:
         """Notify ``entry``, or all entries, that this one has stopped."""
@@ -73,9 +73,6 @@
         target = parse_address(entry)
         self._peers.send_to(target, topic, plain_message(payload))
 
-    def _own_name(self) -> str:
-        return self._parts().own_name
-
     def _parts(self) -> LimitHandover:
         if self._handover is None:
             raise RuntimeError('connect() was not called')
@@ -94,9 +91,11 @@
         self._parts().receive_ask(_candidate(asker), list(map(str, names)))
 
     def _handle_declined(self, peer: Target, raw: Any) -> None:
-        entry, names, kept = raw
+        entry, names, kept_by = raw
+        if kept_by:
+            parse_address(kept_by)
         takeovers = self._parts().takeovers
-        takeovers.declined(str(entry), list(map(str, names)), kept=bool(kept))
+        takeovers.declined(str(entry), list(map(str, names)), kept_by)
 
     def _handle_stopped(self, peer: Target, raw: Any) -> None:
         self._parts().receive_stop(_candidate(raw))
