Limits: entries without a valid lease decline handovers

Cause: an entry that had joined and then lost the store took counts over that it could not use and dropped them. Change: it declines, and the sender goes on; an entry that joined starts before its own right if the next one confirms that nobody counts.

--- a/cactusridge/organisations/limit_counter.py
+++ b/cactusridge/organisations/limit_counter.py
@@ -98,18 +98,25 @@
         """Start to count an organisation if this entry is its owner."""
         name = request.name
         owned_s = self._owners.owned_s(name)
-        if owned_s is None or not self._may_start(name, owned_s):
+        may_start = (
+            self._may_start_early(name)
+            if owned_s is None
+            else self._may_start(name, owned_s)
+        )
+        if not may_start:
             return None
         found = self._copies.pop(name)
         if found is None:
             limit = with_tolerance(request.limit)
             first = BURST_TOLERANCE + limit.rate_per_s * (
-                TAKEOVER_START_S + owned_s
+                TAKEOVER_START_S + (owned_s or 0)
             )
             now = self._clock.monotonic()
             bucket = TokenBucket(limit, min(limit.burst, first), now)
             found = LimitCount(bucket, request.version)
         self.holds.hold(name, found)
+        if self._handover is not None:
+            self._handover.takeovers.forget(name)
         metrics.LIMIT_HANDOVERS.inc({'outcome': 'started'})
         return found
 
@@ -126,10 +133,25 @@
         predecessor = self._owners.predecessor(name)
         if owned_s > UNCHANGED_S:
             predecessor = None
-        if predecessor is None or takeovers.is_settled(name, own, predecessor):
-            takeovers.forget(name)
-            return True
-        return False
+        return predecessor is None or takeovers.is_settled(
+            name, own, predecessor
+        )
+
+    def _may_start_early(self, name: str) -> bool:
+        """Return whether the previous owner has confirmed that nobody counts.
+
+        An entry that joined need not wait then until it counts in its own
+        right.
+        """
+        if self._handover is None or not self._owners.may_start_early(name):
+            return False
+        after = self._owners.after_own(name)
+        own = self._owners.own
+        if after is None or own is None or self.holds.ceded_to(name):
+            return False
+        takeovers = self._handover.takeovers
+        is_settled = takeovers.is_settled(name, own, after)
+        return is_settled and takeovers.is_declined(name, after)
 
     def _moved_to(self, name: str) -> str:
         """Return the entry that counts an organisation instead, or ''."""
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
@@ -30,6 +31,16 @@
 ANNOUNCE_S = 0.3
 
 
+class _Received(NamedTuple):
+    """A handover that was received, and whether it was accepted.
+
+    Copies of the message may arrive until ``until_ms`` of the store's clock.
+    """
+
+    until_ms: int
+    accepted: bool
+
+
 class LimitHandover:
     """Decides when this entry hands over or takes over which counts."""
 
@@ -52,9 +63,7 @@
         self._stopping: Candidate | None = None
         self._announced_at = float(0)
         self._revision = owners.revision
-        # Handovers that were received, with the store time in ms until which
-        # copies of the message may arrive.
-        self._received: dict[tuple[Candidate, int], int] = {}
+        self._received: dict[tuple[Candidate, int], _Received] = {}
 
     def stop(self) -> None:
         """Stop counting for good and hand over all counts."""
@@ -114,11 +123,31 @@
             return
         if handover.stopping:
             self._owners.note_stopping(sender)
-        if (sender, handover.number) not in self._received:
+        key = (sender, handover.number)
+        if key not in self._received:
             self._forget_received(now_ms)
-            self._received[sender, handover.number] = handover.until_ms
-            self._take(handover)
-        self._link.send_acknowledgement(sender.name, handover.number)
+            accepted = handover.stopping or self._lease.is_current()
+            self._received[key] = _Received(handover.until_ms, accepted)
+            if accepted:
+                self._take(handover)
+        self._link.acknowledge(
+            sender.name,
+            handover.number,
+            accepted=self._received[key].accepted,
+        )
+
+    def acknowledged(self, number: int, *, accepted: bool) -> None:
+        """Record the response to a handover.
+
+        If it was not accepted, nobody counts its organisations and nobody
+        will: this entry goes on.
+        """
+        handover = self.outbox.acknowledged(number, accepted=accepted)
+        if handover is not None and not accepted and not self.has_stopped:
+            now = self._clock.monotonic()
+            for held in handover.counts:
+                before = held.ceders[:-1]
+                self._holds.hold(held.name, received(held, now), before)
 
     def receive_ask(self, asker: Candidate, names: Sequence[str]) -> None:
         """Hand over organisations that ``asker`` owns, or decline."""
@@ -153,8 +182,13 @@
         ceded_to = self._holds.ceded_to(name)
         if ceded_to is not None and ceded_to != asker:
             return ceded_to.name
-        # The counts may still be on their way to the entry that asks.
-        return self.own_name if self.outbox.has(name) else ''
+        # The counts may still be on their way to the entry that asks, and
+        # this entry may begin to count if it does not know that one yet.
+        may_begin = self._lease.is_current() and (
+            not self._owners.is_before(name, asker)
+        )
+        is_kept = may_begin or self.outbox.has(name)
+        return self.own_name if is_kept and not self.has_stopped else ''
 
     def _yields(self, name: str, asker: Candidate) -> bool:
         """Return whether ``asker`` may have what this entry holds."""
@@ -253,6 +287,6 @@
         self._cede(held.name for held in handover.counts)
 
     def _forget_received(self, now_ms: float) -> None:
-        for key, until_ms in tuple(self._received.items()):
-            if until_ms < now_ms:
+        for key, known in tuple(self._received.items()):
+            if known.until_ms < now_ms:
                 self._received.pop(key)
--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -134,8 +134,11 @@
         """Send counts to the receiver of ``handover``."""
 
     @abc.abstractmethod
-    def send_acknowledgement(self, entry: str, number: int) -> None:
-        """Notify ``entry`` that its handover ``number`` has been received."""
+    def acknowledge(self, entry: str, number: int, *, accepted: bool) -> None:
+        """Respond to the handover ``number`` of ``entry``.
+
+        An entry that did not accept it will not do so later either.
+        """
 
     @abc.abstractmethod
     def ask(self, entry: str, asker: Candidate, names: Sequence[str]) -> None:
--- a/cactusridge/organisations/limit_outbox.py
+++ b/cactusridge/organisations/limit_outbox.py
@@ -34,11 +34,13 @@
         _report('sent', handover)
         self._link.send_handover(handover)
 
-    def acknowledged(self, number: int) -> None:
-        """Record that a handover has been received."""
+    def acknowledged(self, number: int, *, accepted: bool) -> Handover | None:
+        """Return the handover that its receiver has responded to, once."""
         found = self._pending.pop(number, None)
-        if found is not None:
-            _report('acknowledged', found[0])
+        if found is None:
+            return None
+        _report('acknowledged' if accepted else 'declined', found[0])
+        return found[0]
 
     def pending(self) -> Iterator[Handover]:
         """Return the handovers without an acknowledgement."""
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -100,6 +100,17 @@
             return None
         return self._clock.monotonic() - self._owners_changed_at
 
+    def may_start_early(self, organisation: str) -> bool:
+        """Return whether only the next entry can have counts.
+
+        This entry does not yet count in its own right, but no other can
+        become the owner.
+        """
+        self.update_if_due()
+        first = self.receiver(organisation)
+        is_first = first == self.own == self.first(organisation)
+        return first is not None and is_first and self.is_current()
+
     def may_continue(
         self, organisation: str, ceders: Collection[Candidate]
     ) -> bool:
@@ -146,6 +157,11 @@
         """Return the owner of an organisation, None while there is none."""
         return next(iter(self._eligible.of(organisation)), None)
 
+    def after_own(self, organisation: str) -> Candidate | None:
+        """Return the first possible owner other than this entry."""
+        ranked = self._eligible.of(organisation)[:2]
+        return next((each for each in ranked if each != self.own), None)
+
     def is_ranked(self, organisation: str) -> bool:
         """Return whether this entry is the owner or a backup owner."""
         return self.own_name in self.ranked_entries(organisation)
--- a/cactusridge/organisations/limit_takeovers.py
+++ b/cactusridge/organisations/limit_takeovers.py
@@ -52,6 +52,13 @@
             return False
         return ask.declined or now - ask.begun_at >= ASK_FOR_S
 
+    def is_declined(self, name: str, entry: Candidate) -> bool:
+        """Return whether ``entry`` has responded that nobody counts."""
+        ask = self._asks.get(name)
+        if ask is None or ask.entry != entry.name:
+            return False
+        return ask.declined
+
     def declined(self, entry: str, names: Sequence[str], kept_by: str) -> None:
         """Record the response of ``entry``.
 
--- a/cactusridge/peers/limit_handovers.py
+++ b/cactusridge/peers/limit_handovers.py
@@ -49,9 +49,9 @@
         """Send counts to the receiver of ``handover``."""
         self._send(handover.receiver.name, GIVEN_TOPIC, handover)
 
-    def send_acknowledgement(self, entry: str, number: int) -> None:
-        """Notify ``entry`` that its handover ``number`` has been received."""
-        self._send(entry, RECEIVED_TOPIC, number)
+    def acknowledge(self, entry: str, number: int, *, accepted: bool) -> None:
+        """Respond to the handover ``number`` of ``entry``."""
+        self._send(entry, RECEIVED_TOPIC, [number, accepted])
 
     def ask(self, entry: str, asker: Candidate, names: Sequence[str]) -> None:
         """Ask ``entry`` to hand over the organisations ``names``."""
@@ -84,7 +84,8 @@
         self._parts().receive(_handover(*head)._replace(counts=held))
 
     def _handle_received(self, peer: Target, raw: Any) -> None:
-        self._parts().outbox.acknowledged(int(raw))
+        number, accepted = raw
+        self._parts().acknowledged(int(number), accepted=bool(accepted))
 
     def _handle_wanted(self, peer: Target, raw: Any) -> None:
         asker, names = raw
--- a/tests/limits_links.py
+++ b/tests/limits_links.py
@@ -22,10 +22,10 @@
         for other in self._reached(handover.receiver.name, 'handover'):
             other.process.handover.receive(handover)
 
-    def send_acknowledgement(self, entry, number):
+    def acknowledge(self, entry, number, *, accepted):
         """Deliver an acknowledgement."""
         for other in self._reached(entry, 'acknowledgement'):
-            other.process.handover.outbox.acknowledged(number)
+            other.process.handover.acknowledged(number, accepted=accepted)
 
     def ask(self, entry, asker, names):
         """Deliver a request for counts."""
