Tests: handover of limits while single messages or entries fail

Cause: nothing tested a lost handover or acknowledgement, a successor that dies, or entries that are suspended. Change: a small simulated fleet with a limit of rate 0 shows tokens that are granted twice. A receiver without a lease promises not to count for a time, so that the next one can; entries that handed over earlier are kept in the message even when they have stopped.

--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -126,10 +126,12 @@
         key = (sender, handover.number)
         if key not in self._received:
             self._forget_received(now_ms)
-            accepted = handover.stopping or self._lease.is_current()
+            accepted = self._lease.is_current()
             self._received[key] = _Received(handover.until_ms, accepted)
             if accepted:
                 self._take(handover)
+            else:
+                self._pass_over(handover)
         self._link.acknowledge(
             sender.name,
             handover.number,
@@ -139,15 +141,18 @@
     def acknowledged(self, number: int, *, accepted: bool) -> None:
         """Record the response to a handover.
 
-        If it was not accepted, nobody counts its organisations and nobody
-        will: this entry goes on.
+        If it was not accepted, the receiver will not count for a time, like
+        one that has handed over. This entry goes on or asks the next one.
         """
         handover = self.outbox.acknowledged(number, accepted=accepted)
-        if handover is not None and not accepted and not self.has_stopped:
-            now = self._clock.monotonic()
-            for held in handover.counts:
-                before = held.ceders[:-1]
-                self._holds.hold(held.name, received(held, now), before)
+        if handover is None or accepted:
+            return
+        now = self._clock.monotonic()
+        passed_over = Ceder(handover.receiver, handover.until_ms)
+        for held in handover.counts:
+            ceders = (*held.ceders[:-1], passed_over)
+            self._holds.hold(held.name, received(held, now), ceders)
+        self._cede(held.name for held in handover.counts)
 
     def receive_ask(self, asker: Candidate, names: Sequence[str]) -> None:
         """Hand over organisations that ``asker`` owns, or decline."""
@@ -256,7 +261,7 @@
                     each
                     for each in held.ceders
                     if each.entry != own
-                    and self._owners.is_before(held.name, each.entry)
+                    and self._owners.is_outranked(held.name, each.entry)
                 )
                 self._holds.hold(held.name, received(held, now), ceders)
             self.takeovers.forget(held.name)
@@ -268,6 +273,14 @@
             organisations=count,
         )
 
+    def _pass_over(self, handover: Handover) -> None:
+        """Do not count what was not accepted, as if it was handed over."""
+        for held in handover.counts:
+            if self._holds.usable(held.name) is None:
+                self._holds.pass_over(
+                    held.name, handover.sender, handover.until_ms
+                )
+
     def _check_receiver(self, handover: Handover) -> None:
         """Give up a handover to an entry that has left.
 
--- a/cactusridge/organisations/limit_holds.py
+++ b/cactusridge/organisations/limit_holds.py
@@ -91,9 +91,14 @@
     def cede(self, name: str, receiver: Candidate, until_ms: int) -> None:
         """Stop counting an organisation in favour of ``receiver``."""
         self._holds.pop(name, None)
-        upward = self._owners.is_before(name, receiver)
+        upward = self._owners.is_outranked(name, receiver)
         self._cessions[name] = Cession(receiver, until_ms, upward)
 
+    def pass_over(self, name: str, sender: Candidate, until_ms: int) -> None:
+        """Do not count an organisation that ``sender`` has offered."""
+        self._holds.pop(name, None)
+        self._cessions[name] = Cession(sender, until_ms, upward=False)
+
     def ceded_to(self, name: str) -> Candidate | None:
         """Return the entry that an organisation was handed over to.
 
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from cactusridge.clock import Clock
+from cactusridge.hashing import hash64, rendezvous
 from cactusridge.organisations.limit_messages import Candidate
 from cactusridge.organisations.ranking import Ranking
 
@@ -166,8 +167,13 @@
         """Return whether this entry is the owner or a backup owner."""
         return self.own_name in self.ranked_entries(organisation)
 
+    def is_outranked(self, organisation: str, entry: Candidate) -> bool:
+        """Return whether ``entry`` comes before this one if both are listed."""
+        names = (entry.name, self.own_name)
+        return rendezvous(names, hash64(organisation))[0] == entry.name
+
     def is_before(self, organisation: str, entry: Candidate) -> bool:
-        """Return whether ``entry`` is ranked before this one."""
+        """Return whether ``entry`` is to have counts before this one."""
         for each in self._receivers.of(organisation):
             if each in {entry, self.own}:
                 return each == entry
--- a/tests/limits_fleet.py
+++ b/tests/limits_fleet.py
@@ -110,7 +110,8 @@
         while self.clock.now < now:
             self.clock.now = min(now, self.clock.now + STEP_S)
             self._apply_losses(losses)
-            self._apply_outages(outages)
+            if outages:
+                self._apply_outages(outages)
             if roll is not None:
                 self._apply_roll(roll)
             for entry in self.entries:
