Limits: receipts, member ages and message formats in files of their own

Change: limit_receipts, member_ages and jobs/member are split off; the membership's listener of a new start is separate from that of reads.

--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -9,13 +9,12 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
+from cactusridge.jobs.member import MEMBER_PREFIX, Member, parse_member
 from cactusridge.jobs.membership_start import MembershipStart
-from cactusridge.store.fields import Fields
 from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import Priority, Row, Table, Write, WriteUnknown
-from cactusridge.store.unreadable import UnreadableField, UnreadableRecord
+from cactusridge.store.unreadable import UnreadableRecord
 
-MEMBER_PREFIX = 'members//'
 # Interval in seconds between renewals, each followed by a read: two calls per
 # second and entry to a store that handles some thousands per second.
 RENEW_INTERVAL_S = 1.0
@@ -25,24 +24,6 @@
 # Safety margin in seconds: an entry stops relying on its lease this long before
 # other entries may take over its jobs.
 LEASE_MARGIN_S = 0.7
-MAX_PORT = 65_535
-
-
-class Member(NamedTuple):
-    """An entry as described in its row of the membership list.
-
-    ``life`` is the incarnation of its process. Peers connect to ``host``
-    and ``port``. ``since_ms`` is the time by the store's clock since which
-    the entry has been a member without interruption, in milliseconds; it
-    is 0 if the row does not have it.
-    """
-
-    name: str
-    life: str
-    host: str
-    port: int
-    zone: str
-    since_ms: int = 0
 
 
 class MemberRecord(NamedTuple):
@@ -58,6 +39,13 @@
     seen_at: float
 
 
+class LeaseAges(NamedTuple):
+    """Seconds since the last renewal and read; infinity before the first."""
+
+    unrenewed_s: float
+    unread_s: float
+
+
 class Membership:
     """Renews this entry's lease and tracks the leases of the others."""
 
@@ -87,6 +75,7 @@
         self._is_read = False
         self._has_left = False
         self._on_read: Callable[[], None] | None = None
+        self._on_restart: Callable[[], None] | None = None
         # Serialises the writes of this entry's row: a renewal that reached
         # the store after the removal would restore the row for a lease.
         self._write_lock = RLock()
@@ -94,13 +83,18 @@
     def on_read(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each read of the membership list.
 
-        Also when the membership of this entry begins anew.
-
         The listener must not block or switch greenlets, so that no other
         greenlet sees the new list before the listener has run.
         """
         self._on_read = listener
 
+    def on_restart(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when this entry's membership begins anew.
+
+        It is called before the renewal is sent and must not block.
+        """
+        self._on_restart = listener
+
     def continue_while(self, is_irreplaceable: Callable[[], bool]) -> None:
         """Continue the membership after a gap while no entry can use it.
 
@@ -152,17 +146,14 @@
             and self.lease_is_valid()
         )
 
-    def unrenewed_s(self) -> float:
-        """Return the seconds since the last renewal, infinity before it."""
-        if self.renewed_at is None:
-            return float('inf')
-        return self._clock.monotonic() - self.renewed_at
-
-    def unread_s(self) -> float:
-        """Return the seconds since the last read, infinity before it."""
-        if self._read_at is None:
-            return float('inf')
-        return self._clock.monotonic() - self._read_at
+    def ages(self) -> LeaseAges:
+        """Return the ages of the last renewal and the last read."""
+        now = self._clock.monotonic()
+        times = (self.renewed_at, self._read_at)
+        unrenewed_s, unread_s = (
+            float('inf') if at is None else now - at for at in times
+        )
+        return LeaseAges(unrenewed_s, unread_s)
 
     @property
     def is_read(self) -> bool:
@@ -260,13 +251,14 @@
     def _begin_at(self, since_ms: int) -> None:
         """Set the start of the membership; notify the listener of a new one.
 
-        Its rights must not be used between the renewal and the next read.
+        Rights of the earlier membership must not be used between the renewal
+        and the next read.
         """
         if self.me.since_ms == since_ms:
             return
         self.me = self.me._replace(since_ms=since_ms)
-        if self._on_read is not None:
-            self._on_read()
+        if self._on_restart is not None:
+            self._on_restart()
 
     def _read(self) -> None:
         rows = self._table.scan(MEMBER_PREFIX, Priority.lease)
@@ -296,7 +288,7 @@
         if known and not restart and known.version == row.version:
             return known
         try:
-            member = self._reader.read(row, _parse_member)
+            member = self._reader.read(row, parse_member)
         except UnreadableRecord:
             return self._unreadable_record(known, row, now, restart)
         return MemberRecord(member, row.version, now)
@@ -319,23 +311,6 @@
         return MemberRecord(known.member, row.version, seen_at)
 
 
-def _parse_member(row: Row) -> Member:
-    fields = Fields(row.value)
-    member = Member(
-        fields.text('name'),
-        fields.text('life'),
-        fields.text('host'),
-        fields.integer('port'),
-        fields.text('zone'),
-        fields.integer('since_ms', 0),
-    )
-    if member.name != row.key.removeprefix(MEMBER_PREFIX):
-        raise UnreadableField(f'the row names the entry {member.name}')
-    if not 0 < member.port <= MAX_PORT:
-        raise UnreadableField(f'port {member.port} is out of range')
-    return member
-
-
 def log_errors(action: Any) -> None:
     """Call ``action``; log a CactusridgeError instead of raising it."""
     try:
--- a/cactusridge/jobs/membership_start.py
+++ b/cactusridge/jobs/membership_start.py
@@ -24,7 +24,7 @@
         self._clock = clock
         self._since_ms: int | None = None
         self._stamped_ms = 0
-        self._renewed_ms = 0
+        self._renewed_ms: int | None = None
         self._is_irreplaceable: Callable[[], bool] | None = None
 
     def continue_while(self, is_irreplaceable: Callable[[], bool]) -> None:
@@ -45,10 +45,7 @@
         if self._since_ms is None:
             table.read([key], Priority.lease)
         now_ms = self._clock.now_ms()
-        gap_ms = now_ms - self._renewed_ms
-        if self._since_ms is None or (
-            gap_ms > MAX_RENEWAL_GAP_MS and not self._can_continue()
-        ):
+        if self._since_ms is None or not self._can_continue(now_ms):
             self._since_ms = now_ms
         return self._since_ms
 
@@ -60,7 +57,9 @@
         """Record that the store has accepted the last stamped renewal."""
         self._renewed_ms = self._stamped_ms
 
-    def _can_continue(self) -> bool:
-        if self._is_irreplaceable is None or not self._renewed_ms:
+    def _can_continue(self, now_ms: int) -> bool:
+        if self._renewed_ms is None:
             return False
-        return self._is_irreplaceable()
+        if now_ms - self._renewed_ms <= MAX_RENEWAL_GAP_MS:
+            return True
+        return self._is_irreplaceable is not None and self._is_irreplaceable()
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -7,9 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
-from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.organisations.lease_state import LeaseState
 from cactusridge.organisations.limit_count import BURST_TOLERANCE, received
@@ -22,6 +20,7 @@
 )
 from cactusridge.organisations.limit_outbox import LimitOutbox
 from cactusridge.organisations.limit_owners import LimitOwners
+from cactusridge.organisations.limit_receipts import LimitReceipts
 from cactusridge.organisations.limit_takeovers import LimitTakeovers
 
 # Organisations in one message, which then has at most some 40 KB.
@@ -31,16 +30,6 @@
 ANNOUNCE_S = 0.3
 
 
-class _Received(NamedTuple):
-    """A handover that was received, and whether it was accepted.
-
-    Copies of the message may arrive until ``until_ms`` of the store's clock.
-    """
-
-    until_ms: int
-    accepted: bool
-
-
 class LimitHandover:
     """Decides when this entry hands over or takes over which counts."""
 
@@ -63,7 +52,7 @@
         self._stopping: Candidate | None = None
         self._announced_at = float(0)
         self._revision = owners.revision
-        self._received: dict[tuple[Candidate, int], _Received] = {}
+        self._receipts = LimitReceipts(owners, holds, lease, clock)
 
     def stop(self) -> None:
         """Stop counting for good and hand over all counts."""
@@ -123,20 +112,11 @@
             return
         if handover.stopping:
             self._owners.note_stopping(sender)
-        key = (sender, handover.number)
-        if key not in self._received:
-            self._forget_received(now_ms)
-            accepted = self._lease.is_current()
-            self._received[key] = _Received(handover.until_ms, accepted)
-            if accepted:
-                self._take(handover)
-            else:
-                self._pass_over(handover)
-        self._link.acknowledge(
-            sender.name,
-            handover.number,
-            accepted=self._received[key].accepted,
-        )
+        accepted = self._receipts.receive(handover)
+        if accepted:
+            for held in handover.counts:
+                self.takeovers.forget(held.name)
+        self._link.acknowledge(sender.name, handover.number, accepted=accepted)
 
     def acknowledged(self, number: int, *, accepted: bool) -> None:
         """Record the response to a handover.
@@ -251,36 +231,6 @@
                 )
             )
 
-    def _take(self, handover: Handover) -> None:
-        """Hold the counts of a handover, except for those already held."""
-        now = self._clock.monotonic()
-        own = self._owners.own
-        for held in handover.counts:
-            if self._holds.usable(held.name) is None:
-                ceders = tuple(
-                    each
-                    for each in held.ceders
-                    if each.entry != own
-                    and self._owners.is_outranked(held.name, each.entry)
-                )
-                self._holds.hold(held.name, received(held, now), ceders)
-            self.takeovers.forget(held.name)
-        count = len(handover.counts)
-        metrics.LIMIT_HANDOVERS.add({'outcome': 'taken'}, count)
-        logs.emit(
-            events.LIMITS_TAKEN_OVER,
-            sender=handover.sender.name,
-            organisations=count,
-        )
-
-    def _pass_over(self, handover: Handover) -> None:
-        """Do not count what was not accepted, as if it was handed over."""
-        for held in handover.counts:
-            if self._holds.usable(held.name) is None:
-                self._holds.pass_over(
-                    held.name, handover.sender, handover.until_ms
-                )
-
     def _check_receiver(self, handover: Handover) -> None:
         """Give up a handover to an entry that has left.
 
@@ -298,8 +248,3 @@
             few = held._replace(tokens=min(held.tokens, BURST_TOLERANCE))
             self._holds.hold(held.name, received(few, now), held.ceders)
         self._cede(held.name for held in handover.counts)
-
-    def _forget_received(self, now_ms: float) -> None:
-        for key, known in tuple(self._received.items()):
-            if known.until_ms < now_ms:
-                self._received.pop(key)
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -13,24 +13,19 @@
 from cactusridge.clock import Clock
 from cactusridge.hashing import hash64, rendezvous
 from cactusridge.organisations.limit_messages import Candidate
+from cactusridge.organisations.member_ages import (
+    CEDE_MS,
+    PEER_READ_MS,
+    SETTLE_MS,
+    STOP_MARGIN_MS,
+    next_change_ms,
+    settled,
+)
 from cactusridge.organisations.ranking import Ranking
 
 MS_PER_S = 1000
 # Seconds between two updates of the set of entries that may be owners.
 UPDATE_INTERVAL_S = 0.5
-# Milliseconds of uninterrupted membership before an entry may be an owner.
-SETTLE_MS = 3000
-# Further milliseconds before a new owner counts requests in its own right. The
-# other entries read the membership list every second and must have seen the
-# change.
-PEER_READ_MS = 1500
-# Milliseconds before that at which the previous owner stops, if it has not
-# handed over its counts until then: a margin for the clocks.
-STOP_MARGIN_MS = 500
-# Milliseconds of membership after which the previous owner hands over its
-# counts. All entries that send requests must have seen the change, or one of
-# them could ask a backup owner to count for an owner that has exited.
-CEDE_MS = 3600
 # Number of ranked entries per organisation: the owner and the backup owners,
 # which receive requests in turn when the owner does not respond.
 MAX_RANKED = 3
@@ -199,14 +194,14 @@
         self.own = next(
             (each for each in listed if each.name == self.own_name), None
         )
-        self._next_change_ms = _next_change_ms(listed, now_ms)
-        self._set_eligible(_settled(listed, now_ms - SETTLE_MS))
+        self._next_change_ms = next_change_ms(listed, now_ms)
+        self._set_eligible(settled(listed, now_ms - SETTLE_MS))
         counts_ms = now_ms - SETTLE_MS - PEER_READ_MS
-        self._may_count = self.own in _settled(listed, counts_ms)
-        others = _settled(listed, counts_ms + STOP_MARGIN_MS)
+        self._may_count = self.own in settled(listed, counts_ms)
+        others = settled(listed, counts_ms + STOP_MARGIN_MS)
         own = frozenset({self.own} if self.own else ())
         self._counting = self._counting.updated((others | own) - self._stopping)
-        receivers = _settled(listed, now_ms - CEDE_MS) - self._stopping
+        receivers = settled(listed, now_ms - CEDE_MS) - self._stopping
         self._receivers = self._receivers.updated(receivers)
         if before != (
             self.own,
@@ -229,27 +224,3 @@
         self._eligible = Ranking(eligible)
         self._owners_changed_at = self._clock.monotonic()
         self.changes += 1
-
-
-def _settled(listed: Sequence[Candidate], at_ms: float) -> frozenset[Candidate]:
-    """Return the members that have been listed since ``at_ms``.
-
-    Also those listed within SETTLE_MS of the oldest member. They need not
-    wait: after a restart of the whole fleet no earlier owner is left that
-    could still be counting.
-    """
-    first_ms = min((each.since_ms for each in listed), default=0)
-    settled_ms = max(at_ms, first_ms + SETTLE_MS)
-    return frozenset(each for each in listed if each.since_ms <= settled_ms)
-
-
-def _next_change_ms(listed: Sequence[Candidate], now_ms: float) -> float:
-    """Return when another member will have been listed for long enough."""
-    waits_ms = (
-        SETTLE_MS,
-        CEDE_MS,
-        SETTLE_MS + PEER_READ_MS - STOP_MARGIN_MS,
-        SETTLE_MS + PEER_READ_MS,
-    )
-    times = (each.since_ms + wait for each in listed for wait in waits_ms)
-    return min((each for each in times if each > now_ms), default=float('inf'))
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -96,6 +96,7 @@
     def start(self) -> None:
         """Update the owner entries periodically, even without requests."""
         self._session.on_read(self.owners.update)
+        self._session.on_restart(self.owners.update)
         gevent.spawn(run_every, UPDATE_INTERVAL_S, self.owners.update)
         if self._has_handover:
             gevent.spawn(run_every, WATCH_INTERVAL_S, self._watch.step)
--- a/cactusridge/platform/membership_lease.py
+++ b/cactusridge/platform/membership_lease.py
@@ -17,11 +17,11 @@
 
     def unrenewed_s(self) -> float:
         """Return the seconds since the last renewal."""
-        return self._session.unrenewed_s()
+        return self._session.ages().unrenewed_s
 
     def unread_s(self) -> float:
         """Return the seconds since the last read of the members."""
-        return self._session.unread_s()
+        return self._session.ages().unread_s
 
     @property
     def is_read(self) -> bool:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,13 +12,9 @@
 from cactusridge.organisations.limit_count import BURST_TOLERANCE
 from cactusridge.organisations.limit_counter import LimitCounter
 from cactusridge.organisations.limit_messages import Candidate, LimitRequest
-from cactusridge.organisations.limit_owners import (
-    MS_PER_S,
-    PEER_READ_MS,
-    SETTLE_MS,
-    LimitOwners,
-)
+from cactusridge.organisations.limit_owners import MS_PER_S, LimitOwners
 from cactusridge.organisations.limiter import FixedShares, NoLimits
+from cactusridge.organisations.member_ages import PEER_READ_MS, SETTLE_MS
 from cactusridge.organisations.organisation import Organisation, RateLimit
 from cactusridge.organisations.token_bucket import TokenBucket
 from cactusridge.peers.limit_requests import LimitRequests
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -115,3 +115,38 @@
         self.clock.advance(1)
         self.one.renew_and_read()
         self.assertEqual((self.clock.now - 1) * 1000, self.one.me.since_ms)
+
+    def test_restarted_process(self):
+        """A process that is back at once begins the membership anew.
+
+        The previous one may have handed over the right to count limits, so
+        the new one must not continue it.
+        """
+        self.clock.advance(1)
+        restarted = self.session('two')
+        restarted.renew_and_read()
+        self.assertEqual(self.clock.now * 1000, restarted.me.since_ms)
+
+    def test_continued_after_a_gap(self):
+        """A gap in which no entry could be replaced is no interruption."""
+        since_ms = self.one.me.since_ms
+        told = []
+        self.one.on_restart(lambda: told.append(self.one.me.since_ms))
+        self.one.continue_while(lambda: True)
+        self.clock.advance(MEMBER_LEASE_S * 2)
+        self.one.renew_and_read()
+        self.assertEqual(since_ms, self.one.me.since_ms)
+        self.one.continue_while(bool)
+        self.clock.advance(MEMBER_LEASE_S * 2)
+        self.one.renew_and_read()
+        self.assertEqual([self.clock.now * 1000], told)
+
+    def test_no_expiry_between_reads(self):
+        """A member expires for the limits only by a read that shows it."""
+        self.clock.advance(MEMBER_LEASE_S)
+        self.assertEqual(['one'], self.names())
+        listed = [each.name for each in self.one.members_as_read()]
+        self.assertEqual(['one', 'two'], listed)
+        self.one.renew_and_read()
+        listed = [each.name for each in self.one.members_as_read()]
+        self.assertEqual(['one'], listed)
