Limits: ask an owner again that is about to take over

Cause: with entry processes, an owner that had just taken over responded before it had asked the previous one, so that the first request of an organisation was refused as limit_unsure. Change: the requester asks again after 20 ms, at most twice, before it turns to the backup owners.

--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -121,6 +121,10 @@
         powered off, because its process may still be running.
         """
 
+    @abc.abstractmethod
+    def pause(self, length_s: float) -> None:
+        """Wait while entries exchange counts."""
+
     @abc.abstractmethod
     def return_token(self, entry: str, name: str) -> None:
         """Notify ``entry`` that a request it counted has not run."""
--- a/cactusridge/organisations/owner_limiter.py
+++ b/cactusridge/organisations/owner_limiter.py
@@ -14,6 +14,10 @@
 
 # Seconds without further requests to an entry that sent no response.
 PEER_BACKOFF_S = 0.5
+# How often, and after how many seconds, a request is sent again to an owner
+# that responds but does not count yet.
+OWNER_RETRIES = 2
+OWNER_RETRY_S = 0.02
 
 
 class OwnerLimiter(Limiter):
@@ -57,7 +61,7 @@
         """
         request = LimitRequest(name, limit, version)
         for entry in self._owners.ranked_entries(name):
-            reply = self._request_following(entry, request)
+            reply = self._request_patiently(entry, request)
             if reply is not None and reply.counted:
                 return reply.wait_s
             first = not request.as_backup
@@ -88,6 +92,23 @@
             return False
         return self._backoff_until.get(entry, 0) > self._clock.monotonic()
 
+    def _request_patiently(
+        self, entry: str, request: LimitRequest
+    ) -> LimitResponse | None:
+        """Request a token, again if an owner is about to take over.
+
+        It needs one round trip to the previous owner before it counts.
+        """
+        reply = self._request_following(entry, request)
+        if request.as_backup:
+            return reply
+        for _ in range(OWNER_RETRIES):
+            if reply is None or reply.counted:
+                return reply
+            self._client.pause(OWNER_RETRY_S)
+            reply = self._request_following(entry, request)
+        return reply
+
     def _request_following(
         self, entry: str, request: LimitRequest
     ) -> LimitResponse | None:
--- a/cactusridge/peers/limit_requests.py
+++ b/cactusridge/peers/limit_requests.py
@@ -3,6 +3,7 @@
 import itertools
 from typing import Any
 
+import gevent
 from gevent import socket
 from gevent.event import AsyncResult
 
@@ -83,6 +84,10 @@
         sock.close()
         return False
 
+    def pause(self, length_s: float) -> None:
+        """Wait while other greenlets receive messages."""
+        gevent.sleep(length_s)
+
     def return_token(self, entry: str, name: str) -> None:
         """Notify an entry that a request it counted has not run."""
         self._peers.send_to(parse_address(entry), RETURNED_TOPIC, name)
--- a/tests/limits_limiters.py
+++ b/tests/limits_limiters.py
@@ -29,6 +29,9 @@
         reachable = other.partition == self._entry.partition
         return reachable and not (other.alive or other.powered_off)
 
+    def pause(self, length_s):
+        """Do nothing, since simulated messages arrive at once."""
+
     def return_token(self, entry, name):
         """Do nothing, since no simulated request is returned."""
 
--- a/tests/test_keys_on_machines.py
+++ b/tests/test_keys_on_machines.py
@@ -29,6 +29,10 @@
 # requests by which a limit may be exceeded in it.
 WINDOW_S = 5
 MAX_EXCESS = 20
+# Time after which entries that started one after the other may be owners, in
+# seconds.
+SETTLED_S = 6
+ORGANISATIONS = 6
 
 
 class KeysCase(MachineCase):
@@ -273,3 +277,38 @@
         self.assertGreater(waits[2], waits[0] + token_s)
         for _ in range(20):
             self.assertEqual(200, self.send('two', 'k1')[0])
+
+    def test_planned_stops(self):
+        """No request within its limit is refused while entries are stopped.
+
+        Nor does a stop grant the burst again.
+        """
+        limited = [
+            {**TWO, 'name': f'n{number}', 'api_keys': [f'n{number}']}
+            for number in range(ORGANISATIONS)
+        ]
+        self.configure(*({**each, 'rate_per_s': 5} for each in limited))
+        gevent.sleep(SETTLED_S)
+        found = self.send_each(1)
+        for name in self.entries[1:]:
+            self.site.entries[name].send(signal.SIGTERM)
+        started_at = time.monotonic()
+        while time.monotonic() < started_at + WINDOW_S:
+            found += self.send_each(1)
+            gevent.sleep(0.25)
+        self.assertEqual({200}, set(found))
+        served = self.send_each(25).count(200)
+        lasted_s = time.monotonic() - started_at
+        most = (lasted_s * 5 + TWO['burst']) * 1.1 + MAX_EXCESS
+        in_window = served + len(found)
+        self.assertLessEqual(in_window, most * ORGANISATIONS)
+        log = self.site.entries['one'].log.read_text()
+        self.assertIn('limits_taken_over', log)
+
+    def send_each(self, count):
+        """Send ``count`` requests of each organisation; return the statuses."""
+        return [
+            self.send('one', f'n{number}')[0]
+            for number in range(ORGANISATIONS)
+            for _ in range(count)
+        ]
