--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -171,6 +171,7 @@
     quarantine: Literal['by_crashes', 'none'] = 'by_crashes'
     limits: Literal['homes', 'shares', 'none'] = 'homes'
     capacity: Literal['observed', 'mean'] = 'observed'
+    limit_handover: Literal['acknowledged', 'none'] = 'acknowledged'
 
 
 class DirectEntrySettings(CommonSettings, frozen=True, kw_only=True):
