--- a/cactusridge/sidecar/gate.py
+++ b/cactusridge/sidecar/gate.py
@@ -8,9 +8,9 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import Overloaded
 from cactusridge.orders import RunOrder, ServiceReport, WorkClass
+from cactusridge.routing.fair_queue import FairQueue
 from cactusridge.sidecar.controllers import BatchController, OnlineLoad
 from cactusridge.sidecar.drain_rate import DrainRate
-from cactusridge.sidecar.fair_queue import FairQueue
 from cactusridge.sidecar.limits import ConcurrencyLimit
 from cactusridge.startup.models import UpstreamSettings
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,6 +6,7 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
+from cactusridge.routing.fair_queue import FairQueue
 from cactusridge.settings.schema import ObjectiveSettings
 from cactusridge.sidecar.controllers import (
     FillSlotsController,
@@ -13,7 +14,6 @@
     OnlineLoad,
 )
 from cactusridge.sidecar.drain_rate import DrainRate
-from cactusridge.sidecar.fair_queue import FairQueue
 from cactusridge.sidecar.limits import FixedLimit, ObjectiveLimit
 
 SLOTS = 16
--- a/tests/test_boundary.py
+++ b/tests/test_boundary.py
@@ -30,6 +30,7 @@
 LAYERS = (
     ('cli', 'entry', 'platform', 'sidecar'),
     ('batch', 'jobs', 'output'),
+    ('queueing',),
     ('dispatch', 'sidecar_dispatch'),
     ('peers',),
     ('fleet', 'quarantine', 'routing', 'slo'),
