Admission queue of an entry, not yet used

Cause: a caller that has come back and meets a full service gets no answer, though slots become free before its deadline.

Change: AdmissionQueue lets such a request wait in its greenlet. Changes of this entry's and peers' counts wake it; after a random delay of up to 10 ms the request with the next turn starts if a slot is free. Attempts.choose is split so that the queue asks for a free slot by the same rules, and on_loads of PeerExchange takes several listeners. Events 430 and 431 and three metrics describe each wait.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -1,6 +1,7 @@
 """Makes attempts: chooses a replica, sends to it and limits the wait."""
 
 import random
+from collections.abc import Sequence
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route
@@ -64,34 +65,18 @@
         Raises NoReplica if the service has no ready replica, and
         Overloaded if the expected wait at the best one is too long.
         """
-        service = self._service(call.route)
-        ready = {
-            replica.incarnation: replica
-            for replica in self._fleet.ready(service)
-        }
-        fresh = set(ready) - set(progress.tried) or set(ready)
-        if not fresh:
-            raise NoReplica(
-                f'no replica of {service} is ready',
-                retry_after_s=NO_REPLICA_RETRY_S,
-            )
-        allowed = self._runner.health.selectable(ready) & fresh
-        loads = self._runner.loads
-        local = self._cells.of_service(service).local
-        compared = select_candidates(
-            allowed or fresh,
-            local,
-            loads.offered_replicas(),
-            self._rng,
-        )
-        choices = [
-            Choice(ready[key], loads.total_at(key), key in local)
-            for key in compared
-        ]
-        best = self._policies.placing.choose(choices, self._zone, self._rng)
+        service = progress.service or self._service(call.route)
+        best = self._best(service, progress.tried)
         self._check_wait(call, best)
         return best.replica
 
+    def has_free_slot(self, service: str) -> bool:
+        """Return whether a request of ``service`` would start at once."""
+        try:
+            return self._best(service, ()).queue == 0
+        except NoReplica:
+            return False
+
     def open(
         self,
         call: OnlineCall,
@@ -190,6 +175,36 @@
         held_s = self._clock.monotonic() - begun_at
         self._runner.slot_time(replica.service).add(held_s)
 
+    def _best(self, service: str, tried: Sequence[str]) -> Choice:
+        """Return the best replica of a service, if possible not in ``tried``.
+
+        Raises NoReplica if the service has no ready replica.
+        """
+        ready = {
+            replica.incarnation: replica
+            for replica in self._fleet.ready(service)
+        }
+        fresh = set(ready) - set(tried) or set(ready)
+        if not fresh:
+            raise NoReplica(
+                f'no replica of {service} is ready',
+                retry_after_s=NO_REPLICA_RETRY_S,
+            )
+        allowed = self._runner.health.selectable(ready) & fresh
+        loads = self._runner.loads
+        local = self._cells.of_service(service).local
+        compared = select_candidates(
+            allowed or fresh,
+            local,
+            loads.offered_replicas(),
+            self._rng,
+        )
+        choices = [
+            Choice(ready[key], loads.total_at(key), key in local)
+            for key in compared
+        ]
+        return self._policies.placing.choose(choices, self._zone, self._rng)
+
     def _check_wait(self, call: OnlineCall, best: Choice) -> None:
         """Raise Overloaded if the expected wait at ``best`` is too long."""
         slot_time = self._runner.slot_time(best.replica.service)
@@ -209,7 +224,11 @@
             wait_s,
             self._runner.loads.age_s(),
         )
-        raise WaitTooLong(estimate, self._policies.returns.delay_s(refusal))
+        raise WaitTooLong(
+            estimate,
+            self._policies.returns.delay_s(refusal),
+            best.replica.service,
+        )
 
     def _service(self, route: Route) -> str:
         """Return one of the route's services, drawn by their weights."""
--- a/cactusridge/dispatch/online_call.py
+++ b/cactusridge/dispatch/online_call.py
@@ -41,7 +41,8 @@
 
     ``tried`` lists the incarnations of replicas in the order of the
     attempts. ``may_have_run`` counts the attempts that may have run the
-    request, ``rejections`` those rejected before it ran.
+    request, ``rejections`` those rejected before it ran. ``service`` is the
+    one whose slots the request has waited for, or empty.
     """
 
     def __init__(self) -> None:
@@ -49,3 +50,4 @@
         self.tried: list[str] = []
         self.may_have_run = 0
         self.rejections = 0
+        self.service = ''
--- a/cactusridge/dispatch/wait_too_long.py
+++ b/cactusridge/dispatch/wait_too_long.py
@@ -25,10 +25,16 @@
 class WaitTooLong(Overloaded):
     """The expected wait for a slot exceeds the one that is admitted."""
 
-    def __init__(self, estimate: WaitEstimate, retry_after_s: float) -> None:
-        """Refuse a request because of ``estimate``."""
+    def __init__(
+        self,
+        estimate: WaitEstimate,
+        retry_after_s: float,
+        service: str = '',
+    ) -> None:
+        """Refuse a request for ``service`` because of ``estimate``."""
         super().__init__(
             f'the expected wait is {estimate.wait_s:.3f} s',
             retry_after_s=retry_after_s,
         )
         self.estimate = estimate
+        self.service = service
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -69,6 +69,8 @@
 QUARANTINED: Final = Event(424, 'quarantined', 'warning')
 QUARANTINE_ENDED: Final = Event(425, 'quarantine_ended')
 STRIKES_UNSAVED: Final = Event(426, 'strikes_unsaved', 'warning')
+REQUEST_QUEUED: Final = Event(430, 'request_queued')
+REQUEST_DEQUEUED: Final = Event(431, 'request_dequeued')
 PEER_UNREACHABLE: Final = Event(410, 'peer_unreachable', 'warning')
 PEER_UNREADABLE: Final = Event(411, 'peer_unreadable', 'warning')
 
--- a/cactusridge/metrics.py
+++ b/cactusridge/metrics.py
@@ -8,6 +8,7 @@
 from cactusridge.http.exchange import Reply, Req
 
 TTFT_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.64, 1, 2, 5, 10)
+QUEUE_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.5, 1, 1.5, 2, 3, 5)
 
 REQUESTS = Counter('cr_requests_total', 'Requests by service, class, outcome')
 ATTEMPTS = Counter('cr_attempts_total', 'Dispatches to a replica, by service')
@@ -30,6 +31,13 @@
 LEASE_LOST = Counter('cr_leases_lost_total', 'Leases lost to another holder')
 STORE_CALLS = Counter('cr_store_calls_total', 'Store calls by kind, outcome')
 STORE_DOWN = Gauge('cr_store_down', 'One while the store is not answering')
+QUEUE_WAITING = Gauge('cr_queue_waiting', 'Requests that wait at this entry')
+QUEUE_WAITED = Histogram(
+    'cr_queue_waited_seconds',
+    'Time that requests waited at this entry, by service',
+    buckets=list(QUEUE_BUCKETS),
+)
+QUEUE_OUTCOMES = Counter('cr_queue_outcomes_total', 'Ended waits by outcome')
 BURN = Gauge('cr_burn', 'Burn by service, objective, window')
 WORK_SECONDS = Counter('cr_work_seconds_total', 'Processor time by part')
 WORK_TURNS = Counter('cr_work_turns_total', 'Switches to greenlets by part')
--- a/cactusridge/peers/exchange.py
+++ b/cactusridge/peers/exchange.py
@@ -67,7 +67,7 @@
         self._audience = audience
         self._cells = cells
         self._get_status = get_status
-        self._on_loads: Callable[[], None] | None = None
+        self._load_listeners: list[Callable[[], None]] = []
         self._announcements: dict[str, tuple[int, int]] = {}
         self._on_announcement: Callable[[str, int], None] | None = None
         self._on_status: Callable[[Target, EntryStatus], None] | None = None
@@ -79,7 +79,7 @@
 
     def on_loads(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after a peer's counts have been received."""
-        self._on_loads = listener
+        self._load_listeners.append(listener)
 
     def on_status(
         self, listener: Callable[[Target, EntryStatus], None]
@@ -238,8 +238,8 @@
             # counts need not be kept.
             self._counts.pop(sender, None)
             self._loads.forget(name)
-        if self._on_loads is not None:
-            self._on_loads()
+        for listener in self._load_listeners:
+            listener()
 
 
 def _encode(loads: Mapping[str, Load]) -> dict[str, list[int]]:
--- /dev/null
+++ b/cactusridge/queueing/call_rules.py
@@ -0,0 +1,33 @@
+"""What the configuration in force says about waiting calls."""
+
+from collections.abc import Callable
+
+from cactusridge.dispatch.catalog import Catalog
+from cactusridge.dispatch.online_call import OnlineCall
+from cactusridge.errors import NotFound
+
+
+class CallRules:
+    """Looks up calls in the configuration that is in force now."""
+
+    def __init__(self, catalog: Callable[[], Catalog]) -> None:
+        """Look up calls in what ``catalog`` returns."""
+        self._catalog = catalog
+
+    def priority(self, call: OnlineCall) -> int:
+        """Return the priority of the call's organisation, else its route's.
+
+        0 is the highest.
+        """
+        directory = self._catalog().organisations
+        known = directory and directory.named(call.req.organisation)
+        if known and known.priority is not None:
+            return known.priority
+        return call.route.priority
+
+    def check(self, call: OnlineCall) -> None:
+        """Raise NotFound if the route is gone, else what the permit raises."""
+        call.permit.check()
+        names = {(each.host, each.name) for each in self._catalog().routes}
+        if (call.route.host, call.route.name) not in names:
+            raise NotFound(f'the route {call.route.name} has been removed')
--- /dev/null
+++ b/tests/test_admission_queue.py
@@ -0,0 +1,269 @@
+"""The admission queue with greenlets: starts, ends of waits, close."""
+
+import random
+import unittest
+
+import gevent
+from nose2.tools import params
+
+from cactusridge import events
+from cactusridge.background import run_forever
+from cactusridge.clock import ManualClock
+from cactusridge.dispatch.queueing import NoQueueing
+from cactusridge.dispatch.wait_too_long import WaitTooLong
+from cactusridge.errors import (
+    CallerDisconnected,
+    Draining,
+    NotFound,
+    Overloaded,
+)
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.organisations.errors import UnknownKey
+from cactusridge.organisations.permit import OpenPermit
+from cactusridge.queueing.admission_queue import AdmissionQueue
+from cactusridge.queueing.call_rules import CallRules
+from cactusridge.queueing.waiting_line import MAX_REQUESTS
+from tests.cells_play import cells_of, places, put_replicas
+from tests.emitted import emitted
+from tests.waiting_calls import CATALOG, TIMEOUT_S, call_of, refusal
+
+# Longer than the longest random delay and than the interval of checks.
+SETTLE_S = 0.15
+# The time left to a caller that has come back, in seconds.
+LEFT_S = 3
+
+
+class RevocablePermit(OpenPermit):
+    """A permit that is valid until its key is revoked."""
+
+    def __init__(self):
+        """Start with a valid key."""
+        self.revoked = False
+
+    def check(self):
+        """Raise UnknownKey if the key has been revoked."""
+        if self.revoked:
+            raise UnknownKey
+
+
+class QueueCase(unittest.TestCase):
+    """A queue before replicas of eight slots, all of them in use."""
+
+    replicas = 1
+
+    def setUp(self):
+        """Start the greenlet of the queue."""
+        fleet = FleetView()
+        put_replicas(fleet, self.replicas)
+        self.clock = ManualClock()
+        self.free = 0
+        self.catalog = CATALOG
+        self.queue = AdmissionQueue(
+            lambda _: self.free > 0,
+            cells_of(places('10.0.0.1:1'), fleet),
+            CallRules(lambda: self.catalog),
+            self.clock,
+            random.Random(1),
+        )
+        running = gevent.spawn(run_forever, self.queue.step)
+        self.addCleanup(running.kill)
+        self.ended = []
+
+    def wait(self, call):
+        """Wait with ``call``; record who ended how."""
+        try:
+            self.queue.wait(call, refusal())
+        except Exception as exc:
+            self.ended.append((call.req.organisation, type(exc)))
+            return exc
+        # As a request that is sent, it uses the slot before others run.
+        self.free -= 1
+        self.ended.append((call.req.organisation, None))
+        return None
+
+    def enter(self, organisation='press', left_s=LEFT_S, **others):
+        """Let a call wait; return it and its greenlet."""
+        call = call_of(organisation, self.clock.now + left_s, **others)
+        greenlet = gevent.spawn(self.wait, call)
+        gevent.sleep(0)
+        return call, greenlet
+
+    def release(self, slots=1):
+        """Make slots free and notify the queue."""
+        self.free += slots
+        self.queue.on_change()
+        gevent.sleep(SETTLE_S)
+
+
+class TestStarts(QueueCase):
+    """Requests start when slots become free."""
+
+    def test_waits_for_a_slot(self):
+        """A request waits while no slot is free, and starts with one."""
+        self.enter()
+        gevent.sleep(SETTLE_S)
+        self.assertEqual([], self.ended)
+        self.release()
+        self.assertEqual([('press', None)], self.ended)
+        self.assertEqual([], self.queue.summary())
+
+    def test_one_start_per_slot(self):
+        """Of several requests only as many start as slots are free.
+
+        Otherwise they would queue at the replica before on-time requests.
+        """
+        for _ in range(5):
+            self.enter()
+        self.release(2)
+        self.assertEqual(2, len(self.ended))
+        self.assertEqual(3, self.queue.summary()[0].count)
+
+    def test_order(self):
+        """The organisation's priority goes first, then fair shares."""
+        for name in ('press', 'press', 'late', 'first'):
+            self.enter(name)
+        self.release(3)
+        started = [name for name, _ in self.ended]
+        self.assertEqual(['first', 'late', 'press'], sorted(started))
+        self.assertEqual('first', started[0])
+
+    def test_change_of_peers_is_not_needed(self):
+        """A slot that no message announces is found by the next check."""
+        self.enter()
+        self.free = 1
+        gevent.sleep(SETTLE_S)
+        self.assertEqual(1, len(self.ended))
+
+
+class TestRefusals(QueueCase):
+    """Requests that must not wait."""
+
+    @params(
+        # A first attempt returns later, with the Retry-After of the policy.
+        ('press', TIMEOUT_S),
+        # Its answer would come too late.
+        ('press', 0.9),
+        # A caller without an organisation.
+        ('', LEFT_S),
+    )
+    def test_at_once(self, organisation, left_s):
+        """The original refusal is raised at once."""
+        _, greenlet = self.enter(organisation, left_s)
+        found = greenlet.get(timeout=1)
+        self.assertIsInstance(found, WaitTooLong)
+        self.assertEqual(0.5, found.retry_after_s)
+
+    def test_naive(self):
+        """The naive policy refuses also those that could wait."""
+        with self.assertRaises(WaitTooLong):
+            NoQueueing().wait(call_of('press', LEFT_S), refusal())
+
+    def test_those_behind_too_many(self):
+        """A request that would have its turn too late is refused at once.
+
+        One entry with one replica has a turn every 0.094 s. With 3 s left,
+        0.28 s to the next slot and 0.75 s for the answer, 21 turns fit.
+        """
+        for _ in range(30):
+            self.enter()
+        self.assertEqual(22, self.queue.summary()[0].count)
+        self.assertEqual([('press', WaitTooLong)] * 8, self.ended)
+
+
+class TestBound(QueueCase):
+    """Requests past the bound of an entry with many slots."""
+
+    replicas = 40
+
+    def test_newest_of_the_largest(self):
+        """The organisation with the most waiting loses its newest request.
+
+        Otherwise one organisation that sends too much keeps all others out.
+        """
+        waits = [self.enter('large')[1] for _ in range(MAX_REQUESTS)]
+        self.assertEqual([], self.ended)
+        self.enter('small')
+        displaced = waits[-1].get(timeout=1)
+        self.assertEqual(Overloaded, type(displaced))
+        self.assertEqual([('large', Overloaded)], self.ended)
+        counts = [each.count for each in self.queue.summary()]
+        self.assertEqual([MAX_REQUESTS - 1, 1], counts)
+
+
+class TestEnds(QueueCase):
+    """Waits that end without a slot."""
+
+    def test_disconnect(self):
+        """A caller that disconnects leaves the queue at once.
+
+        Otherwise a slot would be spent on an answer that nobody reads.
+        """
+        call, greenlet = self.enter()
+        call.caller.record_disconnect()
+        self.assertEqual([], self.queue.summary())
+        self.assertIsInstance(greenlet.get(timeout=1), CallerDisconnected)
+
+    def test_revoked(self):
+        """The wait ends with the key that it was admitted for."""
+        permit = RevocablePermit()
+        _, greenlet = self.enter(permit=permit)
+        permit.revoked = True
+        self.assertIsInstance(greenlet.get(timeout=1), UnknownKey)
+
+    def test_route_removed(self):
+        """The wait ends when the route is no longer configured."""
+        _, greenlet = self.enter()
+        self.catalog = CATALOG._replace(routes=())
+        self.assertIsInstance(greenlet.get(timeout=1), NotFound)
+
+    def test_deadline(self):
+        """The wait ends as soon as no answer can come before the deadline.
+
+        A request held until its deadline keeps its caller from going
+        elsewhere.
+        """
+        _, greenlet = self.enter()
+        self.clock.advance(LEFT_S - 0.8)
+        gevent.sleep(SETTLE_S)
+        self.assertEqual([], self.ended)
+        self.clock.advance(0.1)
+        found = greenlet.get(timeout=1)
+        self.assertEqual(Overloaded, type(found))
+
+    def test_expired_do_not_hold_back(self):
+        """A request is not refused for those before it that end."""
+        self.enter('first', left_s=1.1)
+        self.enter('press', left_s=1.2)
+        self.clock.advance(0.4)
+        gevent.sleep(SETTLE_S)
+        self.assertEqual([('first', Overloaded)], self.ended)
+
+    def test_killed(self):
+        """A greenlet that is killed leaves the queue."""
+        _, greenlet = self.enter()
+        greenlet.kill()
+        self.assertEqual([], self.queue.summary())
+
+    def test_close(self):
+        """At a planned stop all are refused and may return at once.
+
+        The callers have time left for another entry; requests that arrive
+        afterwards do not wait.
+        """
+        greenlets = [self.enter()[1] for _ in range(3)]
+        self.queue.close()
+        for greenlet in greenlets:
+            found = greenlet.get(timeout=1)
+            self.assertIsInstance(found, Draining)
+            self.assertEqual(0, found.retry_after_s)
+            self.assertTrue(found.not_run)
+        _, late = self.enter()
+        self.assertIsInstance(late.get(timeout=1), WaitTooLong)
+
+    def test_log(self):
+        """Each wait is logged at its start and its end."""
+        with emitted() as found:
+            self.enter()
+            self.release()
+        wanted = [events.REQUEST_QUEUED, events.REQUEST_DEQUEUED]
+        self.assertEqual(wanted, [each for each in found if each in wanted])
