Let callers that have come back wait at their entry

Cause: the admission queue was not connected.

Change: OnlineDispatcher asks its queueing policy about a request that has not been sent to any replica and whose expected wait is too long. The policy field `queueing` selects `fair` (default) or `none`. The queue is woken by this entry's and its peers' counts. At a planned stop all waiting requests are refused with a Retry-After of 0 when the readiness delay has passed, since until then the load balancer could send their callers back here.

--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -7,10 +7,12 @@
 from cactusridge.dispatch.online_call import Answer, OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.policies import DispatchPolicies
+from cactusridge.dispatch.queueing import NoQueueing, Queueing
 from cactusridge.dispatch.retries import check_retry, may_retry
 from cactusridge.dispatch.run import SERVER_ERROR, Run, Runner, is_success
 from cactusridge.dispatch.streams import Streams
 from cactusridge.dispatch.upstream import UpstreamHead
+from cactusridge.dispatch.wait_too_long import WaitTooLong
 from cactusridge.errors import CactusridgeError, UpstreamFailed
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica
@@ -41,6 +43,15 @@
             policies,
         )
         self._streams = Streams(self._attempts, clock, self._log)
+        self._queueing: Queueing = NoQueueing()
+
+    def queue_with(self, queueing: Queueing) -> None:
+        """Let ``queueing`` decide about requests that cannot start now."""
+        self._queueing = queueing
+
+    def has_free_slot(self, service: str) -> bool:
+        """Return whether a request of ``service`` would start at once."""
+        return self._attempts.has_free_slot(service)
 
     def answer(self, call: OnlineCall) -> Answer:
         """Return the answer to a call.
@@ -61,15 +72,29 @@
 
     def _answer(self, call: OnlineCall, progress: Progress) -> Answer:
         while True:
-            self._attempts.check(call, progress)
-            call.permit.count()
-            replica = self._attempts.choose(call, progress)
+            replica = self._choose(call, progress)
             try:
                 return self._try(call, replica, progress)
             except CactusridgeError as exc:
                 check_retry(call, progress, exc)
                 metrics.RETRIES.inc({'service': replica.service})
 
+    def _choose(self, call: OnlineCall, progress: Progress) -> Replica:
+        """Return the replica for the next attempt.
+
+        A request that has not been sent to any replica may wait for one.
+        """
+        while True:
+            self._attempts.check(call, progress)
+            call.permit.count()
+            try:
+                return self._attempts.choose(call, progress)
+            except WaitTooLong as refusal:
+                if progress.tried:
+                    raise
+                self._queueing.wait(call, refusal)
+                progress.service = refusal.service
+
     def _try(
         self,
         call: OnlineCall,
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -30,6 +30,7 @@
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.platform.key_lease_renewer import KeyLeaseRenewer
 from cactusridge.platform.limit_parts import LimitParts
+from cactusridge.platform.queue_parts import QueueParts
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.platform.strike_parts import (
     JOBS_TABLE,
@@ -114,17 +115,22 @@
             self._peers,
             clock,
         )
+        online = OnlineDispatcher(
+            self._fleet,
+            self._jobs.cells,
+            runner,
+            cfg.zone,
+            clock,
+            make_policies(cfg.policy),
+        )
+        self._queue = QueueParts(
+            cfg.policy, online, self._jobs.cells, self._holder, clock
+        )
+        self._queue.connect(loads, self._peers)
         self._app = CallerApp(
             self._holder,
             self._catalog_follower,
-            OnlineDispatcher(
-                self._fleet,
-                self._jobs.cells,
-                runner,
-                cfg.zone,
-                clock,
-                make_policies(cfg.policy),
-            ),
+            online,
             self._jobs.calls,
             CallerResolver(
                 self._holder,
@@ -168,6 +174,7 @@
         close_expired = self._upstream.connections.close_expired
         gevent.spawn(run_every, TRIM_PERIOD_S, close_expired)
         self._limits.start()
+        self._queue.start()
         self._lease_renewer.start()
         METER.start()
         report = WorkReport(METER, self._jobs.scheduler.depths)
@@ -181,8 +188,9 @@
         self._serve_at(self._cfg.readiness_listen, '/.*', self._readiness)
 
     def begin_drain(self) -> None:
-        """Make the readiness endpoint fail."""
+        """Make the readiness endpoint fail, then end the waits."""
         self._draining = True
+        self._queue.close_after(self._cfg.readiness_delay_s)
 
     def hand_over(self, bound_s: float) -> None:
         """Hand over the jobs and leave the membership list."""
--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -164,6 +164,7 @@
     placing: Literal['least_online', 'any'] = 'least_online'
     admission: Literal['in_time', 'everybody'] = 'in_time'
     returns: Literal['after_burst', 'next_slot'] = 'after_burst'
+    queueing: Literal['fair', 'none'] = 'fair'
     outliers: Literal['eject', 'trust'] = 'eject'
     items: Literal['on_time_first', 'due_first'] = 'on_time_first'
     claims: Literal['told', 'none'] = 'told'
--- a/cactusridge/work_meter.py
+++ b/cactusridge/work_meter.py
@@ -30,6 +30,8 @@
     peers_told = 'peers_told'
     feeds = 'feeds'
     session = 'session'
+    # Starting and checking requests that wait at this entry.
+    queueing = 'queueing'
     scheduler = 'scheduler'
     claims = 'claims'
     items = 'items'
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -11,6 +11,7 @@
 from cactusridge.dispatch.admission import AdmitAll, InTime
 from cactusridge.dispatch.claims import AnnouncedClaims, GrantAllClaims
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
+from cactusridge.dispatch.queueing import NoQueueing
 from cactusridge.dispatch.retry_after import AfterBurst, NextSlot
 from cactusridge.jobs import policies as batch
 from cactusridge.jobs.urgency import DueFirst, OnTimeFirst
@@ -21,6 +22,8 @@
 from cactusridge.peers.load import Load
 from cactusridge.quarantine.policies import RULES
 from cactusridge.quarantine.rules import ByCrashes, NoQuarantine
+from cactusridge.queueing.admission_queue import AdmissionQueue
+from cactusridge.queueing.policies import QUEUEINGS
 from cactusridge.routing.outliers import NoEjection, OutlierEjector
 from cactusridge.startup.models import DirectPolicy
 
@@ -35,6 +38,7 @@
     'cells': (ByZone, OneCell),
     'quarantine': (ByCrashes, NoQuarantine),
     'limits': (OwnerLimiter, FixedShares),
+    'queueing': (AdmissionQueue, NoQueueing),
 }
 
 
@@ -53,6 +57,7 @@
         'quarantine': RULES[names.quarantine](),
     }
     classes = {name: type(each) for name, each in found.items()}
+    classes['queueing'] = QUEUEINGS[names.queueing]
     return {**classes, 'limits': LIMITERS[names.limits]}
 
 
