Waiting requests leave a slot of a replica free

Change: a waiting request starts only at a replica with a spare slot besides its own, if the replica has four slots or more. Waits are checked every 0.1 s instead of at each change of the counts, which cost most of the time of a look.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -17,6 +17,7 @@
 from cactusridge.dispatch.retries import NO_REPLICA_RETRY_S, may_retry
 from cactusridge.dispatch.retry_after import Refusal
 from cactusridge.dispatch.run import NotRun, Run, Runner
+from cactusridge.dispatch.spare_slots import has_spare_slot
 from cactusridge.dispatch.upstream import (
     UpstreamHead,
     UpstreamRequest,
@@ -71,9 +72,9 @@
         return best.replica
 
     def has_free_slot(self, service: str) -> bool:
-        """Return whether a request of ``service`` would start at once."""
+        """Return whether a waiting request of ``service`` may start."""
         try:
-            return self._best(service, ()).queue == 0
+            return has_spare_slot(self._best(service, ()))
         except NoReplica:
             return False
 
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -50,7 +50,7 @@
         self._queueing = queueing
 
     def has_free_slot(self, service: str) -> bool:
-        """Return whether a request of ``service`` would start at once."""
+        """Return whether a waiting request of ``service`` may start."""
         return self._attempts.has_free_slot(service)
 
     def answer(self, call: OnlineCall) -> Answer:
--- a/cactusridge/queueing/admission_queue.py
+++ b/cactusridge/queueing/admission_queue.py
@@ -31,8 +31,9 @@
 # All entries of a cell see the slot within milliseconds; the delays let one of
 # them announce its request before the others look again.
 MAX_TAKE_DELAY_S = 0.01
-# Interval, in seconds, at which waiting requests are checked while no counts
-# change: a small part of the second or more that they have left.
+# Interval, in seconds, at which it is checked whether each wait is in vain,
+# and whether a slot is free although no counts changed: a small part of the
+# second or more that callers have left.
 CHECK_INTERVAL_S = 0.1
 
 
@@ -61,6 +62,7 @@
         self._log = QueueLog()
         self._wake = Event()
         self._closed = False
+        self._checked_at = float(0)
 
     def wait(self, call: OnlineCall, refusal: WaitTooLong) -> None:
         """Return when the request may try again; see ``Queueing.wait``."""
@@ -98,7 +100,7 @@
         self._wake.wait(CHECK_INTERVAL_S if self._line else None)
         self._wake.clear()
         gevent.sleep(self.take_delay_s())
-        self.check_all()
+        self.check_due()
         if self.start_next():
             self._wake.set()
 
@@ -163,8 +165,12 @@
                 started = True
         return started
 
-    def check_all(self) -> None:
-        """End the waits that are in vain."""
+    def check_due(self) -> None:
+        """End the waits that are in vain, once in ``CHECK_INTERVAL_S``."""
+        now = self._clock.monotonic()
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
         for service in self._line.services():
             places = self._line.places(service)
             ended = 0
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -20,7 +20,10 @@
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.organisations.errors import UnknownKey
 from cactusridge.organisations.permit import OpenPermit
-from cactusridge.queueing.admission_queue import AdmissionQueue
+from cactusridge.queueing.admission_queue import (
+    CHECK_INTERVAL_S,
+    AdmissionQueue,
+)
 from cactusridge.queueing.call_rules import CallRules
 from cactusridge.queueing.waiting_line import MAX_REQUESTS
 from tests.cells_play import cells_of, places, put_replicas
@@ -208,12 +211,14 @@
         permit = RevocablePermit()
         _, greenlet = self.enter(permit=permit)
         permit.revoked = True
+        self.clock.advance(CHECK_INTERVAL_S)
         self.assertIsInstance(greenlet.get(timeout=1), UnknownKey)
 
     def test_route_removed(self):
         """The wait ends when the route is no longer configured."""
         _, greenlet = self.enter()
         self.catalog = CATALOG._replace(routes=())
+        self.clock.advance(CHECK_INTERVAL_S)
         self.assertIsInstance(greenlet.get(timeout=1), NotFound)
 
     def test_deadline(self):
