--- a/cactusridge/queueing/admission_queue.py
+++ b/cactusridge/queueing/admission_queue.py
@@ -73,10 +73,13 @@
             )
         )
         try:
-            request.ended.wait()
+            # The timeout matters only if the greenlet of the queue fails.
+            request.ended.wait(call.deadline_at - request.since)
         finally:
             call.caller.on_disconnect(None)
             self.leave(request)
+        if request.outcome == Outcome.interrupted:
+            raise Overloaded('the wait did not end before the deadline')
         if request.error is not None:
             raise request.error
 
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -68,8 +68,8 @@
             self.clock,
             random.Random(1),
         )
-        running = gevent.spawn(run_forever, self.queue.step)
-        self.addCleanup(running.kill)
+        self.running = gevent.spawn(run_forever, self.queue.step)
+        self.addCleanup(self.running.kill)
         self.ended = []
 
     def wait(self, call):
@@ -265,6 +265,15 @@
         _, late = self.enter()
         self.assertIsInstance(late.get(timeout=1), WaitTooLong)
 
+    def test_no_greenlet(self):
+        """A wait ends with the deadline though the queue does not run."""
+        self.running.kill()
+        _, greenlet = self.enter(left_s=1.1)
+        gevent.sleep(SETTLE_S)
+        self.assertEqual([], self.ended)
+        self.assertEqual(Overloaded, type(greenlet.get(timeout=2)))
+        self.assertEqual([], self.queue.summary())
+
     def test_log(self):
         """Each wait is logged at its start and its end."""
         with emitted() as found:
