--- a/cactusridge/background.py
+++ b/cactusridge/background.py
@@ -9,6 +9,9 @@
 
 # Seconds between a failed step and the next one.
 FAILURE_PAUSE_S = 1
+# Seconds between two checks whether a step is wanted: a wake-up of an idle
+# process costs processor time too.
+UNWANTED_PAUSE_S = 0.5
 
 
 def always() -> bool:
@@ -51,3 +54,22 @@
         step()
 
     run_forever(wait_and_step)
+
+
+def run_every_while(
+    pause_s: float,
+    step: Callable[[], object],
+    wanted: Callable[[], bool],
+) -> None:
+    """Call ``step`` every ``pause_s`` seconds while ``wanted`` returns True.
+
+    Otherwise ``wanted`` is called again every UNWANTED_PAUSE_S seconds.
+    """
+
+    def wait_and_step() -> None:  # noqa: WPS430
+        is_wanted = wanted()
+        gevent.sleep(pause_s if is_wanted else UNWANTED_PAUSE_S)
+        if is_wanted:
+            step()
+
+    run_forever(wait_and_step)
--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -1,7 +1,7 @@
 """Makes attempts: chooses a replica, sends to it and limits the wait."""
 
 import random
-from collections.abc import Mapping, Set
+from collections.abc import Mapping, Sequence, Set
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Route
@@ -18,6 +18,7 @@
 from cactusridge.dispatch.retries import NO_REPLICA_RETRY_S, may_retry
 from cactusridge.dispatch.retry_after import Refusal
 from cactusridge.dispatch.run import NotRun, Run, Runner
+from cactusridge.dispatch.spare_slots import has_spare_slot
 from cactusridge.dispatch.upstream import (
     UpstreamHead,
     UpstreamRequest,
@@ -66,30 +67,18 @@
         Raises NoReplica if the service has no ready replica, and
         Overloaded if the expected wait at the best one is too long.
         """
-        service = self._service(call.route)
-        ready = {
-            replica.incarnation: replica
-            for replica in self._fleet.ready(service)
-        }
-        fresh = set(ready) - set(progress.tried) or set(ready)
-        if not fresh:
-            raise NoReplica(
-                f'no replica of {service} is ready',
-                retry_after_s=NO_REPLICA_RETRY_S,
-            )
-        allowed = self._runner.health.selectable(ready) & fresh
-        local = self._cells.of_service(service).local
-        compared = select_candidates(
-            allowed or fresh,
-            local,
-            self._runner.loads.offered_replicas(),
-            self._rng,
-        )
-        choices = self._choices({key: ready[key] for key in compared}, local)
-        best = self._policies.placing.choose(choices, self._zone, self._rng)
+        service = progress.service or self._service(call.route)
+        best = self._best(service, progress.tried)
         self._check_wait(call, best)
         return best.replica
 
+    def has_free_slot(self, service: str) -> bool:
+        """Return whether a waiting request of ``service`` may start."""
+        try:
+            return has_spare_slot(self._best(service, ()))
+        except NoReplica:
+            return False
+
     def open(
         self,
         call: OnlineCall,
@@ -200,6 +189,32 @@
             for key, replica in replicas.items()
         ]
 
+    def _best(self, service: str, tried: Sequence[str]) -> Choice:
+        """Return the best replica of a service, if possible not in ``tried``.
+
+        Raises NoReplica if the service has no ready replica.
+        """
+        ready = {
+            replica.incarnation: replica
+            for replica in self._fleet.ready(service)
+        }
+        fresh = set(ready) - set(tried) or set(ready)
+        if not fresh:
+            raise NoReplica(
+                f'no replica of {service} is ready',
+                retry_after_s=NO_REPLICA_RETRY_S,
+            )
+        allowed = self._runner.health.selectable(ready) & fresh
+        local = self._cells.of_service(service).local
+        compared = select_candidates(
+            allowed or fresh,
+            local,
+            self._runner.loads.offered_replicas(),
+            self._rng,
+        )
+        choices = self._choices({key: ready[key] for key in compared}, local)
+        return self._policies.placing.choose(choices, self._zone, self._rng)
+
     def _check_wait(self, call: OnlineCall, best: Choice) -> None:
         """Raise Overloaded if the expected wait at ``best`` is too long."""
         expected = self._expect(best)
@@ -218,7 +233,11 @@
             expected.wait_s,
             self._runner.loads.age_s(),
         )
-        raise WaitTooLong(estimate, self._policies.returns.delay_s(refusal))
+        raise WaitTooLong(
+            estimate,
+            self._policies.returns.delay_s(refusal),
+            best.replica.service,
+        )
 
     def _expect(self, choice: Choice) -> Expectation:
         slot_s = self._runner.capacity.queued_slot_s(choice.replica)
--- a/cactusridge/dispatch/online_call.py
+++ b/cactusridge/dispatch/online_call.py
@@ -43,7 +43,8 @@
     ``tried`` lists the incarnations of replicas in the order of the
     attempts. ``may_have_run`` counts the attempts that may have run the
     request, ``rejections`` those rejected before it ran. ``expected`` is what
-    was expected of the last replica to which the request was sent.
+    was expected of the last replica to which the request was sent. ``service``
+    is the one whose slots the request has waited for, or empty.
     """
 
     def __init__(self) -> None:
@@ -52,3 +53,4 @@
         self.may_have_run = 0
         self.rejections = 0
         self.expected = Expectation(0, 0, 0)
+        self.service = ''
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -73,6 +73,8 @@
 LIMITS_HANDED_OVER: Final = Event(427, 'limits_handed_over')
 LIMITS_TAKEN_OVER: Final = Event(428, 'limits_taken_over')
 LIMITS_WITHOUT_STORE: Final = Event(429, 'limits_without_store', 'warning')
+REQUEST_QUEUED: Final = Event(430, 'request_queued')
+REQUEST_DEQUEUED: Final = Event(431, 'request_dequeued')
 PEER_UNREACHABLE: Final = Event(410, 'peer_unreachable', 'warning')
 PEER_UNREADABLE: Final = Event(411, 'peer_unreadable', 'warning')
 
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -300,25 +300,25 @@
         try:
             member = self._reader.read(row, parse_member)
         except UnreadableRecord:
-            return self._unreadable_record(known, row, now, restart)
+            return _unreadable_record(known, row, now, restart)
         return MemberRecord(member, row.version, now)
 
-    def _unreadable_record(
-        self,
-        known: MemberRecord | None,
-        row: Row,
-        now: float,
-        restart: bool,
-    ) -> MemberRecord:
-        """Return the record of a member whose row has become unreadable.
 
-        An unreadable row neither renews a lease nor ends it early, since
-        another writer may have overwritten the row of a live entry.
-        """
-        if known is None:
-            return MemberRecord(None, row.version, now)
-        seen_at = now if restart else known.seen_at
-        return MemberRecord(known.member, row.version, seen_at)
+def _unreadable_record(
+    known: MemberRecord | None,
+    row: Row,
+    now: float,
+    restart: bool,
+) -> MemberRecord:
+    """Return the record of a member whose row has become unreadable.
+
+    An unreadable row neither renews a lease nor ends it early, since
+    another writer may have overwritten the row of a live entry.
+    """
+    if known is None:
+        return MemberRecord(None, row.version, now)
+    seen_at = now if restart else known.seen_at
+    return MemberRecord(known.member, row.version, seen_at)
 
 
 def log_errors(action: Any) -> None:
--- a/cactusridge/platform/catalog_holder.py
+++ b/cactusridge/platform/catalog_holder.py
@@ -53,6 +53,10 @@
         """Return the catalog in force."""
         return self.catalog
 
+    def has_organisations(self) -> bool:
+        """Return whether the catalog in force has organisations."""
+        return self.catalog.organisations is not None
+
     def put(self, row: Row) -> None:
         """Apply the operator's row if it has changed and can be decoded."""
         if row.key != KEY or row.version == self._row_version:
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -1,8 +1,10 @@
 """The parts of an entry that enforce the limits of organisations."""
 
+from collections.abc import Callable
+
 import gevent
 
-from cactusridge.background import run_every
+from cactusridge.background import run_every, run_every_while
 from cactusridge.clock import Clock
 from cactusridge.http.client import Address
 from cactusridge.jobs.membership import Membership
@@ -44,10 +46,16 @@
         session: Membership,
         store_clock: StoreClock,
         peers: PeerExchange,
+        has_organisations: Callable[[], bool],
         clock: Clock,
     ) -> None:
-        """Use the members of ``session``, reached through ``peers``."""
+        """Use the members of ``session``, reached through ``peers``.
+
+        ``has_organisations`` returns whether the configuration in force has
+        organisations. Without them nothing is counted or handed over.
+        """
         self._session = session
+        self._has_organisations = has_organisations
         self._has_handover = cfg.policy.limit_handover == 'acknowledged'
         own_name = str(cfg.peer_address)
         lease = MembershipLease(session)
@@ -99,8 +107,14 @@
         self._session.on_restart(self.owners.update)
         gevent.spawn(run_every, UPDATE_INTERVAL_S, self.owners.update)
         if self._has_handover:
-            gevent.spawn(run_every, WATCH_INTERVAL_S, self._watch.step)
-            gevent.spawn(run_every, HANDOVER_INTERVAL_S, self._handover.run_due)
+            steps = (
+                (WATCH_INTERVAL_S, self._watch.step),
+                (HANDOVER_INTERVAL_S, self._handover.run_due),
+            )
+            for pause_s, step in steps:
+                gevent.spawn(
+                    run_every_while, pause_s, step, self._has_organisations
+                )
 
     def stop(self) -> None:
         """Hand over what this entry counts; it counts nothing afterwards."""
--- a/cactusridge/platform/load_report.py
+++ b/cactusridge/platform/load_report.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 from typing import Any
 
+from cactusridge.dispatch.queueing import Queueing
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import NotFound
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.peers.cells import Cells
-from cactusridge.platform.load_sources import LoadSources
 
 LOAD_PATH = '/load'
 DIGITS = 4
@@ -25,14 +25,13 @@
         fleet: FleetView,
         cells: Cells,
         runner: Runner,
-        sources: LoadSources,
+        queueing: Queueing,
     ) -> None:
-        """Report the counts and the health that ``runner`` keeps."""
+        """Report what ``runner`` keeps and who waits in ``queueing``."""
         self._fleet = fleet
         self._cells = cells
         self._runner = runner
-        self._capacity = sources.capacity
-        self._waiting = sources.waiting
+        self._queueing = queueing
 
     def serve(self, req: Req) -> Reply:
         """Answer ``GET /load``, for one service with ``?service=``.
@@ -53,7 +52,7 @@
         )
 
     def _services(self) -> set[str]:
-        waiting = {each.service for each in self._waiting.summary()}
+        waiting = {each.service for each in self._queueing.summary()}
         return self._fleet.services() | waiting
 
     def _service(self, service: str) -> dict[str, Any]:
@@ -64,7 +63,7 @@
                 'count': each.count,
                 'oldest_s': round(each.oldest_s, DIGITS),
             }
-            for each in self._waiting.summary()
+            for each in self._queueing.summary()
             if each.service == service
         ]
         return {
@@ -80,7 +79,7 @@
         )
         estimates = {
             each.incarnation: each
-            for each in self._capacity.of_service(service)
+            for each in self._runner.capacity.of_service(service)
         }
         for replica in ready:
             key = replica.incarnation
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -8,8 +8,6 @@
 from cactusridge.background import run_every, run_forever
 from cactusridge.clock import BootClock
 from cactusridge.dispatch import policies
-from cactusridge.dispatch.capacity_sharing import CapacitySharing
-from cactusridge.dispatch.online import OnlineDispatcher
 from cactusridge.dispatch.run import Runner
 from cactusridge.errors import CactusridgeError
 from cactusridge.fleet.fleet_view import FleetView
@@ -30,8 +28,8 @@
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.platform.key_lease_renewer import KeyLeaseRenewer
 from cactusridge.platform.limit_parts import LimitParts
-from cactusridge.platform.load_report import LOAD_PATH, LoadReport
-from cactusridge.platform.load_sources import LoadSources
+from cactusridge.platform.load_report import LOAD_PATH
+from cactusridge.platform.online_parts import OnlineParts
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.platform.strike_parts import (
     JOBS_TABLE,
@@ -83,11 +81,13 @@
             runner,
             clock,
         )
-        self._load_report = LoadReport(
+        self._online = OnlineParts(
+            cfg,
             self._fleet,
             self._jobs.cells,
             runner,
-            LoadSources(),
+            self._holder,
+            clock,
         )
         self._catalogs = CatalogPeers(self._holder)
         self._peers = PeerExchange(
@@ -105,7 +105,7 @@
         self._peers.on_status(self._receive_status)
         self._strikes.connect_peers(self._peers)
         self._jobs.connect_peers(self._peers)
-        CapacitySharing(self._peers, runner.capacity)
+        self._online.connect_peers(self._peers)
         self._catalog_follower = self._store.follower(
             catalog_holder.TABLE,
             [catalog_holder.KEY],
@@ -125,19 +125,13 @@
             self._jobs.session,
             self._store.clock,
             self._peers,
+            self._holder.has_organisations,
             clock,
         )
         self._app = CallerApp(
             self._holder,
             self._catalog_follower,
-            OnlineDispatcher(
-                self._fleet,
-                self._jobs.cells,
-                runner,
-                cfg.zone,
-                clock,
-                policies.make_policies(cfg.policy),
-            ),
+            self._online.dispatcher,
             self._jobs.calls,
             CallerResolver(
                 self._holder,
@@ -181,6 +175,7 @@
         close_expired = self._upstream.connections.close_expired
         gevent.spawn(run_every, TRIM_PERIOD_S, close_expired)
         self._limits.start()
+        self._online.queue.start()
         self._lease_renewer.start()
         METER.start()
         report = WorkReport(METER, self._jobs.scheduler.depths)
@@ -188,7 +183,7 @@
         self._serve_at(
             self._cfg.metrics_listen,
             route('GET', '/metrics', metrics.serve),
-            route('GET', LOAD_PATH, self._load_report.serve),
+            route('GET', LOAD_PATH, self._online.load_report.serve),
         )
         self._serve_at(
             self._cfg.peer_listen,
@@ -202,9 +197,10 @@
         )
 
     def begin_drain(self) -> None:
-        """Make the readiness endpoint fail and hand over the limits."""
+        """Make the readiness endpoint fail, hand over limits, end the waits."""
         self._draining = True
         self._limits.stop()
+        self._online.queue.close_after(self._cfg.readiness_delay_s)
 
     def hand_over(self, bound_s: float) -> None:
         """Hand over the jobs and leave the membership list."""
--- a/tests/test_load_report.py
+++ b/tests/test_load_report.py
@@ -6,37 +6,34 @@
 
 from cactusridge import wire
 from cactusridge.clock import ManualClock
+from cactusridge.dispatch.capacity import MeanCapacity, ReplicaCapacity
 from cactusridge.dispatch.policies import make_outliers
+from cactusridge.dispatch.queueing import NoQueueing
+from cactusridge.dispatch.waiting_summary import WaitingSummary
 from cactusridge.errors import NotFound
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.peers.load import Load, WorkKind
 from cactusridge.peers.loads import LoadTable
 from cactusridge.peers.offers import CellOffer
-from cactusridge.platform.capacity_source import (
-    CapacityEstimate,
-    CapacitySource,
-)
 from cactusridge.platform.load_report import LoadReport
-from cactusridge.platform.load_sources import LoadSources
-from cactusridge.platform.waiting_source import WaitingCount, WaitingSource
 from cactusridge.startup.models import DirectPolicy
 from tests.cells_play import SERVICE, cells_of, put_replicas, spread
 
-PRESS = WaitingCount(SERVICE, 'press', 1, 3, 0.81239)
-OTHER = WaitingCount('other', 'press', 0, 1, 0.1)
+PRESS = WaitingSummary(SERVICE, 'press', 1, 3, 0.81239)
+OTHER = WaitingSummary('other', 'press', 0, 1, 0.1)
 
 
-class FixedCapacity(CapacitySource):
+class FixedCapacity(MeanCapacity):
     """Has an estimate for one replica."""
 
     def of_service(self, service):
         """Return the estimate, which the service alone has."""
         if service != SERVICE:
             return []
-        return [CapacityEstimate('i-1', 0.75432, 0.6, 12, 1.5)]
+        return [ReplicaCapacity('i-1', 0.75432, 0.6, 12, 1.5)]
 
 
-class FixedWaiting(WaitingSource):
+class FixedWaiting(NoQueueing):
     """Has waiting requests of two services."""
 
     def summary(self):
@@ -67,8 +64,12 @@
         self.report = LoadReport(
             self.fleet,
             self.cells,
-            SimpleNamespace(loads=self.loads, health=self.health),
-            LoadSources(FixedCapacity(), FixedWaiting()),
+            SimpleNamespace(
+                loads=self.loads,
+                health=self.health,
+                capacity=FixedCapacity(),
+            ),
+            FixedWaiting(),
         )
 
     def read(self, service=SERVICE):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -13,6 +13,7 @@
 from cactusridge.dispatch.claims import AnnouncedClaims, GrantAllClaims
 from cactusridge.dispatch.observed_capacity import ObservedCapacity
 from cactusridge.dispatch.placement import AnyReplica, LeastOnline
+from cactusridge.dispatch.queueing import NoQueueing
 from cactusridge.dispatch.retry_after import AfterBurst, NextSlot
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.jobs import policies as batch
@@ -24,10 +25,13 @@
 from cactusridge.peers.load import Load
 from cactusridge.quarantine.policies import RULES
 from cactusridge.quarantine.rules import ByCrashes, NoQuarantine
+from cactusridge.queueing.admission_queue import AdmissionQueue
+from cactusridge.queueing.policies import QUEUEINGS
 from cactusridge.routing.outliers import NoEjection, OutlierEjector
 from cactusridge.startup.models import DirectPolicy
 
-# The default class and the naive class of each setting.
+# The default class and the naive class of each setting. The handover of
+# limits is part of a class and has names in their place.
 CHOICES = {
     'placing': (LeastOnline, AnyReplica),
     'admission': (InTime, AdmitAll),
@@ -39,6 +43,8 @@
     'quarantine': (ByCrashes, NoQuarantine),
     'limits': (OwnerLimiter, FixedShares),
     'capacity': (ObservedCapacity, MeanCapacity),
+    'queueing': (AdmissionQueue, NoQueueing),
+    'limit_handover': ('acknowledged', 'none'),
 }
 
 
@@ -58,6 +64,8 @@
         'capacity': online.make_capacity(names, FleetView(), ManualClock()),
     }
     classes = {name: type(each) for name, each in found.items()}
+    classes['queueing'] = QUEUEINGS[names.queueing]
+    classes['limit_handover'] = names.limit_handover
     return {**classes, 'limits': LIMITERS[names.limits]}
 
 
