Limits: three cases in which two entries could have counted

Cause: an entry that had stopped counted again in a new membership; a backup owner continued a copy of what it had handed on; an entry that joined could start early on the word of one that was not sure. Change: a stop holds for any membership, a backup owner names the receiver, and only an entry that counts in its own right confirms that nobody counts.

--- a/cactusridge/organisations/limit_counter.py
+++ b/cactusridge/organisations/limit_counter.py
@@ -74,7 +74,8 @@
             wait_s = found.bucket.take(now)
             self._send_copy(request, found)
             return LimitResponse(counted=True, wait_s=wait_s)
-        if request.as_backup:
+        ceded_to = self.holds.ceded_to(request.name)
+        if request.as_backup and ceded_to is None:
             return self._count_as_backup(request)
         if self._handover is None:
             return NOT_COUNTED
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -15,6 +15,7 @@
 from cactusridge.organisations.limit_messages import (
     Candidate,
     Ceder,
+    Declined,
     Handover,
     HandoverLink,
 )
@@ -60,7 +61,7 @@
         if own is None or self._stopping is not None:
             return
         self._stopping = own
-        self._owners.note_stopping(own)
+        self._owners.stop()
         self._announced_at = self._clock.monotonic()
         self._cede(self._holds.names())
 
@@ -79,13 +80,11 @@
         own = self._owners.own
         if own is None or self.has_stopped:
             return
+        has_lapsed = self._lease.has_lapsed()
         for name in self._holds.names():
             hold = self._holds.get(name)
-            if hold is None or hold.since_ms != own.since_ms:
+            if has_lapsed or hold is None or hold.since_ms != own.since_ms:
                 self._holds.drop(name)
-        if self._lease.has_lapsed():
-            for lapsed in self._holds.names():
-                self._holds.drop(lapsed)
         self._cede(self._holds.names())
 
     def run_due(self) -> None:
@@ -137,15 +136,15 @@
     def receive_ask(self, asker: Candidate, names: Sequence[str]) -> None:
         """Hand over organisations that ``asker`` owns, or decline."""
         given = []
-        declined: defaultdict[str, list[str]] = defaultdict(list)
+        declined: defaultdict[Declined, list[str]] = defaultdict(list)
         for name in names:
             if self._yields(name, asker):
                 given.append(name)
             else:
-                declined[self._kept_by(name, asker)].append(name)
+                declined[self._declined(name, asker)].append(name)
         self._send(asker, given)
-        for kept_by, its_names in declined.items():
-            self._link.decline(asker.name, its_names, kept_by)
+        for reply, its_names in declined.items():
+            self._link.decline(asker.name, its_names, reply)
 
     def receive_stop(self, entry: Candidate) -> None:
         """Record that ``entry`` counts nothing any more."""
@@ -160,20 +159,21 @@
         if is_due or self._lease.is_ending() or self._lease.has_lapsed():
             self.rebalance()
 
-    def _kept_by(self, name: str, asker: Candidate) -> str:
-        """Return the entry that counts what ``asker`` does not get, or ''."""
+    def _declined(self, name: str, asker: Candidate) -> Declined:
+        """Return why ``asker`` does not get an organisation."""
         if self._holds.get(name) is not None:
-            return self.own_name
+            return Declined(self.own_name)
         ceded_to = self._holds.ceded_to(name)
         if ceded_to is not None and ceded_to != asker:
-            return ceded_to.name
-        # The counts may still be on their way to the entry that asks, and
-        # this entry may begin to count if it does not know that one yet.
-        may_begin = self._lease.is_current() and (
-            not self._owners.is_before(name, asker)
-        )
-        is_kept = may_begin or self.outbox.has(name)
-        return self.own_name if is_kept and not self.has_stopped else ''
+            return Declined(ceded_to.name)
+        is_current = self._lease.is_current() and not self.has_stopped
+        is_before = self._owners.is_before(name, asker)
+        # This entry may begin to count if it does not know the other one yet,
+        # or the counts may still be on their way.
+        if is_current and (not is_before or self.outbox.has(name)):
+            return Declined(self.own_name)
+        # An entry that counts in its own right knows of any other one.
+        return Declined('', is_current and self._owners.has_own_right)
 
     def _yields(self, name: str, asker: Candidate) -> bool:
         """Return whether ``asker`` may have what this entry holds."""
--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -130,6 +130,18 @@
         """Notify ``entry`` that a request it counted has not run."""
 
 
+class Declined(NamedTuple):
+    """Why an entry does not hand over an organisation.
+
+    ``kept_by`` is the entry that still counts it, the responding one or one
+    that it has handed it over to; it is empty if the responding entry knows
+    of none. ``nobody`` is set if it is sure that nobody counts.
+    """
+
+    kept_by: str
+    nobody: bool = False
+
+
 class HandoverLink(abc.ABC):
     """Sends messages about handovers; any of them may be lost."""
 
@@ -149,12 +161,10 @@
         """Ask ``entry`` to hand over the organisations ``names``."""
 
     @abc.abstractmethod
-    def decline(self, entry: str, names: Sequence[str], kept_by: str) -> None:
-        """Respond to ``ask``: ``names`` are not handed over.
-
-        ``kept_by`` is the entry that still counts them, this one or one that
-        it has handed them over to; it is empty if there is none.
-        """
+    def decline(
+        self, entry: str, names: Sequence[str], reply: Declined
+    ) -> None:
+        """Respond to ``ask``: ``names`` are not handed over."""
 
     @abc.abstractmethod
     def announce_stop(self, stopping: Candidate, entry: str = '') -> None:
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -55,6 +55,8 @@
         self.changes = 0
         self.revision = 0
         self.own: Candidate | None = None
+        # Whether this entry may be an owner without a handover.
+        self.has_own_right = False
         self.listed: frozenset[Candidate] = frozenset()
         self.now_ms = now_ms
         self.is_current = is_current
@@ -63,7 +65,7 @@
         self._clock = clock
         self._stopping: frozenset[Candidate] = frozenset()
         self._owners_changed_at = clock.monotonic()
-        self._may_count = False
+        self._has_stopped = False
         self._next_change_ms = float('inf')
         # Entries that may be owners, the ones before the last change, and
         # those that may be counting in their own right.
@@ -92,7 +94,7 @@
         self.update_if_due()
         if self.ranked_entries(organisation)[:1] != [self.own_name]:
             return None
-        if not (self._may_count and self.is_current()):
+        if not (self.has_own_right and self.is_current()):
             return None
         return self._clock.monotonic() - self._owners_changed_at
 
@@ -184,20 +186,27 @@
             self._stopping |= {entry}
             self.update()
 
+    def stop(self) -> None:
+        """Rank this entry no longer, in any membership."""
+        self._has_stopped = True
+        self.update()
+
     def update(self) -> None:
         """Update the possible owners and whether this entry may count."""
         before = (self.own, self._eligible, self._counting, self._receivers)
         listed = self._read_listed()
         now_ms = self.now_ms()
         self.listed = frozenset(listed)
-        self._stopping &= self.listed | self._previous.members
         self.own = next(
             (each for each in listed if each.name == self.own_name), None
         )
+        self._stopping &= self.listed | self._previous.members
+        if self._has_stopped and self.own is not None:
+            self._stopping |= {self.own}
         self._next_change_ms = next_change_ms(listed, now_ms)
         self._set_eligible(settled(listed, now_ms - SETTLE_MS))
         counts_ms = now_ms - SETTLE_MS - PEER_READ_MS
-        self._may_count = self.own in settled(listed, counts_ms)
+        self.has_own_right = self.own in settled(listed, counts_ms)
         others = settled(listed, counts_ms + STOP_MARGIN_MS)
         own = frozenset({self.own} if self.own else ())
         self._counting = self._counting.updated((others | own) - self._stopping)
--- a/cactusridge/organisations/limit_takeovers.py
+++ b/cactusridge/organisations/limit_takeovers.py
@@ -6,7 +6,11 @@
 
 from cactusridge import metrics
 from cactusridge.clock import Clock
-from cactusridge.organisations.limit_messages import Candidate, HandoverLink
+from cactusridge.organisations.limit_messages import (
+    Candidate,
+    Declined,
+    HandoverLink,
+)
 
 # Seconds between two requests for the same organisation.
 ASK_INTERVAL_S = 0.06
@@ -25,6 +29,7 @@
     begun_at: float
     sent_at: float
     declined: bool = False
+    nobody: bool = False
 
 
 class LimitTakeovers:
@@ -53,27 +58,27 @@
         return ask.declined or now - ask.begun_at >= ASK_FOR_S
 
     def is_declined(self, name: str, entry: Candidate) -> bool:
-        """Return whether ``entry`` has responded that nobody counts."""
+        """Return whether ``entry`` is sure that nobody counts."""
         ask = self._asks.get(name)
-        if ask is None or ask.entry != entry.name:
-            return False
-        return ask.declined
+        return ask is not None and ask.nobody and ask.entry == entry.name
 
-    def declined(self, entry: str, names: Sequence[str], kept_by: str) -> None:
+    def declined(
+        self, entry: str, names: Sequence[str], reply: Declined
+    ) -> None:
         """Record the response of ``entry``.
 
-        ``kept_by`` is the entry that still counts the organisations, which is
-        asked next, or empty.
+        If another one still counts the organisations, it is asked next.
         """
         now = self._clock.monotonic()
         for name in names:
             ask = self._asks.get(name)
             if ask is None or ask.entry != entry:
                 continue
-            if kept_by:
-                self._asks[name] = ask._replace(entry=kept_by, begun_at=now)
+            if reply.kept_by:
+                asked = ask._replace(entry=reply.kept_by, begun_at=now)
             else:
-                self._asks[name] = ask._replace(declined=True)
+                asked = ask._replace(declined=True, nobody=reply.nobody)
+            self._asks[name] = asked
 
     def forget(self, name: str) -> None:
         """Forget a request: the organisation is counted now."""
--- a/cactusridge/peers/limit_handovers.py
+++ b/cactusridge/peers/limit_handovers.py
@@ -8,6 +8,7 @@
 from cactusridge.organisations.limit_messages import (
     Candidate,
     Ceder,
+    Declined,
     Handover,
     HandoverLink,
     HeldCount,
@@ -57,10 +58,12 @@
         """Ask ``entry`` to hand over the organisations ``names``."""
         self._send(entry, WANTED_TOPIC, [asker, names])
 
-    def decline(self, entry: str, names: Sequence[str], kept_by: str) -> None:
+    def decline(
+        self, entry: str, names: Sequence[str], reply: Declined
+    ) -> None:
         """Respond to ``ask``: ``names`` are not handed over."""
         own = self._parts().own_name
-        self._send(entry, DECLINED_TOPIC, [own, names, kept_by])
+        self._send(entry, DECLINED_TOPIC, [own, names, *reply])
 
     def announce_stop(self, stopping: Candidate, entry: str = '') -> None:
         """Notify ``entry``, or all entries, that this one has stopped."""
@@ -92,11 +95,12 @@
         self._parts().receive_ask(_candidate(asker), list(map(str, names)))
 
     def _handle_declined(self, peer: Target, raw: Any) -> None:
-        entry, names, kept_by = raw
+        entry, names, kept_by, nobody = raw
         if kept_by:
             parse_address(kept_by)
         takeovers = self._parts().takeovers
-        takeovers.declined(str(entry), list(map(str, names)), kept_by)
+        reply = Declined(kept_by, bool(nobody))
+        takeovers.declined(str(entry), list(map(str, names)), reply)
 
     def _handle_stopped(self, peer: Target, raw: Any) -> None:
         self._parts().receive_stop(_candidate(raw))
--- a/tests/limits_links.py
+++ b/tests/limits_links.py
@@ -32,11 +32,11 @@
         for other in self._reached(entry, 'ask'):
             other.process.handover.receive_ask(asker, names)
 
-    def decline(self, entry, names, kept_by):
+    def decline(self, entry, names, reply):
         """Deliver the response to a request for counts."""
         for other in self._reached(entry, 'decline'):
             other.process.handover.takeovers.declined(
-                self._entry.name, names, kept_by
+                self._entry.name, names, reply
             )
 
     def announce_stop(self, stopping, entry=''):
--- a/tests/test_limit_messages.py
+++ b/tests/test_limit_messages.py
@@ -12,6 +12,7 @@
     NOT_COUNTED,
     Candidate,
     Ceder,
+    Declined,
     Handover,
     HeldCount,
     LimitRequest,
@@ -99,10 +100,11 @@
         self.sent.send_handover(message)
         self.sent.acknowledge(SENDER.name, 11, accepted=False)
         self.sent.ask(RECEIVER.name, SENDER, ['o'])
-        self.sent.decline(SENDER.name, ['o'], '127.0.0.1:7')
+        reply = Declined('127.0.0.1:7', nobody=False)
+        self.sent.decline(SENDER.name, ['o'], reply)
         self.sent.announce_stop(SENDER)
         self.here.pass_on(self.there)
-        declined = (RECEIVER.name, ['o'], '127.0.0.1:7')
+        declined = (RECEIVER.name, ['o'], reply)
         self.assertEqual(
             [
                 ('receive', (message,), {}),
--- a/tests/test_limits_handover.py
+++ b/tests/test_limits_handover.py
@@ -248,3 +248,40 @@
         self.run_for(3)
         self.assertEqual(0, self.send(40))
         self.assertEqual(ALL_TOKENS, self.admitted)
+
+    def test_stopped_in_a_new_membership(self):
+        """An entry that stops does not count in a membership that is new."""
+        self.stop(self.owner)
+        self.kill(self.successor)
+        self.owner.store_lost = True
+        self.run_for(4)
+        self.owner.store_lost = False
+        self.run_for(8)
+        self.assertFalse(self.holds(self.owner))
+        self.send_twice()
+        self.assertFalse(self.holds(self.owner))
+
+    def test_backup_that_handed_on(self):
+        """A backup owner does not use its copy of what it has handed on."""
+        self.owner.store_lost = True
+        self.run_for(2.6)
+        self.successor.store_lost = True
+        self.run_for(2.6)
+        self.assertTrue(self.holds(self.third))
+        self.kill(self.owner)
+        asked = REQUEST._replace(as_backup=True, owners_exited=True)
+        response = self.successor.process.counter.count(asked)
+        self.assertEqual((False, 0, self.third.name), response)
+
+    def test_early_start(self):
+        """A new entry starts early only if the next one can be sure."""
+        declined = []
+        self.third.process.link.decline = lambda entry, names, reply: (
+            declined.append(reply)
+        )
+        asker = self.owner.process.owners.own
+        self.third.process.handover.receive_ask(asker, [NAME])
+        self.third.store_lost = True
+        self.run_for(3)
+        self.third.process.handover.receive_ask(asker, [NAME])
+        self.assertEqual([True, False], [each.nobody for each in declined])
