--- a/tests/queue_figures.py
+++ b/tests/queue_figures.py
@@ -11,11 +11,9 @@
 from types import MappingProxyType
 
 from bench.decisions.paired import difference
-from tests.burst_play import Fleet
 from tests.queue_play import FLEET, LARGE, QueueOutcome, QueuePlay
+from tests.queue_plays import CELL
 
-# One of the four cells of the fleet, which takes an eighth of the time.
-CELL = Fleet(entries=10, replicas=7, zones=1)
 FLEETS = MappingProxyType({'fleet': FLEET, 'cell': CELL})
 PERIODS = 3
 NAIVE = 'none'
--- a/tests/test_queue_play.py
+++ b/tests/test_queue_play.py
@@ -3,11 +3,12 @@
 import unittest
 
 from bench.decisions.paired import difference
-from tests.queue_figures import CELL, MEASURES, NAIVE
-from tests.queue_play import QueuePlay
+from tests.queue_figures import MEASURES, NAIVE
+from tests.queue_plays import simulate
 
-SEEDS = range(1, 9)
-PERIODS = 3
+LOADS = ('0.9', '1.2')
+SEEDS = '8'
+PERIODS = '3'
 FAIR = 'fair'
 
 
@@ -22,12 +23,8 @@
     def setUpClass(cls):
         """Simulate both policies with the same seeds."""
         cls.plays = {
-            load: [
-                QueuePlay(variant, load, seed, CELL).run(PERIODS)
-                for seed in SEEDS
-                for variant in (NAIVE, FAIR)
-            ]
-            for load in (0.9, 1.2)
+            load: simulate(load, f'{NAIVE},{FAIR}', SEEDS, PERIODS)
+            for load in LOADS
         }
 
     def differences(self, name):
