--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -1,14 +1,9 @@
 """The admission queue with greenlets: starts, ends of waits, close."""
 
-import random
-import unittest
-
 import gevent
 from nose2.tools import params
 
 from cactusridge import events
-from cactusridge.background import run_forever
-from cactusridge.clock import ManualClock
 from cactusridge.dispatch.queueing import NoQueueing
 from cactusridge.dispatch.wait_too_long import WaitTooLong
 from cactusridge.errors import (
@@ -17,24 +12,14 @@
     NotFound,
     Overloaded,
 )
-from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.organisations.errors import UnknownKey
 from cactusridge.organisations.permit import OpenPermit
-from cactusridge.queueing.admission_queue import (
-    CHECK_INTERVAL_S,
-    AdmissionQueue,
-)
-from cactusridge.queueing.call_rules import CallRules
+from cactusridge.queueing.admission_queue import CHECK_INTERVAL_S
 from cactusridge.queueing.waiting_line import MAX_REQUESTS
-from tests.cells_play import cells_of, places, put_replicas
 from tests.emitted import emitted
+from tests.queue_case import LEFT_S, SETTLE_S, QueueCase
 from tests.waiting_calls import CATALOG, TIMEOUT_S, call_of, refusal
 
-# Longer than the longest random delay and than the interval of checks.
-SETTLE_S = 0.15
-# The time left to a caller that has come back, in seconds.
-LEFT_S = 3
-
 
 class RevocablePermit(OpenPermit):
     """A permit that is valid until its key is revoked."""
@@ -49,55 +34,6 @@
             raise UnknownKey
 
 
-class QueueCase(unittest.TestCase):
-    """A queue before replicas of eight slots, all of them in use."""
-
-    replicas = 1
-
-    def setUp(self):
-        """Start the greenlet of the queue."""
-        fleet = FleetView()
-        put_replicas(fleet, self.replicas)
-        self.clock = ManualClock()
-        self.free = 0
-        self.catalog = CATALOG
-        self.queue = AdmissionQueue(
-            lambda _: self.free > 0,
-            cells_of(places('10.0.0.1:1'), fleet),
-            CallRules(lambda: self.catalog),
-            self.clock,
-            random.Random(1),
-        )
-        self.running = gevent.spawn(run_forever, self.queue.step)
-        self.addCleanup(self.running.kill)
-        self.ended = []
-
-    def wait(self, call):
-        """Wait with ``call``; record who ended how."""
-        try:
-            self.queue.wait(call, refusal())
-        except Exception as exc:
-            self.ended.append((call.req.organisation, type(exc)))
-            return exc
-        # As a request that is sent, it uses the slot before others run.
-        self.free -= 1
-        self.ended.append((call.req.organisation, None))
-        return None
-
-    def enter(self, organisation='press', left_s=LEFT_S, **others):
-        """Let a call wait; return it and its greenlet."""
-        call = call_of(organisation, self.clock.now + left_s, **others)
-        greenlet = gevent.spawn(self.wait, call)
-        gevent.sleep(0)
-        return call, greenlet
-
-    def release(self, slots=1):
-        """Make slots free and notify the queue."""
-        self.free += slots
-        self.queue.on_change()
-        gevent.sleep(SETTLE_S)
-
-
 class TestStarts(QueueCase):
     """Requests start when slots become free."""
 
