Limits: entries that joined before an outage do not count in it

Cause: random failures in a simulated fleet (tests/limits_chaos.py) found two entries that counted at once: one that joined just before an outage was unknown to the previous owner, which counts on with the list it read before. Change: only an entry that had been a member for 3 s at its last renewal counts on.

--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -64,7 +64,7 @@
         """
         self.me = Member(name, secrets.token_hex(8), *address, zone)
         self.renewed_at: float | None = None
-        self._membership_start = membership_start
+        self.membership_start = membership_start
         self._table = table
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
@@ -95,13 +95,6 @@
         """
         self._on_restart = listener
 
-    def continue_while(self, is_irreplaceable: Callable[[], bool]) -> None:
-        """Continue the membership after a gap while no entry can use it.
-
-        See MembershipStart.continue_while.
-        """
-        self._membership_start.continue_while(is_irreplaceable)
-
     def renew_and_read(self) -> None:
         """Renew the lease and read the members once.
 
@@ -238,15 +231,15 @@
         with self._write_lock:
             if self._has_left:
                 return
-            since_ms = self._membership_start.since_ms(self._table, key)
+            since_ms = self.membership_start.since_ms(self._table, key)
             self._begin_at(since_ms)
-            self._membership_start.stamp_renewal()
+            self.membership_start.stamp_renewal()
             beat = secrets.token_hex(4)
             write = Write(key, {**self.me._asdict(), 'beat': beat})
             sent_at = self._clock.monotonic()
             self._table.transact([], [write], Priority.lease)
         self.renewed_at = sent_at
-        self._membership_start.confirm_renewal()
+        self.membership_start.confirm_renewal()
 
     def _begin_at(self, since_ms: int) -> None:
         """Set the start of the membership; notify the listener of a new one.
--- a/cactusridge/jobs/membership_start.py
+++ b/cactusridge/jobs/membership_start.py
@@ -9,6 +9,7 @@
 # membership. It is shorter than the lease, after which other entries count an
 # entry as dead.
 MAX_RENEWAL_GAP_MS = 3000
+MS_PER_S = 1000
 
 
 class MembershipStart:
@@ -57,6 +58,12 @@
         """Record that the store has accepted the last stamped renewal."""
         self._renewed_ms = self._stamped_ms
 
+    def member_s(self) -> float:
+        """Return the seconds from the start to the last renewal."""
+        if self._renewed_ms is None or self._since_ms is None:
+            return 0
+        return (self._renewed_ms - self._since_ms) / MS_PER_S
+
     def _can_continue(self, now_ms: int) -> bool:
         if self._renewed_ms is None:
             return False
--- a/cactusridge/organisations/common_outage.py
+++ b/cactusridge/organisations/common_outage.py
@@ -86,7 +86,8 @@
         """Evaluate the reports; call this several times a second.
 
         ``members`` are the listed entries, this one among them.
-        ``unrenewed_s`` is the time since this entry's last renewal.
+        ``unrenewed_s`` is the time since this entry's last renewal or read,
+        whichever is longer ago.
         """
         if unrenewed_s < self._unrenewed_s:
             self._confirmed_at = None
--- a/cactusridge/organisations/lease_state.py
+++ b/cactusridge/organisations/lease_state.py
@@ -27,6 +27,10 @@
     def unread_s(self) -> float:
         """Return the seconds since the last read of the members."""
 
+    @abc.abstractmethod
+    def member_s(self) -> float:
+        """Return how long the entry was a member at its last renewal."""
+
     @property
     @abc.abstractmethod
     def is_read(self) -> bool:
--- a/cactusridge/organisations/outage_watch.py
+++ b/cactusridge/organisations/outage_watch.py
@@ -17,6 +17,8 @@
 # Seconds without a renewal after which the store does not respond to an entry:
 # it renews its lease every second.
 WITHOUT_STORE_S = 1.3
+# Seconds of membership at the last renewal that an entry needs to count on.
+MEMBER_S = 3.0
 # Largest number of reports in one message, some 20 KB.
 MAX_REPORTS = 500
 
@@ -54,7 +56,11 @@
             count = min(len(others), RECIPIENTS)
             for entry in self._rng.sample(others, count):
                 self._send(entry, reports)
-        self._outage.update(members, self._lease.unrenewed_s())
+        # Entries that count on in the outage have read the list before it. They
+        # know only those that had been members for some time.
+        if self._lease.member_s() >= MEMBER_S:
+            age_s = max(self._lease.unrenewed_s(), self._lease.unread_s())
+            self._outage.update(members, age_s)
 
     def receive(self, sender: str, reports: Iterable[StoreReport]) -> None:
         """Record reports; respond if this entry has the store."""
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -78,7 +78,7 @@
             counter.connect_handover(self._handover)
             link.connect(self._handover)
             reports.connect(self._watch)
-            session.continue_while(outage.holds)
+            session.membership_start.continue_while(outage.holds)
         owner_limits = OwnerLimiter(
             own_name,
             self.owners,
--- a/cactusridge/platform/membership_lease.py
+++ b/cactusridge/platform/membership_lease.py
@@ -23,6 +23,10 @@
         """Return the seconds since the last read of the members."""
         return self._session.ages().unread_s
 
+    def member_s(self) -> float:
+        """Return how long the entry was a member at its last renewal."""
+        return self._session.membership_start.member_s()
+
     @property
     def is_read(self) -> bool:
         """Whether the last attempt to read the members succeeded."""
--- a/tests/limits_chaos.py
+++ b/tests/limits_chaos.py
@@ -15,6 +15,7 @@
 START_S = 20.0
 STEP_S = 0.05
 EVENT_SHARE = 0.03
+OUTAGE_SHARE = 0.15
 STOP = Roll(0)
 WAITS_S = (0.3, 1.0, 2.0, 2.8, 3.1, 4.0, 7.0)
 
@@ -93,7 +94,8 @@
             if each not in self._endings and each not in self._stops
         ]
         wait_s = self._rng.choice(WAITS_S)
-        if now > self._outage_until + 4 and self._rng.random() < 0.15:
+        may_begin = now > self._outage_until + 4
+        if may_begin and self._rng.random() < OUTAGE_SHARE:
             self._outage_until = now + wait_s
             for each in self._fleet.entries:
                 self._befall(each, now + wait_s, 'store_lost')
--- a/tests/limits_membership.py
+++ b/tests/limits_membership.py
@@ -55,6 +55,10 @@
         """Return the seconds since the last read."""
         return self._clock.now - self._read_at
 
+    def member_s(self):
+        """Return how long the entry was a member at its last renewal."""
+        return 0 if self._since == NEVER else self._renewed - self._since
+
     @property
     def is_read(self):
         """Whether the last read succeeded."""
--- /dev/null
+++ b/tests/test_limits_chaos.py
@@ -0,0 +1,41 @@
+"""Limits while random entries stop, freeze and lose the store."""
+
+import unittest
+
+from nose2.tools import params
+
+from tests.limits_chaos import LIMIT, NAMES, Chaos
+
+WINDOW_S = 5
+LENGTH_S = 60
+# Seed 178 found entries that joined just before an outage of the store.
+SEEDS = (0, 1, 2, 3, 178)
+# Small fleets in which all memberships begin anew within a few seconds, and a
+# new entry that alone has the store (244). See KNOWN-RED.txt.
+RED_SEEDS = (85, 244)
+LOST_SHARES = (0, 0, 0.1, 0.3)
+
+
+def chaos(seed: int) -> Chaos:
+    """Return a fleet to which random things happened."""
+    found = Chaos(5 + seed % 5, seed, LOST_SHARES[seed % 4])
+    found.run(LENGTH_S)
+    return found
+
+
+class TestChaos(unittest.TestCase):
+    """No two entries count an organisation at its full rate."""
+
+    @params(*SEEDS)
+    def test_one_holder(self, seed):
+        """At no time may two entries count, and no window is over its bound."""
+        found = chaos(seed)
+        self.assertEqual([], found.doubles)
+        bound = (LIMIT.rate_per_s * WINDOW_S + LIMIT.burst) * 1.1 + 20
+        worst = max(found.worst_window(name, WINDOW_S) for name in NAMES)
+        self.assertLessEqual(worst, bound)
+
+    @params(*RED_SEEDS)
+    def test_one_holder_in_new_fleets(self, seed):
+        """Nor while all entries find each other after a loss of all."""
+        self.assertEqual([], chaos(seed).doubles)
--- a/tests/test_limits_handover.py
+++ b/tests/test_limits_handover.py
@@ -285,3 +285,18 @@
         self.run_for(3)
         self.third.process.handover.receive_ask(asker, [NAME])
         self.assertEqual([True, False], [each.nobody for each in declined])
+
+    def test_joined_before_an_outage(self):
+        """An entry that others have not read yet does not count in an outage.
+
+        The entry that counted before does not know it.
+        """
+        self.stop(self.owner)
+        self.run_for(0.5)
+        self.owner.start()
+        self.owner.renew()
+        for each in self.fleet.entries:
+            each.store_lost = True
+        self.run_for(8)
+        self.assertFalse(self.holds(self.owner))
+        self.assertTrue(self.holds(self.successor))
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -132,11 +132,11 @@
         since_ms = self.one.me.since_ms
         told = []
         self.one.on_restart(lambda: told.append(self.one.me.since_ms))
-        self.one.continue_while(lambda: True)
+        self.one.membership_start.continue_while(lambda: True)
         self.clock.advance(MEMBER_LEASE_S * 2)
         self.one.renew_and_read()
         self.assertEqual(since_ms, self.one.me.since_ms)
-        self.one.continue_while(bool)
+        self.one.membership_start.continue_while(bool)
         self.clock.advance(MEMBER_LEASE_S * 2)
         self.one.renew_and_read()
         self.assertEqual([self.clock.now * 1000], told)
