--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -10,6 +10,11 @@
 AT_ONCE = 4
 # The longest go first, so that none is left alone at the end.
 LONGEST = (
+    'test_limits_roll',
+    'test_uneven_play',
+    'test_limits_chaos',
+    'test_burst_play',
+    'test_queue_play',
     'test_frozen',
     'test_crashing_requests',
     'test_keys_on_machines',
