--- a/cactusridge/dispatch/replica_speeds.py
+++ b/cactusridge/dispatch/replica_speeds.py
@@ -7,8 +7,9 @@
 from cactusridge.clock import Clock
 
 # Time in seconds after which an observation counts half. A slow phase that
-# lasts is detected within a few seconds, and a replica that gets no requests
-# because it looked slow counts as usual again some ten seconds later.
+# lasts is detected within a few seconds. A replica that gets no requests
+# because it looked slow counts as usual again after some 15 s, or after 36 s if
+# it had completed a hundred requests a second.
 HALF_LIFE_S = 4.0
 # Number of assumed observations at the usual speed. With fewer real ones the
 # estimate stays near the usual speed: together with MAX_RATIO, a single
--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -23,8 +23,9 @@
 class Orphan(NamedTuple):
     """When a job was first seen without a holder, and when it was to be taken.
 
-    Both are in seconds of the monotonic clock. ``due_at`` is None until this
-    entry has to take the job over.
+    Both are in seconds of the monotonic clock. ``since`` is in the future while
+    takeovers pause, after a row of the job was unreadable. ``due_at`` is None
+    until this entry has to take the job over.
     """
 
     since: float
--- a/cactusridge/queueing/admission_queue.py
+++ b/cactusridge/queueing/admission_queue.py
@@ -40,8 +40,8 @@
 class AdmissionQueue(Queueing):
     """Lets callers wait that have come back and can still be served.
 
-    They start in the order of ``Turns``, and only while a replica has fewer
-    online requests than slots, so that no request on time is delayed.
+    They start in the order of ``Turns``, and only while a replica has a spare
+    slot (see ``has_spare_slot``), so that no request on time is delayed.
     """
 
     def __init__(
