--- a/cactusridge/dispatch/placement.py
+++ b/cactusridge/dispatch/placement.py
@@ -67,15 +67,15 @@
         self.mean_s += SLOT_TIME_WEIGHT * (held_s - self.mean_s)
 
 
-def expected_wait_s(choice: Choice, hold_s: float) -> float:
+def expected_wait_s(choice: Choice, slot_s: float) -> float:
     """Return the expected wait of an online request for a slot, in seconds.
 
     Batch requests are not counted, since they are preempted by online
     ones. When all slots are in use, one becomes free every
-    ``hold_s / slots`` seconds, where ``hold_s`` is the time for which a
+    ``slot_s / slots`` seconds, where ``slot_s`` is the time for which a
     request holds a slot of this replica.
     """
-    return choice.queue * hold_s / max(1, choice.replica.slots)
+    return choice.queue * slot_s / max(1, choice.replica.slots)
 
 
 def select_candidates(
--- a/cactusridge/organisations/limit_copies.py
+++ b/cactusridge/organisations/limit_copies.py
@@ -63,7 +63,7 @@
             self._allowances[request.name] = found
         return self._take(found, request, limit)
 
-    def has_continued(self, request: LimitRequest) -> LimitCount | None:
+    def continued(self, request: LimitRequest) -> LimitCount | None:
         """Return the copy that ``count`` continues for a request, if any."""
         return self._copies.get(request.name) if request.owners_exited else None
 
--- a/cactusridge/organisations/limit_counter.py
+++ b/cactusridge/organisations/limit_counter.py
@@ -166,7 +166,7 @@
     def _count_as_backup(self, request: LimitRequest) -> LimitResponse:
         """Count a request as a backup owner of an unresponsive owner."""
         response = self._copies.count(request)
-        continued = self._copies.has_continued(request)
+        continued = self._copies.continued(request)
         if continued is not None:
             self._send_copy(request, continued)
         return response
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -23,7 +23,6 @@
 )
 from cactusridge.organisations.ranking import Ranking
 
-MS_PER_S = 1000
 # Seconds between two updates of the set of entries that may be owners.
 UPDATE_INTERVAL_S = 0.5
 # Number of ranked entries per organisation: the owner and the backup owners,
--- a/tests/limits_membership.py
+++ b/tests/limits_membership.py
@@ -2,9 +2,9 @@
 
 import typing
 
+from cactusridge.jobs.membership_start import MS_PER_S
 from cactusridge.organisations.lease_state import StoreLease
 from cactusridge.organisations.limit_messages import Candidate
-from cactusridge.organisations.limit_owners import MS_PER_S
 
 if typing.TYPE_CHECKING:
     from tests.limits_entry import Entry
--- a/tests/limits_process.py
+++ b/tests/limits_process.py
@@ -2,13 +2,13 @@
 
 import typing
 
+from cactusridge.jobs.membership_start import MS_PER_S
 from cactusridge.organisations.common_outage import CommonOutage
 from cactusridge.organisations.lease_state import LeaseState
 from cactusridge.organisations.limit_counter import LimitCounter
 from cactusridge.organisations.limit_handover import LimitHandover
 from cactusridge.organisations.limit_messages import LimitCopy
 from cactusridge.organisations.limit_owners import (
-    MS_PER_S,
     UPDATE_INTERVAL_S,
     LimitOwners,
 )
