--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,12 +7,13 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
+from cactusridge.jobs.membership_start import MS_PER_S
 from cactusridge.organisations.errors import OverLimit
 from cactusridge.organisations.limit_copies import BACKUP_BURST
 from cactusridge.organisations.limit_count import BURST_TOLERANCE
 from cactusridge.organisations.limit_counter import LimitCounter
 from cactusridge.organisations.limit_messages import Candidate, LimitRequest
-from cactusridge.organisations.limit_owners import MS_PER_S, LimitOwners
+from cactusridge.organisations.limit_owners import LimitOwners
 from cactusridge.organisations.limiter import FixedShares, NoLimits
 from cactusridge.organisations.member_ages import PEER_READ_MS, SETTLE_MS
 from cactusridge.organisations.organisation import Organisation, RateLimit
