--- a/cactusridge/peers/exchange.py
+++ b/cactusridge/peers/exchange.py
@@ -32,7 +32,7 @@
     parts_of,
 )
 from cactusridge.peers.offers import decode_offer
-from cactusridge.peers.peer_socket import PeerSocket, Target
+from cactusridge.peers.peer_socket import PeerSocket, Target, peer_name
 from cactusridge.work_meter import Part, spawn
 
 # Interval at which all counts are repeated, in seconds.
@@ -236,7 +236,7 @@
         if ALL not in message:
             counts = {**self._counts.get(sender, {}), **counts}
         counts = {key: load for key, load in counts.items() if load != NO_LOAD}
-        name = f'{sender[0]}:{sender[1]}'
+        name = peer_name(sender)
         if counts or not self._cells.is_remote(name):
             self._counts[sender] = counts
             self._loads.set_peer_loads(name, counts)
--- a/cactusridge/peers/outage_reports.py
+++ b/cactusridge/peers/outage_reports.py
@@ -7,6 +7,7 @@
 from cactusridge.organisations.common_outage import StoreReport
 from cactusridge.organisations.outage_watch import OutageWatch
 from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.peer_socket import peer_name
 from cactusridge.peers.plain import plain_message
 
 REPORTS_TOPIC = 'limit_store'
@@ -24,7 +25,7 @@
         self._peers.on_message(
             REPORTS_TOPIC,
             lambda peer, raw: watch.receive(
-                f'{peer[0]}:{peer[1]}', [_report(*each) for each in raw]
+                peer_name(peer), [_report(*each) for each in raw]
             ),
         )
 
--- a/cactusridge/peers/peer_socket.py
+++ b/cactusridge/peers/peer_socket.py
@@ -41,7 +41,7 @@
         except OSError as exc:
             logs.emit(
                 events.PEER_UNREACHABLE,
-                peer=f'{target[0]}:{target[1]}',
+                peer=peer_name(target),
                 error=repr(exc),
             )
 
@@ -50,3 +50,9 @@
         raw, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
         METER.steps['counts_heard'] += 1
         return raw, sender
+
+
+def peer_name(target: Target) -> str:
+    """Return the address of a peer as the membership list names it."""
+    host, port = target
+    return f'{host}:{port}'
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -6,7 +6,6 @@
 
 from cactusridge.background import run_every, run_every_while
 from cactusridge.clock import Clock
-from cactusridge.http.client import Address
 from cactusridge.jobs.membership import Membership
 from cactusridge.organisations.common_outage import CommonOutage
 from cactusridge.organisations.lease_state import LeaseState
@@ -28,7 +27,7 @@
 from cactusridge.peers.limit_handovers import LimitHandovers
 from cactusridge.peers.limit_requests import LimitRequests
 from cactusridge.peers.outage_reports import OutageReports
-from cactusridge.peers.peer_socket import Target
+from cactusridge.peers.peer_socket import Target, peer_name
 from cactusridge.platform.membership_lease import MembershipLease
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.store.store_clock import StoreClock
@@ -123,15 +122,14 @@
 
     def receive_status(self, peer: Target, *, has_store: bool) -> None:
         """Record whether the store responds to a peer."""
-        name = str(Address(*peer))
-        self._watch.receive_status(name, has_store=has_store)
+        self._watch.receive_status(peer_name(peer), has_store=has_store)
 
     def _candidates(self) -> list[Candidate]:
         """Return the live members; none until the membership list was read."""
         if not self._session.has_joined:
             return []
         return [
-            Candidate(str(Address(each.host, each.port)), each.since_ms)
+            Candidate(peer_name((each.host, each.port)), each.since_ms)
             for each in self._session.members_as_read()
         ]
 
