--- a/cactusridge/peers/exchange.py
+++ b/cactusridge/peers/exchange.py
@@ -26,13 +26,13 @@
 from cactusridge.peers.loads import LoadTable
 from cactusridge.peers.message_parts import (
     changed_counts,
-    decode_counts,
     encode_counts,
     part_of,
     parts_of,
 )
 from cactusridge.peers.offers import decode_offer
-from cactusridge.peers.peer_socket import PeerSocket, Target, peer_name
+from cactusridge.peers.peer_socket import PeerSocket, Target
+from cactusridge.peers.received_counts import ALL, CHANGED, ReceivedCounts
 from cactusridge.work_meter import Part, spawn
 
 # Interval at which all counts are repeated, in seconds.
@@ -43,8 +43,6 @@
 # Part of that interval for each peer in the cell, in seconds. It limits the
 # datagrams with changes that an entry reads to some 170 a second.
 SEND_INTERVAL_PER_PEER_S = 0.006
-ALL = 'all'
-CHANGED = 'some'
 OFFER = 'offer'
 STATUS = 'word'
 ANNOUNCED = 'news'
@@ -68,7 +66,6 @@
         self._sock = sock
         self._loads = loads
         self._audience = audience
-        self._cells = cells
         self._get_status = get_status
         self._load_listeners: list[Callable[[], None]] = []
         self._announcements = AnnouncementRepeats()
@@ -78,7 +75,7 @@
         self._added: dict[str, Callable[[], Mapping[str, Any]]] = {}
         self._since_repeat_s = float(0)
         self._last_sent: dict[str, Load] = {}
-        self._counts: dict[Target, dict[str, Load]] = {}
+        self._received = ReceivedCounts(loads, cells)
         loads.on_increase(self._send_increase)
 
     def on_loads(self, listener: Callable[[], None]) -> None:
@@ -223,31 +220,15 @@
         if offer is not None:
             self._loads.set_offer(decode_offer(offer))
         if ALL in message or CHANGED in message:
-            self._apply_counts(message, sender)
+            self._received.apply(message, sender)
+            for listener in self._load_listeners:
+                listener()
         if STATUS in message and self._on_status is not None:
             self._on_status(sender, EntryStatus(*message[STATUS]))
         # An unreadable message on a topic leaves the counts beside it in force.
         for topic in message.keys() & self._message_listeners.keys():
             self._message_listeners[topic](sender, message[topic])
 
-    def _apply_counts(self, message: dict[str, Any], sender: Target) -> None:
-        """Apply the counts in a peer's message."""
-        counts = decode_counts(message.get(ALL) or message.get(CHANGED) or {})
-        if ALL not in message:
-            counts = {**self._counts.get(sender, {}), **counts}
-        counts = {key: load for key, load in counts.items() if load != NO_LOAD}
-        name = peer_name(sender)
-        if counts or not self._cells.is_remote(name):
-            self._counts[sender] = counts
-            self._loads.set_peer_loads(name, counts)
-        else:
-            # A remote peer without requests here sends no repeats, so its
-            # counts need not be kept.
-            self._counts.pop(sender, None)
-            self._loads.forget(name)
-        for listener in self._load_listeners:
-            listener()
-
 
 def ignore_announcement(subject: str, version: int) -> None:
     """Do nothing, in place of ``PeerExchange.announce`` before there is one."""
