--- a/cactusridge/peers/limit_handovers.py
+++ b/cactusridge/peers/limit_handovers.py
@@ -13,10 +13,10 @@
     HandoverLink,
     HeldCount,
 )
-from cactusridge.organisations.organisation import RateLimit
 from cactusridge.peers.exchange import PeerExchange
 from cactusridge.peers.peer_socket import Target
 from cactusridge.peers.plain import plain_message
+from cactusridge.peers.rate_limits import decode_limit
 
 GIVEN_TOPIC = 'limit_given'
 RECEIVED_TOPIC = 'limit_got'
@@ -129,10 +129,9 @@
 def _held_count(
     name: Any, limit: Any, version: Any, tokens: Any, ceders: Any
 ) -> HeldCount:
-    rate_per_s, burst = map(float, limit)
     return HeldCount(
         str(name),
-        RateLimit(rate_per_s, burst),
+        decode_limit(limit),
         int(version),
         float(tokens),
         tuple(
--- a/cactusridge/peers/limit_requests.py
+++ b/cactusridge/peers/limit_requests.py
@@ -16,9 +16,9 @@
     LimitResponse,
 )
 from cactusridge.organisations.limit_owners import LimitOwners
-from cactusridge.organisations.organisation import RateLimit
 from cactusridge.peers.exchange import PeerExchange
 from cactusridge.peers.peer_socket import Target
+from cactusridge.peers.rate_limits import decode_limit
 
 REQUEST_TOPIC = 'limit_asked'
 RESPONSE_TOPIC = 'limit_told'
@@ -146,10 +146,9 @@
     owners_exited: Any,
 ) -> LimitRequest:
     """Return a peer's limit request; raises ValueError or TypeError."""
-    rate_per_s, burst = map(float, limit)
     return LimitRequest(
         str(name),
-        RateLimit(rate_per_s, burst),
+        decode_limit(limit),
         int(version),
         bool(as_backup),
         bool(owners_exited),
