--- a/cactusridge/http/blocked_write.py
+++ b/cactusridge/http/blocked_write.py
@@ -14,9 +14,10 @@
 # alone does not show it: it is writable only once a third of the send buffer
 # is free, which a caller that reads slowly takes long to reach.
 CHECK_S = 0.25
+# The integer that TIOCOUTQ fills in.
 INT = struct.Struct('i')
-# Makes close() discard the unsent bytes. Otherwise the system would keep them
-# for a caller that does not read them.
+# The option SO_LINGER with a time of 0 makes close() discard the unsent bytes.
+# Otherwise the system would keep them for a caller that does not read them.
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
--- a/cactusridge/platform/internal_server.py
+++ b/cactusridge/platform/internal_server.py
@@ -7,6 +7,7 @@
 
 # Largest body of a request to an internal server, in bytes.
 MAX_INTERNAL_BODY_BYTES = 65_536
+# Seconds within which the body of a request has to arrive.
 INTERNAL_TIMEOUT_S = 2.0
 
 
--- a/cactusridge/platform/load_report.py
+++ b/cactusridge/platform/load_report.py
@@ -12,6 +12,7 @@
 from cactusridge.peers.cells import Cells
 
 LOAD_PATH = '/load'
+# Decimal places of the numbers in a report: times to 0.1 ms.
 DIGITS = 4
 # The fields of an estimate, without the incarnation.
 ESTIMATE_FIELDS = ('slot_s', 'speed', 'samples', 'age_s')
