--- /dev/null
+++ b/cactusridge/jobs/member_records.py
@@ -0,0 +1,66 @@
+"""What an entry knows of the members from their rows."""
+
+from typing import NamedTuple
+
+from cactusridge.jobs.member import Member, parse_member
+from cactusridge.store.row_reader import RowReader
+from cactusridge.store.table import Row
+from cactusridge.store.unreadable import UnreadableRecord
+
+
+class MemberRecord(NamedTuple):
+    """A member, the version of its row and when that version was read.
+
+    ``seen_at`` is in seconds of the monotonic clock. ``member`` is None if
+    the row has been unreadable since it was found. Its entry then counts
+    as live, in any incarnation, until a lease has passed.
+    """
+
+    member: Member | None
+    version: int
+    seen_at: float
+
+
+class MemberReader:
+    """Reads the rows of members; an unreadable row changes no lease."""
+
+    def __init__(self) -> None:
+        """Start without rows."""
+        self._reader = RowReader()
+
+    def updated(
+        self,
+        known: MemberRecord | None,
+        row: Row,
+        now: float,
+        restart: bool,
+    ) -> MemberRecord:
+        """Return the record of a row that was read at ``now``.
+
+        ``known`` is the record of the earlier read, if there is one. With
+        ``restart`` the lease counts anew even if the row has not changed.
+        """
+        if known and not restart and known.version == row.version:
+            return known
+        try:
+            member = self._reader.read(row, parse_member)
+        except UnreadableRecord:
+            return _unreadable_record(known, row, now, restart)
+        return MemberRecord(member, row.version, now)
+
+
+def _unreadable_record(
+    known: MemberRecord | None,
+    row: Row,
+    now: float,
+    restart: bool,
+) -> MemberRecord:
+    """Return the record of a member whose row has become unreadable.
+
+    An unreadable row neither renews a lease nor ends it early, since
+    another writer may have overwritten the row of a live entry.
+    """
+    if known is None:
+        return MemberRecord(None, row.version, now)
+    seen_at = now if restart else known.seen_at
+    return MemberRecord(known.member, row.version, seen_at)
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -9,11 +9,10 @@
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
-from cactusridge.jobs.member import MEMBER_PREFIX, Member, parse_member
+from cactusridge.jobs.member import MEMBER_PREFIX, Member
+from cactusridge.jobs.member_records import MemberReader, MemberRecord
 from cactusridge.jobs.membership_start import MembershipStart
-from cactusridge.store.row_reader import RowReader
-from cactusridge.store.table import Priority, Row, Table, Write, WriteUnknown
-from cactusridge.store.unreadable import UnreadableRecord
+from cactusridge.store.table import Priority, Table, Write, WriteUnknown
 
 # Interval in seconds between renewals, each followed by a read: two calls per
 # second and entry to a store that handles some thousands per second.
@@ -26,19 +25,6 @@
 LEASE_MARGIN_S = 0.7
 
 
-class MemberRecord(NamedTuple):
-    """A member, the version of its row and when that version was read.
-
-    ``seen_at`` is in seconds of the monotonic clock. ``member`` is None if
-    the row has been unreadable since it was found. Its entry then counts
-    as live, in any incarnation, until a lease has passed.
-    """
-
-    member: Member | None
-    version: int
-    seen_at: float
-
-
 class LeaseAges(NamedTuple):
     """Seconds since the last renewal and read; infinity before the first."""
 
@@ -70,7 +56,7 @@
         self._table = table
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
-        self._reader = RowReader()
+        self._reader = MemberReader()
         # When the members were last read; whether they have been read since
         # the last attempt that failed.
         self._read_at: float | None = None
@@ -270,13 +256,17 @@
         now = self._clock.monotonic()
         restart = not self._is_read
         known = set(self._records)
-        self._records = {
-            row.key.removeprefix(MEMBER_PREFIX): self._updated_record(
-                row, now, restart
-            )
+        found = {
+            row.key.removeprefix(MEMBER_PREFIX): row
             for row in rows
             if not row.absent
         }
+        self._records = {
+            name: self._reader.updated(
+                self._records.get(name), row, now, restart
+            )
+            for name, row in found.items()
+        }
         self._read_at = now
         self._is_read = True
         self.reads += 1
@@ -287,35 +277,6 @@
         for departed in known - set(self._records):
             logs.emit(events.MEMBER_GONE, member=departed)
 
-    def _updated_record(
-        self, row: Row, now: float, restart: bool
-    ) -> MemberRecord:
-        known = self._records.get(row.key.removeprefix(MEMBER_PREFIX))
-        if known and not restart and known.version == row.version:
-            return known
-        try:
-            member = self._reader.read(row, parse_member)
-        except UnreadableRecord:
-            return _unreadable_record(known, row, now, restart)
-        return MemberRecord(member, row.version, now)
-
-
-def _unreadable_record(
-    known: MemberRecord | None,
-    row: Row,
-    now: float,
-    restart: bool,
-) -> MemberRecord:
-    """Return the record of a member whose row has become unreadable.
-
-    An unreadable row neither renews a lease nor ends it early, since
-    another writer may have overwritten the row of a live entry.
-    """
-    if known is None:
-        return MemberRecord(None, row.version, now)
-    seen_at = now if restart else known.seen_at
-    return MemberRecord(known.member, row.version, seen_at)
-
 
 def log_errors(action: Any) -> None:
     """Call ``action``; log a CactusridgeError instead of raising it."""
