--- a/cactusridge/queueing/decision.py
+++ b/cactusridge/queueing/decision.py
@@ -6,9 +6,9 @@
 from cactusridge.queueing.pace import Pace
 
 # A caller with less than this share of the route's timeout left has been
-# refused before, or has set a shorter deadline and has no time to return: the
-# shortest delay that AfterBurst asks for takes 0.165 of the timeout, and reading
-# a request that comes for the first time takes less than a tenth.
+# refused before, or has set a shorter deadline and is treated alike: the
+# shortest delay that AfterBurst asks for takes 0.165 of the timeout, and
+# reading a request that comes for the first time takes less than a tenth.
 FIRST_ATTEMPT_SHARE = 0.9
 
 
