--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -68,16 +68,22 @@
         Overloaded if the expected wait at the best one is too long.
         """
         service = progress.service or self._service(call.route)
-        best = self._best(service, progress.tried)
+        choices = self._compared(service, progress.tried)
+        best = self._policies.placing.choose(choices, self._zone, self._rng)
         self._check_wait(call, best)
         return best.replica
 
     def has_free_slot(self, service: str) -> bool:
-        """Return whether a waiting request of ``service`` may start."""
+        """Return whether a waiting request of ``service`` may start.
+
+        That holds if any replica has a spare slot: the best one is ranked by
+        more than its free slots.
+        """
         try:
-            return has_spare_slot(self._best(service, ()))
+            choices = self._compared(service, ())
         except NoReplica:
             return False
+        return any(map(has_spare_slot, choices))
 
     def open(
         self,
@@ -189,8 +195,8 @@
             for key, replica in replicas.items()
         ]
 
-    def _best(self, service: str, tried: Sequence[str]) -> Choice:
-        """Return the best replica of a service, if possible not in ``tried``.
+    def _compared(self, service: str, tried: Sequence[str]) -> list[Choice]:
+        """Return the replicas to compare, if possible none in ``tried``.
 
         Raises NoReplica if the service has no ready replica.
         """
@@ -212,8 +218,7 @@
             self._runner.loads.offered_replicas(),
             self._rng,
         )
-        choices = self._choices({key: ready[key] for key in compared}, local)
-        return self._policies.placing.choose(choices, self._zone, self._rng)
+        return self._choices({key: ready[key] for key in compared}, local)
 
     def _check_wait(self, call: OnlineCall, best: Choice) -> None:
         """Raise Overloaded if the expected wait at ``best`` is too long."""
--- a/cactusridge/http/caller_writes.py
+++ b/cactusridge/http/caller_writes.py
@@ -7,9 +7,10 @@
 from cactusridge.http.blocked_write import BlockedWrite, send_now
 from cactusridge.http.unpaused_time import unpaused_clock
 
-# Seconds after which a caller that receives nothing is disconnected: twice the
-# time after which callers abandon a stream that makes no progress.
-STALL_LIMIT_S = 4.0
+# Seconds after which a caller that receives nothing is disconnected. A caller
+# that reads slowly but steadily shows progress only in steps of a segment, up
+# to 64 KB on loopback: those that read 6.4 KB/s and more are served.
+STALL_LIMIT_S = 10.0
 # Limit of the bytes held for all callers together. A part of a stream has the
 # events of one read, at most 64 KB or a single event, so that a thousand
 # streams stay below it.
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -231,9 +231,11 @@
                 return
             since_ms = self.membership_start.since_ms(self._table, key)
             self._begin_at(since_ms)
-            self.membership_start.stamp_renewal()
-            beat = secrets.token_hex(4)
-            write = Write(key, {**self.me._asdict(), 'beat': beat})
+            heartbeat = {
+                'beat': secrets.token_hex(4),
+                **self.membership_start.renewal_field(),
+            }
+            write = Write(key, {**self.me._asdict(), **heartbeat})
             sent_at = self._clock.monotonic()
             self._table.transact([], [write], Priority.lease)
         self.renewed_at = sent_at
--- a/cactusridge/queueing/waiting_line.py
+++ b/cactusridge/queueing/waiting_line.py
@@ -33,7 +33,9 @@
         self._requests: dict[WaitingRequest, None] = {}
         # Those of a service stay when no request waits, with their shares.
         self._turns: dict[str, Turns[WaitingRequest]] = {}
+        # Requests and bytes of their bodies, by organisation.
         self._counts: Counter[str] = Counter()
+        self._sizes: Counter[str] = Counter()
         self._body_bytes = 0
 
     def __len__(self) -> int:
@@ -58,6 +60,7 @@
         turns.push(request, request.turn)
         self._requests[request] = None
         self._counts[request.turn.organisation] += 1
+        self._sizes[request.turn.organisation] += request.body_bytes
         self._body_bytes += request.body_bytes
 
     def discard(self, request: WaitingRequest) -> None:
@@ -82,11 +85,14 @@
     def pop_excess(self) -> Iterator[WaitingRequest]:
         """Remove and yield requests until the line is within its bounds.
 
-        They are the newest of the organisation with the most requests, so
-        that one that sends too much does not displace the others.
+        They are the newest of the organisation with the most requests, or
+        with the most bytes if only that bound is exceeded, so that one that
+        sends too much does not displace the others.
         """
         while self._exceeds_bounds():
-            organisation = max(self._counts, key=self._counts.__getitem__)
+            too_many = len(self._requests) > self._max_requests
+            held = self._counts if too_many else self._sizes
+            organisation = max(held, key=held.__getitem__)
             newest = next(
                 request
                 for request in reversed(self._requests)
@@ -121,5 +127,7 @@
         self._body_bytes -= request.body_bytes
         organisation = request.turn.organisation
         self._counts[organisation] -= 1
+        self._sizes[organisation] -= request.body_bytes
         if not self._counts[organisation]:
             self._counts.pop(organisation)
+            self._sizes.pop(organisation)
--- a/tests/test_queue_bounds.py
+++ b/tests/test_queue_bounds.py
@@ -77,6 +77,13 @@
         self.assertEqual([], self.add(waiting('a', body=half)))
         self.assertEqual(['a'], names(self.add(waiting('b', body=b'x'))))
 
+    def test_bytes_of_the_largest(self):
+        """Large bodies displace no organisation with many small requests."""
+        small = [waiting('small', body=b'x') for _ in range(MOST - 2)]
+        self.assertEqual([], self.add(*small))
+        large = waiting('large', body=b'x' * (MOST_BYTES - 1))
+        self.assertEqual([large], self.add(large))
+
     def test_discarded_is_not_counted(self):
         """A request that has left makes room for another one."""
         first = waiting('a', body=b'x' * MOST_BYTES)
