--- a/cactusridge/organisations/common_outage.py
+++ b/cactusridge/organisations/common_outage.py
@@ -14,8 +14,6 @@
 # Age in ms of the oldest report that counts. Reports are repeated four times
 # a second and pass through at most a few entries.
 REPORT_MS = 1200
-# Age in ms up to which a report says that an entry has the store even now.
-FRESH_MS = 300
 # Seconds after the last renewal by which the outage must be confirmed: another
 # entry with the store takes over 3.2 s after it at the earliest.
 CONFIRM_S = 3.0
@@ -74,14 +72,6 @@
         """Return whether ``entry`` has recently reported an outage."""
         return self._without.get(entry, 0) > self._now_ms() - REPORT_MS
 
-    def others_have_store(self) -> bool:
-        """Return whether an entry has just reported to have the store.
-
-        Older reports may be from before the outage.
-        """
-        since_ms = self._now_ms() - FRESH_MS
-        return any(self._with[each] > since_ms for each in self._with_store())
-
     def update(self, members: Collection[str], unrenewed_s: float) -> None:
         """Evaluate the reports; call this several times a second.
 
--- a/cactusridge/organisations/lease_state.py
+++ b/cactusridge/organisations/lease_state.py
@@ -4,9 +4,6 @@
 
 from cactusridge.organisations.common_outage import CommonOutage
 
-# Seconds without a renewal or a read after which counts are handed over to
-# entries that have the store: before the right to count ends, at 2.5 s.
-ENDING_S = 2.3
 # Seconds without a renewal after which others may have taken over: they do so
 # 3.2 s after it at the earliest.
 LAPSED_S = 3.0
@@ -38,7 +35,7 @@
 
 
 class LeaseState:
-    """Whether the right to count by the membership list holds or is ending."""
+    """Whether the right to count by the membership list holds."""
 
     def __init__(self, lease: StoreLease, outage: CommonOutage) -> None:
         """Combine ``lease`` with what ``outage`` allows without one."""
@@ -49,13 +46,6 @@
         """Return whether this entry may count what it owns."""
         return self._lease.is_current() or self._outage.holds()
 
-    def is_ending(self) -> bool:
-        """Return whether the lease ends soon while others have the store."""
-        age_s = max(self._lease.unrenewed_s(), self._lease.unread_s())
-        if age_s < ENDING_S or self._outage.holds():
-            return False
-        return self._outage.others_have_store()
-
     def has_lapsed(self) -> bool:
         """Return whether other entries may have taken over."""
         if self._outage.holds():
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -30,11 +30,6 @@
 # one is sent that long after the handovers, so that these arrive before.
 ANNOUNCE_S = 0.3
 
-# Entries by which counts have recently passed, handed over or declined, when
-# an entry whose lease ends keeps them. In an outage that entries notice one
-# after the other, the counts would otherwise pass through the whole fleet.
-MAX_CEDERS = 3
-
 
 class LimitHandover:
     """Decides when this entry hands over or takes over which counts."""
@@ -157,11 +152,11 @@
         self.rebalance()
 
     def _rebalance_if_due(self) -> None:
-        """Hand over counts if the owners have changed or the lease ends."""
+        """Hand over counts if the owners have changed or the lease is over."""
         self._owners.update_if_due()
         is_due = self._owners.revision != self._revision
         self._revision = self._owners.revision
-        if is_due or self._lease.is_ending() or self._lease.has_lapsed():
+        if is_due or self._lease.has_lapsed():
             self.rebalance()
 
     def _declined(self, name: str, asker: Candidate) -> Declined:
@@ -205,10 +200,6 @@
         if own is None or hold is None:
             return None
         ceders = hold.ceders_at(self._owners.now_ms())
-        if self._lease.is_ending():
-            if len(ceders) >= MAX_CEDERS:
-                return None
-            ceders |= {own}
         receiver = self._owners.receiver(name, ceders)
         return None if receiver == own else receiver
 
