--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -68,22 +68,20 @@
         Overloaded if the expected wait at the best one is too long.
         """
         service = progress.service or self._service(call.route)
-        choices = self._compared(service, progress.tried)
-        best = self._policies.placing.choose(choices, self._zone, self._rng)
+        best = self._best(service, progress.tried)
         self._check_wait(call, best)
         return best.replica
 
     def has_free_slot(self, service: str) -> bool:
         """Return whether a waiting request of ``service`` may start.
 
-        That holds if any replica has a spare slot: the best one is ranked by
-        more than its free slots.
+        That holds if the best replica, to which it would be sent, has a spare
+        slot. Another one may have a spare slot while the best has none.
         """
         try:
-            choices = self._compared(service, ())
+            return has_spare_slot(self._best(service, ()))
         except NoReplica:
             return False
-        return any(map(has_spare_slot, choices))
 
     def open(
         self,
@@ -195,8 +193,8 @@
             for key, replica in replicas.items()
         ]
 
-    def _compared(self, service: str, tried: Sequence[str]) -> list[Choice]:
-        """Return the replicas to compare, if possible none in ``tried``.
+    def _best(self, service: str, tried: Sequence[str]) -> Choice:
+        """Return the best replica of a service, if possible not in ``tried``.
 
         Raises NoReplica if the service has no ready replica.
         """
@@ -218,7 +216,8 @@
             self._runner.loads.offered_replicas(),
             self._rng,
         )
-        return self._choices({key: ready[key] for key in compared}, local)
+        choices = self._choices({key: ready[key] for key in compared}, local)
+        return self._policies.placing.choose(choices, self._zone, self._rng)
 
     def _check_wait(self, call: OnlineCall, best: Choice) -> None:
         """Raise Overloaded if the expected wait at ``best`` is too long."""
