Tests: a steady reader lasts longer than twice the stall limit

Cause: with a stall limit of 10 s instead of 4 s the steady reader of test_slow_callers ended within twice the limit, so that the test did not show that a whole reply may last longer.

Change: the reader pauses twice as long between reads.

--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -26,7 +26,7 @@
 # Others are served in this median time, in seconds, with slow callers there.
 SERVED_WITHIN_S = 0.5
 STEADY_READ = 24 << 10
-STEADY_PAUSE_S = 0.25
+STEADY_PAUSE_S = 0.5
 STEADY_EVENTS = 16
 
 
