Streams: keep one copy of the events that a caller does not take

A relayed stream kept the bytes read, the parsed events with their decoded text, and their joined bytes while the caller took them. Change: the text of an event is decoded on demand, and the function that reads has returned before the caller takes the events.

--- a/cactusridge/dispatch/event_splitter.py
+++ b/cactusridge/dispatch/event_splitter.py
@@ -10,13 +10,22 @@
 class StreamEvent(NamedTuple):
     """A server-sent event.
 
-    ``raw`` holds the bytes of the event with the blank line that ends
-    it; ``payload`` holds its data lines joined by newlines.
+    ``raw`` holds the bytes of the event with the blank line that ends it.
     """
 
     raw: bytes
     id: str | None
-    payload: str
+
+    @property
+    def payload(self) -> str:
+        """The data lines of the event, joined by newlines."""
+        fields = self.raw.split(b'\n')
+        lines = [
+            line.removeprefix(DATA_FIELD).removeprefix(b' ')
+            for line in fields
+            if line.startswith(DATA_FIELD)
+        ]
+        return b'\n'.join(lines).decode()
 
 
 class EventSplitter:
@@ -54,10 +63,7 @@
 def parse_event(raw: bytes) -> StreamEvent:
     """Parse the server-sent event in ``raw``."""
     event_id = None
-    lines = []
     for line in raw.split(b'\n'):
         if line.startswith(ID_FIELD):
             event_id = line.removeprefix(ID_FIELD).strip().decode('latin-1')
-        elif line.startswith(DATA_FIELD):
-            lines.append(line.removeprefix(DATA_FIELD).removeprefix(b' '))
-    return StreamEvent(raw, event_id, b'\n'.join(lines).decode())
+    return StreamEvent(raw, event_id)
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -80,18 +80,33 @@
         limit_s = None
         if may_retry(call, progress):
             limit_s = STREAM_SILENCE_S
-        received = run.read(self._attempts.wait_s(call, limit_s))
-        while received:
+        while events := self._read_events(call, run, splitter, output, limit_s):
+            yield events
+            output.record_taken()
+        if splitter.pending:
+            run.record_failure()
+            raise TruncatedReply('the stream ended within an event')
+
+    def _read_events(
+        self,
+        call: OnlineCall,
+        run: Run,
+        splitter: EventSplitter,
+        output: StreamOutput,
+        limit_s: float | None,
+    ) -> bytes:
+        """Return the next complete events, none at the end of the run.
+
+        No other copy of them stays in memory while the caller, which may not
+        read, takes them.
+        """
+        while received := run.read(self._attempts.wait_s(call, limit_s)):
             found = splitter.feed(received)
             if found:
                 run.record_output()
                 output.record_events(len(found))
-                yield b''.join(event.raw for event in found)
-                output.record_taken()
-            received = run.read(self._attempts.wait_s(call, limit_s))
-        if splitter.pending:
-            run.record_failure()
-            raise TruncatedReply('the stream ended within an event')
+                return b''.join(event.raw for event in found)
+        return b''
 
     def _resume(
         self,
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -125,6 +125,8 @@
         wait_for('all slots are free', lambda: not self.running(), left_s)
         self.assertLess(statistics.median(times_s), SERVED_WITHIN_S)
         self.assertLess(used_bytes(pid) - before, MAX_GROWTH_BYTES)
+        # The entry writes its log after it has ended the requests.
+        wait_for('the log', lambda: len(self.dropped()) >= SLOW_CALLERS)
         found = self.dropped()
         self.assertEqual(
             {f'large{number}' for number in range(SLOW_CALLERS)},
