--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -7,7 +7,7 @@
 
 ROOT = Path(__file__).parent.parent
 REPORTS = ROOT / '.run'
-AT_ONCE = 4
+AT_ONCE = 6
 # The longest go first, so that none is left alone at the end.
 LONGEST = (
     'test_limits_roll',
