Outages: only a recent answer vouches for the store

Change: the status says that the store responds only if it has answered within 1.3 s, and a status that it does not withdraws the one before.

--- a/cactusridge/organisations/common_outage.py
+++ b/cactusridge/organisations/common_outage.py
@@ -57,6 +57,10 @@
         known = reports.get(report.entry, report.at_ms)
         reports[report.entry] = max(known, report.at_ms)
 
+    def withdraw(self, entry: str) -> None:
+        """Forget that ``entry`` had the store: it has said otherwise."""
+        self._with.pop(entry, None)
+
     def reports(self) -> list[StoreReport]:
         """Return the current reports, to be passed on to other entries."""
         since_ms = self._now_ms() - REPORT_MS
--- a/cactusridge/organisations/outage_watch.py
+++ b/cactusridge/organisations/outage_watch.py
@@ -74,9 +74,13 @@
     def receive_status(self, sender: str, *, has_store: bool) -> None:
         """Record what an entry has said of the store in another message.
 
-        An entry notices an outage there later than in its reports.
+        An entry notices an outage there at another time than in its reports.
+        One that says that it lacks the store therefore no longer counts as
+        having it, but only its reports confirm the outage.
         """
-        if has_store and not self._outage.recently_lacked(sender):
+        if not has_store:
+            self._outage.withdraw(sender)
+        elif not self._outage.recently_lacked(sender):
             now_ms = int(self._now_ms())
             self._outage.note(StoreReport(sender, now_ms, has_store=True))
 
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -210,7 +210,7 @@
     def _own_status(self) -> EntryStatus:
         return EntryStatus(
             self._catalogs.version(),
-            not self._store.lost,
+            self._store.responds,
             self._store.contact.uptime_s(),
         )
 
--- a/cactusridge/platform/store_access.py
+++ b/cactusridge/platform/store_access.py
@@ -47,6 +47,11 @@
         """Whether the store has stopped answering the calls of this process."""
         return self._call_link.breaker.open
 
+    @property
+    def responds(self) -> bool:
+        """Whether the store has answered lately and no outage has begun."""
+        return self.contact.is_recent() and not self.lost
+
     def follower(
         self,
         table: str,
--- a/cactusridge/store/contact.py
+++ b/cactusridge/store/contact.py
@@ -13,6 +13,9 @@
 # outage is assumed: the store answers a watch within 1.5 s; 0.5 s is a
 # margin. Rows of the replica list expire only after a longer time.
 OUTAGE_S = 2.0
+# Seconds after an answer for which the store counts as responding. An entry
+# calls it every second to renew its row; 0.3 s is a margin.
+RECENT_S = 1.3
 
 
 class StoreContact:
@@ -38,6 +41,16 @@
         self.since = min(self.since, now)
         self._last_answer_at = now
 
+    def is_recent(self) -> bool:
+        """Return whether the store has answered within ``RECENT_S``.
+
+        That no call has failed is not enough: a process that has just started
+        or left the membership list may make none for seconds.
+        """
+        if self.since == float('inf'):
+            return False
+        return self._clock.monotonic() - self._last_answer_at <= RECENT_S
+
     def uptime_s(self) -> float:
         """Return the seconds since the last outage ended; 0 during one."""
         now = self._clock.monotonic()
--- a/tests/test_store_contact.py
+++ b/tests/test_store_contact.py
@@ -5,7 +5,7 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.store.contact import OUTAGE_S, StoreContact
+from cactusridge.store.contact import OUTAGE_S, RECENT_S, StoreContact
 from cactusridge.store.table_follower import TableFollower
 from tests.scripted_watch import Rows, ScriptedWatch
 
@@ -104,3 +104,18 @@
         self.contact.record_reply()
         self.clock.advance(1)
         self.assertEqual(1, self.contact.uptime_s())
+
+    @params((0, True), (RECENT_S, True), (RECENT_S + 0.1, False))
+    def test_recent(self, silent_s, is_recent):
+        """The store responds if its last answer is not too old."""
+        self.contact.record_reply()
+        self.clock.advance(silent_s)
+        self.assertEqual(is_recent, self.contact.is_recent())
+
+    def test_no_answer_yet(self):
+        """A process without any answer does not vouch for the store.
+
+        One that started in an outage did so until its calls had failed, and
+        the other entries stopped counting limits for it.
+        """
+        self.assertFalse(self.contact.is_recent())
