--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from soak.organisations import key_headers
 from soak.record import Call, CallEnd
 from soak.world import World
 from standins.machines.site import HOST
@@ -22,19 +23,20 @@
 MAX_PAUSE_S = 0.4
 DISCONNECT_SHARE = 0.05
 DISCONNECT_AFTER_S = 0.2
-MISSING_ROUTE_S = 0.1
 
 
 class RequestSpec(NamedTuple):
     """A request to send.
 
     ``version`` is the catalog version whose own route it calls, or None.
+    ``key`` is the API key; if empty, the caller draws one.
     """
 
     kind: str
     target: str
     body: bytes
     version: int | None = None
+    key: str = ''
 
 
 def expected_body(spec: RequestSpec, request_id: str) -> bytes:
@@ -52,6 +54,8 @@
 class Caller:
     """Sends one request after another until the soak ends."""
 
+    prefix = 'c'
+
     def __init__(self, world: World, name: str, seed: int) -> None:
         """Create a caller that draws requests and entries with ``seed``."""
         self._world = world
@@ -68,12 +72,13 @@
     def run(self) -> None:
         """Send requests until the soak ends."""
         while not self._world.finished:
-            self.send(self._draw())
-            gevent.sleep(self._rng.uniform(0, MAX_PAUSE_S))
+            gevent.sleep(self._pause_s(self.send(self._draw())))
 
     def send(self, spec: RequestSpec) -> Call:
         """Send one request; record and return its outcome."""
         self._count += 1
+        organisations = self._world.record.organisations
+        spec = spec._replace(key=spec.key or organisations.draw_key(self._rng))
         request_id = f'{self._name}-{self._count}'
         sent_at = time.monotonic()
         disconnects = self._rng.random() < DISCONNECT_SHARE
@@ -99,6 +104,7 @@
             body,
             {} if resp is None else dict(resp.getheaders()),
             spec.version,
+            spec.key,
         )
         self._world.record.calls.append(call)
         self._check_answer(call, spec)
@@ -111,6 +117,10 @@
         spec = RequestSpec('safe', '/safe/x', b'plain')
         return self.send(spec).status == 200
 
+    def _pause_s(self, call: Call) -> float:
+        told_s = call.headers.get('Retry-After', 0) if call.key else 0
+        return float(told_s) or self._rng.uniform(0, MAX_PAUSE_S)
+
     def _draw(self) -> RequestSpec:
         kind = self._rng.choice(('on', 'on', 'again', 'safe', 'version'))
         if kind == 'safe':
@@ -127,15 +137,8 @@
         spec: RequestSpec,
         request_id: str,
     ) -> tuple[CallEnd, Response | None, bytes]:
-        headers = {
-            'Host': HOST,
-            'X-Attempt-Id': request_id,
-            'X-Request-Deadline': str(DEADLINE_MS),
-        }
         try:
-            conn = self._connect()
-            conn.request('POST', spec.target, spec.body, headers)
-            resp = conn.getresponse()
+            resp = self._start(spec, request_id).getresponse()
         except TimeoutError:
             return self._without_response(CallEnd.silent)
         except (OSError, HTTPException):
@@ -152,6 +155,17 @@
             self._close()
         return CallEnd.whole, resp, body
 
+    def _start(self, spec: RequestSpec, request_id: str) -> HTTPConnection:
+        headers = {
+            'Host': HOST,
+            'X-Attempt-Id': request_id,
+            'X-Request-Deadline': str(DEADLINE_MS),
+            **key_headers(spec.key),
+        }
+        conn = self._connect()
+        conn.request('POST', spec.target, spec.body, headers)
+        return conn
+
     def _without_response(self, end: CallEnd) -> tuple[CallEnd, None, bytes]:
         self._close()
         return end, None, b''
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -71,7 +71,7 @@
         record.add_violation(
             'no fault of its own', f'{call.id} got {call.body!r}'
         )
-    if call.status == 503 and 'Retry-After' not in call.headers:
+    if call.status in {429, 503} and 'Retry-After' not in call.headers:
         record.add_violation(
             'says when to come back', f'{call.id}: {call.body!r}'
         )
--- a/soak/job_callers.py
+++ b/soak/job_callers.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from soak.organisations import key_headers
 from soak.record import Job
 from soak.world import World
 from standins.machines.site import HOST
@@ -42,6 +43,8 @@
         self._rng = random.Random(seed)  # noqa: S311
         self._count = 0
         self._stopped = False
+        key = world.record.organisations.job_key
+        self._headers = {'Host': HOST, **key_headers(key)}
 
     def run(self) -> None:
         """Submit jobs until ``stop`` is called."""
@@ -63,7 +66,7 @@
         while not (self._world.finished or complete(job)):
             gevent.sleep(self._rng.uniform(0, 2 * PAUSE_S))
             if self._rng.random() < RESEND_SHARE / 10:
-                self._resend(job)
+                self._send(job, self._random_entry())
             if (
                 ends
                 and len(job.listed_results)
@@ -128,10 +131,6 @@
                 return
             gevent.sleep(PAUSE_S)
 
-    def _resend(self, job: Job) -> None:
-        """Send a job again after its acceptance."""
-        self._send(job, self._random_entry())
-
     def _send(self, job: Job, entry: str) -> None:
         items = [
             {
@@ -194,7 +193,7 @@
         address = self._world.caller_links[entry].address
         conn = HTTPConnection(*address, timeout=TIMEOUT_S)
         try:
-            conn.request(method, target, raw, {'Host': HOST, **(headers or {})})
+            conn.request(method, target, raw, self._headers | (headers or {}))
             resp = conn.getresponse()
             return resp.status, resp.read()
         except (OSError, HTTPException):
--- /dev/null
+++ b/soak/organisations.py
@@ -0,0 +1,75 @@
+"""The organisations of a soak, with their API keys and limits."""
+
+import random
+import time
+from typing import Any, NamedTuple
+
+
+class Limit(NamedTuple):
+    """The limit of an organisation; a rate of 0 means that it has none."""
+
+    rate_per_s: float
+    burst: float
+
+
+# The organisation that sends several times its limit. All callers of the
+# others together send about 13 requests a second.
+GREEDY = 'greedy'
+GREEDY_KEY = f'secret-{GREEDY}'
+LIMITS = (
+    *((f'steady-{number}', Limit(20, 20)) for number in range(3)),
+    ('unlimited', Limit(0, 0)),
+    (GREEDY, Limit(8, 8)),
+)
+
+
+class Organisations:
+    """Grants and revokes the keys of organisations, of which none may exist.
+
+    The first key of each organisation is never revoked.
+    """
+
+    def __init__(self, limits: tuple[tuple[str, Limit], ...] = ()) -> None:
+        """Grant each organisation its first key."""
+        self.limits = dict(limits)
+        self.first_keys = [f'secret-{name}' for name in self.limits]
+        # The organisation of each key, and when it was revoked, in seconds.
+        self.owners = dict(zip(self.first_keys, self.limits, strict=True))
+        self.revoked_at: dict[str, float] = {}
+        # The key of all jobs, so that each caller may read each job.
+        self.job_key = ''.join(self.first_keys[:1])
+
+    def holders(self) -> list[dict[str, Any]] | None:
+        """Return the organisations of a catalog, None if there are none."""
+        valid = self.owners.keys() - self.revoked_at.keys()
+        holders = [
+            {
+                'name': name,
+                'api_keys': [key for key in valid if self.owners[key] == name],
+                **limit._asdict(),
+            }
+            for name, limit in self.limits.items()
+        ]
+        return holders or None
+
+    def rotate(self) -> None:
+        """Revoke the newest key; grant one to the next organisation.
+
+        The next catalog has to be written at once.
+        """
+        number = len(self.owners)
+        if number > len(self.limits):
+            self.revoked_at[list(self.owners)[-1]] = time.monotonic()
+        name = list(self.limits)[number % len(self.limits)]
+        self.owners[f'secret-{name}-{number}'] = name
+
+    def draw_key(self, rng: random.Random) -> str:
+        """Return a valid or revoked key of others; '' if none exist."""
+        keys = [key for key, name in self.owners.items() if name != GREEDY]
+        return rng.choice(keys) if keys else ''
+
+
+def key_headers(key: str) -> dict[str, str]:
+    """Return the headers of a request with a key and a false organisation."""
+    claim = {'Authorization': f'Bearer {key}', 'x-tenant': 'false'}
+    return claim if key else {}
--- a/soak/record.py
+++ b/soak/record.py
@@ -5,6 +5,8 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
+from soak.organisations import Organisations
+
 
 class CallEnd(enum.StrEnum):
     """How a call ended for its caller.
@@ -27,7 +29,8 @@
     """One online request as its caller saw it; times are in seconds.
 
     ``version`` is the catalog version whose own route the request called,
-    or None if it called a route that all versions have.
+    or None if it called a route that all versions have. ``key`` is the API
+    key, empty without organisations.
     """
 
     id: str
@@ -40,6 +43,7 @@
     body: bytes = b''
     headers: dict[str, str] = {}
     version: int | None = None
+    key: str = ''
 
 
 class RunStart(NamedTuple):
@@ -49,6 +53,7 @@
     target: str
     life: str
     at: float
+    organisation: str = ''
 
 
 class ExclusionInterval(NamedTuple):
@@ -118,6 +123,7 @@
         # When the store acknowledged each catalog version, in seconds.
         self.versions: dict[int, float] = {}
         self.exclusions: list[ExclusionInterval] = []
+        self.organisations = Organisations()
 
     def add_violation(self, promise: str, text: str) -> None:
         """Record a broken promise, once for each evidence text."""
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -13,6 +13,9 @@
 HANG_S = 30
 # Prefix of the ids in list entries that no replica has written.
 STRAY = 'stray-'
+# Prefix of the ids of requests whose events are large.
+UNREAD = 'unread'
+LARGE_EVENT = 'x' * (64 << 10)
 
 
 class SoakReplica(MachineReplica):
@@ -32,12 +35,16 @@
         headers = dict(environ[HEADERS_KEY])
         request_id = headers.get('X-Attempt-Id', '')
         expected = headers.get('X-Expect-Instance', '')
+        sent = [(name.lower(), text) for name, text in environ[HEADERS_KEY]]
+        names = ' '.join(text for name, text in sent if name == 'x-tenant')
         if expected == self.id:
             now = time.monotonic()
             run_start = RunStart(
-                request_id, environ[TARGET_KEY], self.life, now
+                request_id, environ[TARGET_KEY], self.life, now, names
             )
             self._record.run_starts.append(run_start)
+        if any(key in str(sent) for key in self._record.organisations.owners):
+            self._record.add_violation('keys stay', f'{request_id}: {sent}')
         if expected.startswith(STRAY):
             text = f'{request_id} was sent to {expected}'
             self._record.add_violation('unreadable names none', text)
@@ -50,6 +57,8 @@
 
     def text(self, request_id: str, number: int) -> str:
         """Return the data of event ``number``, which has the request id."""
+        if request_id.startswith(UNREAD):
+            return LARGE_EVENT
         return f'{request_id}.{number}'
 
     def plain(self, request_id: str, body: bytes) -> bytes:
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,7 +3,6 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -13,6 +12,9 @@
 from soak.callers import Caller
 from soak.faults import Fault
 from soak.job_callers import JobCaller, complete
+from soak.organisation_callers import KINDS
+from soak.organisation_checks import REVOKED_BOUND_S, check_organisations
+from soak.organisations import LIMITS, Organisations
 from soak.record import Job, Record
 from soak.schedule import schedule
 from soak.world import World
@@ -24,6 +26,9 @@
 # run of the longest items.
 FINISH_S = 18
 POLL_S = 0.1
+ROTATE_S = 4
+# Lower seeds, which are kept as regression cases, draw the same as before.
+FIRST_SEED_OF_ORGANISATIONS = 300
 WATCH_S = 1
 
 
@@ -42,6 +47,9 @@
     """Run a seed with entry logs in ``folder``; return its record."""
     names = [f'entry-{number}' for number in range(size.entries)]
     world = World(folder, size.replicas, size.slots)
+    if seed >= FIRST_SEED_OF_ORGANISATIONS:
+        world.record.organisations = Organisations(LIMITS)
+        world.extra_settings['revoke_ms'] = REVOKED_BOUND_S * 1000
     try:
         world.begin(names)
         _run(world, seed, size)
@@ -51,15 +59,18 @@
 
 
 def _run(world: World, seed: int, size: Size) -> None:
+    further = KINDS if world.record.organisations.limits else ()
+    kinds = (*(Caller,) * size.callers, *further)
     callers = [
-        Caller(world, f'c{number}', seed + number)
-        for number in range(size.callers)
+        kind(world, f'{kind.prefix}{number}', seed + number)
+        for number, kind in enumerate(kinds)
     ]
     job_callers = [
         JobCaller(world, f'j{number}', seed + number)
         for number in range(size.job_callers)
     ]
     tasks = [gevent.spawn(each.run) for each in callers]
+    tasks.append(gevent.spawn(_rotate_keys, world))
     submitting = [gevent.spawn(each.run) for each in job_callers]
     watch = gevent.spawn(_watch, world)
     _inject_faults(world, seed, size)
@@ -74,6 +85,15 @@
     _recover(world, job_callers[0])
     _stop_task(watch)
     checks.check_at_end(world.record)
+    check_organisations(world.record)
+
+
+def _rotate_keys(world: World) -> None:
+    """Grant and revoke keys, as the operator does."""
+    while world.record.organisations.limits:
+        gevent.sleep(ROTATE_S)
+        world.record.organisations.rotate()
+        world.reconfigure()
 
 
 def _stop_task(task: gevent.Greenlet) -> None:
@@ -152,20 +172,10 @@
 
 def _probe(world: World, name: str) -> None:
     caller = Caller(world, f'probe-{name}', 0)
-    now = time.monotonic()
-    if not _within(RECOVERY_S, now, lambda: caller.probe(name)):
-        text = f'{name} serves nothing after {RECOVERY_S} s'
-        world.record.add_violation('recovers', text)
-
-
-def _within(
-    bound_s: float,
-    began_at: float,
-    happened: Callable[[], bool],
-) -> bool:
-    """Poll ``happened`` until it is true; return False if too late."""
-    while time.monotonic() < began_at + bound_s:
-        if happened():
-            return True
+    began_at = time.monotonic()
+    while time.monotonic() < began_at + RECOVERY_S:
+        if caller.probe(name):
+            return
         gevent.sleep(POLL_S)
-    return False
+    text = f'{name} serves nothing after {RECOVERY_S} s'
+    world.record.add_violation('recovers', text)
--- a/soak/world.py
+++ b/soak/world.py
@@ -67,7 +67,7 @@
             'path_prefix': f'/v{number}/',
             'kind': 'idempotent',
         }
-        self.configure([*ROUTES, own])
+        self.configure([*ROUTES, own], self.record.organisations.holders())
         self.record.versions[number] = time.monotonic()
 
     def begin_disturbance(self, key: object, what: str, planned: bool) -> None:
