Peers: compute offers to other cells from cached shares

Cause: twice a second an entry ranked all entries of its cell for each remote entry to find the ones it sends offers to. After each change of the division into cells it ranked all entries at every replica of the fleet, although an offer needs only the replicas of the local cell. While 300 entries start, the division changes with each read of the members.

Change: Cells keeps the recipients until the division or the live entries change, and a search stops at the first entry that comes before this one. What an offer needs of a replica is computed once for all recipients.

The same entries, offers and shares as before (tests.test_cells, test_cells_told, test_batch_sharing).

--- a/cactusridge/hashing.py
+++ b/cactusridge/hashing.py
@@ -1,5 +1,6 @@
 """Hashes that are the same in every process and on every host."""
 
+import itertools
 from collections.abc import Iterable
 
 import xxhash
@@ -16,4 +17,21 @@
     All processes that have the same names compute the same order, and
     removing a name does not change the order of the others.
     """
-    return sorted(names, key=lambda name: hash64(name, key), reverse=True)
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(name.encode(), seed=key),
+        reverse=True,
+    )
+
+
+def is_among_first(
+    count: int, name: str, others: Iterable[str], key: int
+) -> bool:
+    """Return whether ``name`` is among the first ``count`` for ``key``.
+
+    The order is the rendezvous order of ``name`` and ``others``. Most of
+    ``others`` need not be hashed.
+    """
+    own = hash64(name, key)
+    before = (each for each in others if hash64(each, key) > own)
+    return sum(1 for _ in itertools.islice(before, count)) < count
--- a/cactusridge/peers/audience.py
+++ b/cactusridge/peers/audience.py
@@ -11,7 +11,7 @@
 from cactusridge.http.client import parse_address
 from cactusridge.peers.batch_sharing import BatchSharing
 from cactusridge.peers.cell_rules import EntryPlace
-from cactusridge.peers.load import NO_LOAD
+from cactusridge.peers.load import NO_LOAD, Load
 from cactusridge.peers.loads import LoadTable
 from cactusridge.peers.offers import CellOffer, slots_to_offer
 from cactusridge.peers.peer_socket import Target
@@ -30,6 +30,19 @@
     targets: set[Target]
 
 
+class LocalReplica(NamedTuple):
+    """A replica of the local cell and the requests there, of all and by peer.
+
+    ``sharers`` are the entries that run batch there.
+    """
+
+    incarnation: str
+    slots: int
+    online: int
+    by_peer: dict[str, Load]
+    sharers: frozenset[str]
+
+
 class Audience:
     """The peers of one entry, selected by what each needs to receive."""
 
@@ -89,12 +102,13 @@
 
     def offers(self) -> Iterator[tuple[Target, CellOffer]]:
         """Yield the offer for each remote entry that this entry serves."""
-        local_replicas = tuple(self._cells.local_replicas())
         entries = len(self._cells.remote_names())
-        for name in self._cells.offer_recipients(self._loads.current_peers()):
+        names = self._cells.offer_recipients(self._loads.current_peers())
+        local = [self._local(each) for each in self._cells.local_replicas()]
+        for name in names:
             shares = {
                 each.incarnation: self._share(each, name, entries)
-                for each in local_replicas
+                for each in local
             }
             slots = {
                 incarnation: share
@@ -102,23 +116,29 @@
                 if share
             }
             shared = [
-                each.incarnation
-                for each in local_replicas
-                if name in self._sharing.sharers_of(each.incarnation)
+                each.incarnation for each in local if name in each.sharers
             ]
             yield (
                 _target(name),
                 CellOffer(self._cells.local_cell, slots, shared),
             )
 
-    def _share(self, replica: Replica, name: str, entries: int) -> int:
+    def _local(self, replica: Replica) -> LocalReplica:
+        incarnation = replica.incarnation
+        return LocalReplica(
+            incarnation,
+            replica.slots,
+            self._loads.total_at(incarnation).online,
+            self._loads.peers_at(incarnation),
+            self._sharing.sharers_of(incarnation),
+        )
+
+    def _share(self, replica: LocalReplica, name: str, entries: int) -> int:
         """Return how many online requests a remote entry may have there."""
-        online = self._loads.total_at(replica.incarnation).online
-        more = slots_to_offer(replica.slots, online, entries, self._rng)
+        more = slots_to_offer(replica.slots, replica.online, entries, self._rng)
         if not more:
             return 0
-        there = self._loads.peers_at(replica.incarnation).get(name, NO_LOAD)
-        return there.online + more
+        return replica.by_peer.get(name, NO_LOAD).online + more
 
     def _recipients(self, incarnation: str) -> set[Target]:
         names = self._cells.entries_of_replica(
--- a/cactusridge/peers/cells.py
+++ b/cactusridge/peers/cells.py
@@ -9,37 +9,27 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica
-from cactusridge.hashing import hash64, rendezvous
+from cactusridge.hashing import hash64, is_among_first
 from cactusridge.peers.cell_rules import SINGLE_CELL, CellRule, EntryPlace
+from cactusridge.peers.divisions import (
+    NO_ENTRIES,
+    Division,
+    ReplicaCells,
+    batch_entries,
+)
 
-# Replicas at which an entry can run batch, at least this many on average, so
-# that the items of a job spread. If cells have fewer, batch runs across cells.
-LEAST_REPLICAS = 4
 # Interval of reading the list of entries, in seconds. The list changes when an
 # entry starts or stops.
 REFRESH_S = 0.25
 
 
-class Division(NamedTuple):
-    """The cell of each entry, and the entries and zones of the cells.
-
-    ``cells`` maps entry names to cells, ``names`` cells to entry names, and
-    ``zones`` availability zones to their cells.
-    """
-
-    entries: tuple[EntryPlace, ...]
-    cells: dict[str, str]
-    names: dict[str, frozenset[str]]
-    zones: dict[str, tuple[str, ...]]
-
-
 class Shape(NamedTuple):
     """Fields of the log line about a division of the fleet.
 
@@ -52,25 +42,6 @@
     near: int
 
 
-class ReplicaCells(NamedTuple):
-    """The cells of a service's replicas and the inputs they derive from.
-
-    ``cells`` maps incarnation keys to cells, and ``local`` has the keys in the
-    local cell. ``batch_entries`` maps a cell to the entries that may run batch
-    at its replicas: the entries of the cell, and those whose cell has no
-    replica of the service. Where cells have few replicas, it has all entries.
-    """
-
-    ready: tuple[Replica, ...]
-    division: Division
-    cells: dict[str, str]
-    local: frozenset[str]
-    batch_entries: dict[str, tuple[str, ...]]
-
-
-NO_ENTRIES = Division((), {}, {}, {})
-
-
 class Cells:
     """The cells as one entry computes them from entries and replicas."""
 
@@ -94,6 +65,8 @@
         self._division = NO_ENTRIES
         self._listed_at: float | None = None
         self._replicas: dict[str, ReplicaCells] = {}
+        self._offers_basis: tuple[Division, frozenset[str]] | None = None
+        self._offer_recipients: tuple[str, ...] = ()
 
     @property
     def has_several_cells(self) -> bool:
@@ -164,7 +137,7 @@
                 for incarnation, cell in cells.items()
                 if cell == own
             ),
-            _batch_entries(division, cells),
+            batch_entries(division, cells),
         )
         self._replicas[service] = found
         return found
@@ -177,16 +150,23 @@
                 each for each in found.ready if each.incarnation in found.local
             )
 
-    def offer_recipients(self, current_peers: Iterable[str]) -> Iterator[str]:
-        """Yield the remote entries that this entry sends the cell's offers to.
+    def offer_recipients(self, current_peers: Iterable[str]) -> tuple[str, ...]:
+        """Return the remote entries that this entry sends the cell's offers to.
 
         Rendezvous hashing assigns each remote entry to one live entry of the
         local cell. ``current_peers`` are the peers whose counts are current.
+        The result is cached until the entries or the live ones change.
         """
-        live_names = (self.local_names() & set(current_peers)) | {self.name}
-        for name in self.remote_names():
-            if rendezvous(live_names, hash64(name))[0] == self.name:
-                yield name
+        live_names = self.local_names().intersection(current_peers)
+        basis = (self._current(), live_names | {self.name})
+        if self._offers_basis is None or basis != self._offers_basis:
+            self._offers_basis = basis
+            self._offer_recipients = tuple(
+                name
+                for name in self.remote_names()
+                if is_among_first(1, self.name, live_names, hash64(name))
+            )
+        return self._offer_recipients
 
     def _names_in(self, cell: str) -> frozenset[str]:
         return self._current().names.get(cell, frozenset())
@@ -229,23 +209,3 @@
         {cell: frozenset(found) for cell, found in names.items()},
         {zone: tuple(sorted(found)) for zone, found in zones.items()},
     )
-
-
-def _batch_entries(
-    division: Division,
-    replicas: Mapping[str, str],
-) -> dict[str, tuple[str, ...]]:
-    """Return the entries that may run batch in each cell with replicas.
-
-    ``replicas`` maps incarnation keys to cells.
-    """
-    served = set(replicas.values())
-    if len(replicas) < LEAST_REPLICAS * len(division.names):
-        return dict.fromkeys(served, tuple(division.cells))
-    without = [
-        name for name, cell in division.cells.items() if cell not in served
-    ]
-    return {
-        cell: (*sorted(division.names.get(cell, ())), *without)
-        for cell in served
-    }
--- a/tests/test_batch_sharing.py
+++ b/tests/test_batch_sharing.py
@@ -13,7 +13,8 @@
     BatchSharing,
 )
 from cactusridge.peers.cell_rules import ByZone
-from cactusridge.peers.cells import LEAST_REPLICAS, REFRESH_S, Cells
+from cactusridge.peers.cells import REFRESH_S, Cells
+from cactusridge.peers.divisions import LEAST_REPLICAS
 from tests.cells_play import SERVICE, places, put_replicas
 
 
--- a/tests/test_idle_cost.py
+++ b/tests/test_idle_cost.py
@@ -8,9 +8,15 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
+from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.http.client import parse_address
 from cactusridge.organisations.limit_messages import Candidate
 from cactusridge.organisations.limit_owners import LimitOwners
-from tests.call_counts import calls_once
+from cactusridge.peers.audience import Audience
+from cactusridge.peers.batch_sharing import BatchSharing
+from cactusridge.peers.loads import LoadTable
+from tests.call_counts import calls_of, calls_once
+from tests.cells_play import SERVICE, cells_of, put_replicas, spread
 
 FEW = 30
 MANY = 300
@@ -20,6 +26,12 @@
 # Calls that an update of the owners may take for each member that has been
 # listed for long enough since the last one.
 CALLS_PER_CHANGE = 120
+ZONES = 4
+REPLICAS = 100
+# Calls for the share of an entry in the slots of one replica, and for one hash
+# of a name.
+CALLS_PER_SHARE = 12
+CALLS_PER_HASH = 6
 
 
 class TestOwners(unittest.TestCase):
@@ -56,3 +68,49 @@
         self.assertEqual(len(owners.listed), entries)
         steps = 3 * START_MS * 4
         self.assertLessEqual(calls - steps, 4 * entries * CALLS_PER_CHANGE)
+
+
+class TestOffers(unittest.TestCase):
+    """The repeated offers of slots to the entries of other cells."""
+
+    def setUp(self):
+        """Create an entry of a large fleet that hears from its cell."""
+        entries = spread(MANY, ZONES)
+        clock = ManualClock(0)
+        fleet = FleetView()
+        put_replicas(fleet, REPLICAS, ZONES)
+        self.cells = cells_of(entries, fleet, clock=clock)
+        loads = LoadTable(clock)
+        for name in self.cells.local_names() - {self.cells.name}:
+            loads.set_peer_loads(name, {})
+        self.sharing = BatchSharing(fleet, self.cells)
+        address = parse_address(self.cells.name)
+        targets = frozenset(parse_address(each.name) for each in entries)
+        self.audience = Audience(address, loads, lambda: targets, self.sharing)
+
+    def test_repeat(self):
+        """An offer costs calls by its replicas, not by the entries.
+
+        Otherwise each entry computes twice a second which entry of its cell
+        serves each entry of the fleet.
+        """
+        calls = calls_of(lambda: list(self.audience.offers()))
+        offers = len(list(self.audience.offers()))
+        replicas = len(list(self.cells.local_replicas()))
+        self.assertGreater(offers, 0)
+        self.assertLessEqual(calls, CALLS_PER_SHARE * (offers + 8) * replicas)
+
+    def test_first(self):
+        """The first offers do not compute who runs batch at every replica.
+
+        While a fleet starts, each read of the members changes the cells.
+        """
+        replicas = len(list(self.cells.local_replicas()))
+        calls = calls_once(lambda: list(self.audience.offers()))
+        hashes = MANY * (replicas + 2)
+        self.assertLessEqual(calls, CALLS_PER_HASH * hashes)
+
+    def test_batch_replicas(self):
+        """An entry does not rank all entries to find its batch replicas."""
+        calls = calls_once(lambda: self.sharing.replicas_of(SERVICE))
+        self.assertLessEqual(calls, REPLICAS * MANY)
