Membership: compute the lists of members once a read

Cause: the cells, the owners of limits and the watch of outages asked for the members some fifteen times a second, and each time all records were examined and an address was built for each. Each read parsed all rows, although of most rows only the heartbeat changes.

Change: MemberViews keeps the live members until a read or the next expiry of a lease, and returns the same object while they are the same. DerivedMembers keeps what is derived from them. MemberReader keeps a member whose row has the same fields with the same types.

--- a/cactusridge/jobs/member_records.py
+++ b/cactusridge/jobs/member_records.py
@@ -7,6 +7,9 @@
 from cactusridge.store.table import Row
 from cactusridge.store.unreadable import UnreadableRecord
 
+# Types of the fields of a member. A bool or a float may equal an integer.
+FIELD_TYPES = (str, str, str, int, str, int)
+
 
 class MemberRecord(NamedTuple):
     """A member, the version of its row and when that version was read.
@@ -42,6 +45,8 @@
         """
         if known and not restart and known.version == row.version:
             return known
+        if known and known.member and _describes(row, known.member):
+            return MemberRecord(known.member, row.version, now)
         try:
             member = self._reader.read(row, parse_member)
         except UnreadableRecord:
@@ -49,6 +54,17 @@
         return MemberRecord(member, row.version, now)
 
 
+def _describes(row: Row, member: Member) -> bool:
+    """Return whether a row has exactly the fields of ``member``.
+
+    Every row changes each second, but rarely more than its heartbeat.
+    """
+    if row.value is None or row.unreadable:
+        return False
+    fields = tuple(map(row.value.get, Member._fields))
+    return fields == member and tuple(map(type, fields)) == FIELD_TYPES
+
+
 def _unreadable_record(
     known: MemberRecord | None,
     row: Row,
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -11,6 +11,7 @@
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.jobs.member import MEMBER_PREFIX, Member
 from cactusridge.jobs.member_records import MemberReader, MemberRecord
+from cactusridge.jobs.member_views import MemberViews
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.store.table import Priority, Table, Write, WriteUnknown
 
@@ -57,6 +58,7 @@
         self._clock = clock
         self._records: dict[str, MemberRecord] = {}
         self._reader = MemberReader()
+        self._views = MemberViews(MEMBER_LEASE_S)
         # When the members were last read; whether they have been read since
         # the last attempt that failed.
         self._read_at: float | None = None
@@ -146,36 +148,24 @@
         """Whether the members have been read and this entry is one of them."""
         return bool(self._records) and self.renewed_at is not None
 
-    def members(self) -> list[Member]:
+    def members(self) -> tuple[Member, ...]:
         """Return the live members, including this entry.
 
         While the rows cannot be read, these are the members of the last
-        read.
+        read. The result is the same object until they change.
         """
-        others = [
-            record.member
-            for record in self._records.values()
-            if record.member is not None
-            and record.member.name != self.me.name
-            and not self._is_expired(record)
-        ]
-        return [self.me, *others]
-
-    def members_as_read(self) -> list[Member]:
+        now = self._clock.monotonic() if self._is_read else None
+        return self._views.live(self.me, self._records, now)
+
+    def members_as_read(self) -> tuple[Member, ...]:
         """Return this entry and those that were live at the last read.
 
         Unlike in ``members``, no lease expires between two reads: the row may
-        have been renewed since.
+        have been renewed since. The result is the same object until they
+        change.
         """
         read_at = self._read_at or float(0)
-        others = [
-            record.member
-            for record in self._records.values()
-            if record.member is not None
-            and record.member.name != self.me.name
-            and read_at - record.seen_at < MEMBER_LEASE_S
-        ]
-        return [self.me, *others]
+        return self._views.as_read(self.me, self._records, read_at)
 
     def is_live(self, name: str, life: str) -> bool:
         """Return whether the holder of a job may still be running.
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -15,6 +15,7 @@
 from cactusridge.jobs.job_admission import JobAdmission
 from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.manager import ORPHAN_POLL_S, JobManager
+from cactusridge.jobs.member import Member
 from cactusridge.jobs.membership import RENEW_INTERVAL_S, Membership, log_errors
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.jobs.orphans import Orphans
@@ -25,6 +26,7 @@
 from cactusridge.peers.cells import Cells
 from cactusridge.peers.exchange import PeerExchange
 from cactusridge.platform.catalog_holder import CatalogHolder
+from cactusridge.platform.derived_members import DerivedMembers
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.startup.models import DirectEntrySettings
@@ -57,7 +59,7 @@
         self.cells = Cells(
             str(address),
             fleet,
-            self._entries,
+            DerivedMembers(self.session.members, _places).current,
             make_cell_rule(cfg.policy),
             clock,
         )
@@ -145,11 +147,11 @@
             logs.emit(events.HANDOVER_CUT_SHORT, bound_s=bound_s)
         log_errors(self.session.leave)
 
-    def _entries(self) -> tuple[EntryPlace, ...]:
-        """Return the addresses and zones of the live entries, sorted."""
-        members = self.session.members()
-        places = (
-            EntryPlace(str(Address(each.host, each.port)), each.zone)
-            for each in members
-        )
-        return tuple(sorted(places))
+
+def _places(members: tuple[Member, ...]) -> tuple[EntryPlace, ...]:
+    """Return the addresses and zones of the live entries, sorted."""
+    places = (
+        EntryPlace(str(Address(each.host, each.port)), each.zone)
+        for each in members
+    )
+    return tuple(sorted(places))
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -6,6 +6,7 @@
 
 from cactusridge.background import run_every, run_every_while
 from cactusridge.clock import Clock
+from cactusridge.jobs.member import Member
 from cactusridge.jobs.membership import Membership
 from cactusridge.organisations.common_outage import CommonOutage
 from cactusridge.organisations.lease_state import LeaseState
@@ -28,6 +29,7 @@
 from cactusridge.peers.limit_requests import LimitRequests
 from cactusridge.peers.outage_reports import OutageReports
 from cactusridge.peers.peer_socket import Target, peer_name
+from cactusridge.platform.derived_members import DerivedMembers
 from cactusridge.platform.membership_lease import MembershipLease
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.store.store_clock import StoreClock
@@ -54,6 +56,7 @@
         organisations. Without them nothing is counted or handed over.
         """
         self._session = session
+        self._listed = DerivedMembers(session.members_as_read, _candidates_of)
         self._has_organisations = has_organisations
         self._has_handover = cfg.policy.limit_handover == 'acknowledged'
         own_name = str(cfg.peer_address)
@@ -124,17 +127,21 @@
         """Record whether the store responds to a peer."""
         self._watch.receive_status(peer_name(peer), has_store=has_store)
 
-    def _candidates(self) -> list[Candidate]:
+    def _candidates(self) -> tuple[Candidate, ...]:
         """Return the live members; none until the membership list was read."""
         if not self._session.has_joined:
-            return []
-        return [
-            Candidate(peer_name((each.host, each.port)), each.since_ms)
-            for each in self._session.members_as_read()
-        ]
+            return ()
+        return self._listed.current()
 
     def _member_names(self) -> list[str]:
         return [each.name for each in self._candidates()]
 
     def _entry_count(self) -> int:
         return len(self._session.members())
+
+
+def _candidates_of(members: tuple[Member, ...]) -> tuple[Candidate, ...]:
+    return tuple(
+        Candidate(peer_name((each.host, each.port)), each.since_ms)
+        for each in members
+    )
