Tests: slow callers are compared with the time without them

Change: the same eight requests are sent before the slow callers begin, and the bound of 0.5 s applies to the difference, which is what slow callers cost.

--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -23,8 +23,9 @@
 # caller.
 MAX_GROWTH_BYTES = SLOW_CALLERS * 2 * len(LARGE_EVENT) * 3
 KILOBYTE = 1024
-# Others are served in this median time, in seconds, with slow callers there.
-SERVED_WITHIN_S = 0.5
+# Slow callers delay others by less than this median time in seconds. It is
+# relative to the time without them, which depends on the load of the machine.
+MAX_DELAY_S = 0.5
 STEADY_READ = 24 << 10
 STEADY_PAUSE_S = 0.5
 STEADY_EVENTS = 16
@@ -70,8 +71,8 @@
         )
         return conn
 
-    def serve_others(self) -> list[float]:
-        """Send other requests one after the other; return their times."""
+    def median_of_others_s(self, prefix: str) -> float:
+        """Send other requests one after the other; return the median time."""
         times_s = []
         for number in range(8):
             begun_at = time.monotonic()
@@ -80,12 +81,15 @@
                 'POST',
                 '/on/',
                 b'3',
-                {'X-Attempt-Id': f'o{number}', 'X-Request-Deadline': '4000'},
+                {
+                    'X-Attempt-Id': f'{prefix}{number}',
+                    'X-Request-Deadline': '4000',
+                },
             )
             self.assertEqual((200, 3), (status, body.count(b'data: ')))
             times_s.append(time.monotonic() - begun_at)
             gevent.sleep(0.1)
-        return times_s
+        return statistics.median(times_s)
 
     def started_large(self) -> int:
         """Return how many runs of requests for large streams have begun."""
@@ -114,16 +118,17 @@
         timeout, and megabytes of socket buffers.
         """
         pid = self.site.entries['one'].process.pid
+        alone_s = self.median_of_others_s('alone')
         before = used_bytes(pid)
         body = b'%d 0.001' % LARGE_EVENTS
         for number in range(SLOW_CALLERS):
             self.ask(f'large{number}', body)
         begun_at = time.monotonic()
         wait_for('all run', lambda: self.started_large() == SLOW_CALLERS)
-        times_s = self.serve_others()
+        beside_s = self.median_of_others_s('beside')
         left_s = begun_at + FREE_WITHIN_S - time.monotonic()
         wait_for('all slots are free', lambda: not self.running(), left_s)
-        self.assertLess(statistics.median(times_s), SERVED_WITHIN_S)
+        self.assertLess(beside_s - alone_s, MAX_DELAY_S)
         self.assertLess(used_bytes(pid) - before, MAX_GROWTH_BYTES)
         # The entry writes its log after it has ended the requests.
         wait_for('the log', lambda: len(self.dropped()) >= SLOW_CALLERS)
