Jobs: an entry that has started again takes its jobs first

Cause: an entry that came back waited 0.4 s for each entry ranked before it, until it took over the jobs of its earlier process, and the entry of the first rank took them at the same time.

Change: Orphans.rank puts a holder that is live again first. The others follow in rendezvous order with the delay per rank, should it not take the job.

--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -97,9 +97,16 @@
             )
 
     def rank(self, head: JobHead) -> int:
-        """Return this entry's rank for a job among the live entries, from 0."""
+        """Return this entry's rank for a job among the live entries, from 0.
+
+        A holder that has started again is the first: it takes its jobs at
+        once, and the others do not read them at the same time.
+        """
         live = [member.name for member in self._session.members()]
         ranked = rendezvous(live, hash64(head.id))
+        if head.holder in ranked:
+            ranked.remove(head.holder)
+            ranked.insert(0, head.holder)
         return ranked.index(self._session.me.name)
 
     def _is_orphan(self, head: JobHead) -> bool:
--- a/tests/test_takeover_line.py
+++ b/tests/test_takeover_line.py
@@ -17,6 +17,8 @@
 
 # A renewal, a poll and a slow moment of the machine, in seconds.
 SLACK_S = 3.0
+# Jobs of the entry that has started again, enough for each rank.
+JOBS = 12
 
 
 class TestTakeoverFields(MemberCase):
@@ -76,6 +78,70 @@
         self.assertEqual(0.25, found['orphaned_s'])
 
 
+class TestReturned(MemberCase):
+    """Takeovers of jobs whose holder has started again."""
+
+    def setUp(self):
+        """Let the second entry start again, and the others read its row."""
+        super().setUp()
+        self.lost = self.two.me.life
+        self.two = self.session('two')
+        for each in (self.two, self.one, self.three):
+            each.renew_and_read()
+
+    def heads(self):
+        """Return jobs of the earlier process, which others are to take."""
+        return [
+            JobHead(f'j{number}', 'h', '/p/', 1, 0, 'two', self.lost)
+            for number in range(JOBS)
+        ]
+
+    def test_at_once(self):
+        """An entry takes the jobs of its earlier process without a delay.
+
+        It would wait 0.4 s for each entry that is ranked before it.
+        """
+        orphans = Orphans(self.two, self.clock)
+        waiting = [
+            each.id
+            for each in self.heads()
+            if not orphans.should_take_over(each)
+        ]
+        self.assertEqual([], waiting)
+
+    def test_one_first(self):
+        """The other entries let it go first and do not read the same jobs."""
+        for session in (self.one, self.three):
+            orphans = Orphans(session, self.clock)
+            taken = [
+                each.id
+                for each in self.heads()
+                if orphans.should_take_over(each)
+            ]
+            self.assertEqual([], taken)
+
+    def test_next(self):
+        """Another entry takes the jobs that it does not take."""
+        orphans = [Orphans(each, self.clock) for each in (self.one, self.three)]
+        for head in self.heads():
+            for each in orphans:
+                each.should_take_over(head)
+        self.clock.advance(RANK_DELAY_S)
+        for head in self.heads():
+            taken = [each.should_take_over(head) for each in orphans]
+            self.assertEqual(1, sum(taken))
+
+    def test_gone(self):
+        """The first of the live entries takes the jobs of one that is gone."""
+        self.two.leave()
+        self.one.renew_and_read()
+        self.three.renew_and_read()
+        orphans = [Orphans(each, self.clock) for each in (self.one, self.three)]
+        for head in self.heads():
+            taken = [each.should_take_over(head) for each in orphans]
+            self.assertEqual(1, sum(taken))
+
+
 class TestTakeoverLines(MachineCase):
     """The lines of a real takeover."""
 
