Jobs: compare an orphaned job's ranks only until enough entries come first

Cause: each poll, four times a second, ranked all live entries for each orphaned job: 46,003 function calls for 50 jobs and 300 entries. After a restart of the whole fleet every entry does this for every open job.

Change: a poll compares this entry with the others only until as many come before it as have had their delay. The names of the live entries are kept until they change.

Result: at most 100 calls a job (tests.test_idle_cost); the same jobs are due at the same ranks. test_takeover_line chooses a job of the wanted rank in place of a replaced method, since the decision no longer calls rank.

--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -1,11 +1,13 @@
 """Detects jobs whose holder is dead and chooses the entry to take over."""
 
+import math
 from typing import NamedTuple
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError
-from cactusridge.hashing import hash64, rendezvous
+from cactusridge.hashing import hash64, is_among_first, rendezvous
+from cactusridge.jobs.member import Member
 from cactusridge.jobs.membership import Membership
 from cactusridge.jobs.model import JobHead, JobState
 from cactusridge.store.unreadable import UnreadableRecord
@@ -40,6 +42,8 @@
         self._session = session
         self._clock = clock
         self._orphans: dict[str, Orphan] = {}
+        self._members: tuple[Member, ...] = ()
+        self._names: frozenset[str] = frozenset()
 
     def is_mine(self, head: JobHead) -> bool:
         """Return whether the holder is this incarnation of this entry."""
@@ -59,7 +63,7 @@
             return False
         now = self._clock.monotonic()
         orphan = self._orphans.setdefault(head.id, Orphan(now))
-        is_due = now - orphan.since >= self.rank(head) * RANK_DELAY_S
+        is_due = self._is_due(head, now - orphan.since)
         if is_due:
             self._orphans[head.id] = orphan._replace(due_at=now)
         return is_due
@@ -109,6 +113,30 @@
             ranked.insert(0, head.holder)
         return ranked.index(self._session.me.name)
 
+    def _is_due(self, head: JobHead, orphaned_s: float) -> bool:
+        """Return whether the delay for this entry's rank has passed.
+
+        It compares this entry with the others until enough come before it.
+        The whole rank of each orphaned job at each poll would take most of an
+        entry's time after a restart of a large fleet.
+        """
+        due_ranks = math.floor(orphaned_s / RANK_DELAY_S) + 1
+        own = self._session.me.name
+        if due_ranks < 1 or head.holder == own:
+            return due_ranks >= 1
+        names = self._live_names()
+        if head.holder in names:
+            names -= {head.holder}
+            due_ranks -= 1
+        return is_among_first(due_ranks, own, names, hash64(head.id))
+
+    def _live_names(self) -> frozenset[str]:
+        members = self._session.members()
+        if members is not self._members:
+            self._members = members
+            self._names = frozenset(member.name for member in members)
+        return self._names
+
     def _is_orphan(self, head: JobHead) -> bool:
         if self.is_mine(head) or not head.holder:
             return True
--- a/tests/test_idle_cost.py
+++ b/tests/test_idle_cost.py
@@ -14,6 +14,8 @@
 from cactusridge.jobs.member import MEMBER_PREFIX
 from cactusridge.jobs.membership import MEMBER_LEASE_S, Membership
 from cactusridge.jobs.membership_start import MembershipStart
+from cactusridge.jobs.model import JobHead
+from cactusridge.jobs.orphans import RANK_DELAY_S, Orphans
 from cactusridge.organisations.limit_messages import Candidate
 from cactusridge.organisations.limit_owners import LimitOwners
 from cactusridge.peers.audience import Audience
@@ -43,6 +45,10 @@
 # Calls for a row of the member list, and for a look at the members.
 CALLS_PER_ROW = 20
 CALLS_PER_LOOK = 10
+# Orphaned jobs, and calls for each at a poll.
+JOBS = 50
+RANKS = 30
+CALLS_PER_JOB = 100
 
 
 class TestOwners(unittest.TestCase):
@@ -165,6 +171,34 @@
         self.assertNotIn(other, self.session.members())
         self.assertIn(self.sessions[2].me, self.session.members())
 
+    def test_orphans(self):
+        """A poll does not rank all entries for each orphaned job.
+
+        After a restart of all entries every job is orphaned at each of them.
+        """
+        orphans = Orphans(self.session, self.clock)
+        heads = [
+            JobHead(f'j{number}', 'h', '/p/', 1, 0, 'gone', 'x')
+            for number in range(JOBS)
+        ]
+
+        def poll():
+            return [head for head in heads if orphans.should_take_over(head)]
+
+        self.assertLessEqual(calls_of(poll), CALLS_PER_JOB * JOBS)
+        ranks = [orphans.rank(head) for head in heads]
+        for rank in range(RANKS):
+            taken = {head.id for head in poll()}
+            due = {
+                head.id
+                for head, each in zip(heads, ranks, strict=True)
+                if each <= rank
+            }
+            self.assertEqual(taken, due)
+            self.clock.advance(RANK_DELAY_S * 1.01)
+            self.renew()
+            self.session.renew_and_read()
+
     def test_derived(self):
         """A list of addresses is built again only if the members change."""
         places = DerivedMembers(
--- a/tests/test_takeover_line.py
+++ b/tests/test_takeover_line.py
@@ -4,6 +4,7 @@
 ranks, the store or the lack of a free slot took it.
 """
 
+import itertools
 import json
 from unittest import mock
 
@@ -32,6 +33,15 @@
             'j', 'h', '/p/', 1, 0, 'two', self.two.me.life, version=4
         )
 
+    def choose_head(self, rank):
+        """Choose a job for which the first entry has this rank."""
+        heads = (
+            self.head._replace(id=f'j{number}') for number in itertools.count()
+        )
+        self.head = next(
+            each for each in heads if self.orphans.rank(each) == rank
+        )
+
     def taken(self):
         """Take the job over after 0.25 s; return the fields of the line."""
         self.clock.advance(0.25)
@@ -51,13 +61,13 @@
             self.clock.advance(MEMBER_LEASE_S / 4)
             self.three.renew_and_read()
             self.one.renew_and_read()
-        with mock.patch.object(self.orphans, 'rank', lambda head: 1):
-            self.poll(wanted=False)
-            self.clock.advance(RANK_DELAY_S + 0.1)
-            self.poll(wanted=True)
-            found = self.taken()
+        self.choose_head(1)
+        self.poll(wanted=False)
+        self.clock.advance(RANK_DELAY_S + 0.1)
+        self.poll(wanted=True)
+        found = self.taken()
         wanted = {
-            'job': 'j',
+            'job': self.head.id,
             'previous': 'two',
             'version': 5,
             'silent_s': round(MEMBER_LEASE_S + RANK_DELAY_S + 0.35, 3),
@@ -71,9 +81,9 @@
         """An entry that left has no row and was silent for no time."""
         self.two.leave()
         self.one.renew_and_read()
-        with mock.patch.object(self.orphans, 'rank', lambda head: 0):
-            self.poll(wanted=True)
-            found = self.taken()
+        self.choose_head(0)
+        self.poll(wanted=True)
+        found = self.taken()
         self.assertIsNone(found['silent_s'])
         self.assertEqual(0.25, found['orphaned_s'])
 
