--- a/tests/test_takeover_line.py
+++ b/tests/test_takeover_line.py
@@ -4,6 +4,7 @@
 ranks, the store or the lack of a free slot took it.
 """
 
+import itertools
 import json
 from unittest import mock
 
@@ -17,6 +18,8 @@
 
 # A renewal, a poll and a slow moment of the machine, in seconds.
 SLACK_S = 3.0
+# Jobs of the entry that has started again, enough for each rank.
+JOBS = 12
 
 
 class TestTakeoverFields(MemberCase):
@@ -30,6 +33,15 @@
             'j', 'h', '/p/', 1, 0, 'two', self.two.me.life, version=4
         )
 
+    def choose_head(self, rank):
+        """Choose a job for which the first entry has this rank."""
+        heads = (
+            self.head._replace(id=f'j{number}') for number in itertools.count()
+        )
+        self.head = next(
+            each for each in heads if self.orphans.rank(each) == rank
+        )
+
     def taken(self):
         """Take the job over after 0.25 s; return the fields of the line."""
         self.clock.advance(0.25)
@@ -49,13 +61,13 @@
             self.clock.advance(MEMBER_LEASE_S / 4)
             self.three.renew_and_read()
             self.one.renew_and_read()
-        with mock.patch.object(self.orphans, 'rank', lambda head: 1):
-            self.poll(wanted=False)
-            self.clock.advance(RANK_DELAY_S + 0.1)
-            self.poll(wanted=True)
-            found = self.taken()
+        self.choose_head(1)
+        self.poll(wanted=False)
+        self.clock.advance(RANK_DELAY_S + 0.1)
+        self.poll(wanted=True)
+        found = self.taken()
         wanted = {
-            'job': 'j',
+            'job': self.head.id,
             'previous': 'two',
             'version': 5,
             'silent_s': round(MEMBER_LEASE_S + RANK_DELAY_S + 0.35, 3),
@@ -69,13 +81,77 @@
         """An entry that left has no row and was silent for no time."""
         self.two.leave()
         self.one.renew_and_read()
-        with mock.patch.object(self.orphans, 'rank', lambda head: 0):
-            self.poll(wanted=True)
-            found = self.taken()
+        self.choose_head(0)
+        self.poll(wanted=True)
+        found = self.taken()
         self.assertIsNone(found['silent_s'])
         self.assertEqual(0.25, found['orphaned_s'])
 
 
+class TestReturned(MemberCase):
+    """Takeovers of jobs whose holder has started again."""
+
+    def setUp(self):
+        """Let the second entry start again, and the others read its row."""
+        super().setUp()
+        self.lost = self.two.me.life
+        self.two = self.session('two')
+        for each in (self.two, self.one, self.three):
+            each.renew_and_read()
+
+    def heads(self):
+        """Return jobs of the earlier process, which others are to take."""
+        return [
+            JobHead(f'j{number}', 'h', '/p/', 1, 0, 'two', self.lost)
+            for number in range(JOBS)
+        ]
+
+    def test_at_once(self):
+        """An entry takes the jobs of its earlier process without a delay.
+
+        It would wait 0.4 s for each entry that is ranked before it.
+        """
+        orphans = Orphans(self.two, self.clock)
+        waiting = [
+            each.id
+            for each in self.heads()
+            if not orphans.should_take_over(each)
+        ]
+        self.assertEqual([], waiting)
+
+    def test_one_first(self):
+        """The other entries let it go first and do not read the same jobs."""
+        for session in (self.one, self.three):
+            orphans = Orphans(session, self.clock)
+            taken = [
+                each.id
+                for each in self.heads()
+                if orphans.should_take_over(each)
+            ]
+            self.assertEqual([], taken)
+
+    def test_next(self):
+        """Another entry takes the jobs that it does not take."""
+        orphans = [Orphans(each, self.clock) for each in (self.one, self.three)]
+        for head in self.heads():
+            for each in orphans:
+                each.should_take_over(head)
+        self.clock.advance(RANK_DELAY_S)
+        for head in self.heads():
+            taken = [each.should_take_over(head) for each in orphans]
+            self.assertEqual(1, sum(taken))
+
+    def test_gone(self):
+        """The first of the live entries takes the jobs of one that is gone."""
+        self.two.leave()
+        self.one.renew_and_read()
+        self.three.renew_and_read()
+        orphans = [Orphans(each, self.clock) for each in (self.one, self.three)]
+        for head in self.heads():
+            taken = [each.should_take_over(head) for each in orphans]
+            self.assertEqual(1, sum(taken))
+
+
 class TestTakeoverLines(MachineCase):
     """The lines of a real takeover."""
 
