--- a/cactusridge/logs.py
+++ b/cactusridge/logs.py
@@ -1,54 +1,46 @@
-"""The log; every line is an event of the catalogue."""
+"""Logging through structlog; every line is an event of the catalogue."""
 
 import sys
-from typing import Any
+from typing import Any, Protocol
 
-from cactusridge.events import Event
-from cactusridge.json_lines import JsonLines
-from cactusridge.line_writer import LineWriter, Stream
-
-
-class Log:
-    """The log of this process, through structlog until it is configured."""
+import structlog
 
-    def __init__(self) -> None:
-        """Start without a writer."""
-        self._writer: LineWriter | None = None
-
-    def configure(self, style: str, stream: Stream) -> None:
-        """Write lines to ``stream`` in the style ``json`` or ``console``."""
-        if style == 'json':
-            self._writer = JsonLines(stream)
-            return
-        # Imported only where it is needed: see JsonLines.
-        from cactusridge import structlog_lines  # noqa: PLC0415, WPS433
-
-        structlog_lines.configure_console(stream)
-        self._writer = structlog_lines.StructlogLines()
+from cactusridge.events import Event
 
-    @property
-    def writer(self) -> LineWriter:
-        """What writes the lines."""
-        if self._writer is None:
-            from cactusridge import structlog_lines  # noqa: PLC0415, WPS433
 
-            self._writer = structlog_lines.StructlogLines()
-        return self._writer
+class Stream(Protocol):
+    """The destination of log lines."""
 
+    def write(self, text: str) -> int:
+        """Write ``text`` and return its length."""
 
-_LOG = Log()
+    def flush(self) -> None:
+        """Write out buffered lines."""
 
 
 def configure(style: str, stream: Stream = sys.stderr) -> None:
     """Write logs to ``stream`` in the style ``json`` or ``console``."""
-    _LOG.configure(style, stream)
+    renderer: Any = structlog.processors.JSONRenderer()
+    if style == 'console':
+        renderer = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            renderer,
+        ],
+        logger_factory=structlog.PrintLoggerFactory(stream),
+    )
 
 
 def bind(**fields: Any) -> None:
     """Add ``fields`` to every log line of this process."""
-    _LOG.writer.bind(fields)
+    structlog.contextvars.bind_contextvars(**fields)
 
 
 def emit(event: Event, **fields: Any) -> None:
     """Log ``event`` with its number and ``fields``."""
-    _LOG.writer.write(event, fields)
+    logger = structlog.get_logger()
+    write = getattr(logger, event.level)
+    write(event.name, number=event.number, **fields)
