--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -60,14 +60,16 @@
 
 
 def _check_limit(record: Record, name: str, limit: Limit) -> None:
-    """Check each window; a request that runs again and items do not count."""
+    """Check the fullest window; items and further runs do not count."""
     most = (limit.rate_per_s * WINDOW_S + limit.burst) * EXCESS_FACTOR + EXCESS
     starts = {
         each.id: each.at
         for each in reversed(record.run_starts)
         if each.organisation == name and not each.target.startswith(ITEM_PATH)
     }
-    for until in starts.values():
-        count = sum(until - WINDOW_S < at <= until for at in starts.values())
-        if count > most:
-            record.add_violation('limit', f'{name} ran {count} until {until}')
+    windows = [
+        (sum(until - WINDOW_S < at <= until for at in starts.values()), until)
+        for until in starts.values()
+    ]
+    if max(windows, default=(0, 0))[0] > most:
+        record.add_violation('limit', f'{name}: {max(windows)}, not {most}')
