Trace: log how long each step of a start took

Cause: a slow recovery of an entry showed only as a sum. The log did not say whether imports, the store, the members or the jobs took the time.

--- a/cactusridge/jobs/heads.py
+++ b/cactusridge/jobs/heads.py
@@ -4,6 +4,7 @@
 
 from cactusridge.jobs.keys import head_key
 from cactusridge.jobs.model import JobHead, parse_head_fields
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.row_reader import RowReader
 from cactusridge.store.table import ABSENT, Row
 from cactusridge.store.table_follower import TableListener
@@ -66,6 +67,11 @@
                 if head_key(job_id) not in keys:
                     known.pop(job_id)
 
+    def up_to_date(self, begun_at: float, whole: bool) -> None:
+        """Record the first read of all heads."""
+        if whole:
+            TRACE.mark(StartStep.heads)
+
     def update(self, head: JobHead) -> None:
         """Store a head if it is newer than the known version of the job."""
         known = self._heads.get(head.id)
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -12,6 +12,7 @@
 from cactusridge.jobs.member import MEMBER_PREFIX, Member
 from cactusridge.jobs.member_records import MemberReader, MemberRecord
 from cactusridge.jobs.membership_start import MembershipStart
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.table import Priority, Table, Write, WriteUnknown
 
 # Interval in seconds between renewals, each followed by a read: two calls per
@@ -272,6 +273,7 @@
         self._read_at = now
         self._is_read = True
         self.reads += 1
+        TRACE.mark(StartStep.members)
         if self._on_read is not None:
             self._on_read()
         for name in set(self._records) - known:
--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -8,6 +8,7 @@
 from cactusridge.hashing import hash64, rendezvous
 from cactusridge.jobs.membership import Membership
 from cactusridge.jobs.model import JobHead, JobState
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.unreadable import UnreadableRecord
 
 # Delay in seconds per rank before an entry takes over an orphaned job: the
@@ -69,6 +70,7 @@
 
         ``head`` names the previous holder; ``version`` is the new head's.
         """
+        TRACE.mark(StartStep.takeover)
         now = self._clock.monotonic()
         orphan = self._orphans.pop(head.id, Orphan(now))
         silent_s = self._session.silent_s(head.holder)
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from cactusridge.peers.batch_sharing import BatchSharing
 from cactusridge.peers.load import Load, WorkKind
 from cactusridge.peers.loads import LoadTable
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.work_meter import METER, Part, PartGreenlet, spawn
 
 
@@ -201,6 +202,7 @@
             held_s=round(now - job.held_at, 3),
         )
         greenlet.start()
+        TRACE.mark(StartStep.item)
 
     def _run_ended(self, running: RunningItem, route: Route) -> None:
         self._running.remove(running)
--- a/cactusridge/platform/__main__.py
+++ b/cactusridge/platform/__main__.py
@@ -23,6 +23,7 @@
 from cactusridge.platform.reload import ROLE, Reloader
 from cactusridge.platform.role import DirectEntry
 from cactusridge.serving import serve
+from cactusridge.start_trace import TRACE, StartStep, process_started_at
 from cactusridge.startup.loader import BadStartSettings, load_file
 
 # Environment variable in which the platform passes the settings path.
@@ -33,6 +34,8 @@
 
 def run() -> ExitStatus:
     """Serve until SIGTERM or SIGINT arrives; return the exit status."""
+    TRACE.begin(process_started_at())
+    TRACE.mark(StartStep.imports)
     path = os.environ[SETTINGS_VARIABLE]
     try:
         cfg = load_file(path, ROLE)
--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -24,6 +24,7 @@
 from cactusridge.platform.errors import failure_reply
 from cactusridge.platform.job_calls import JobCalls
 from cactusridge.platform.prefetched_stream import PrefetchedStream
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.table_follower import TableFollower
 
 # Retry-After, in seconds, of a process without a configuration. A process
@@ -86,6 +87,8 @@
         except Exception as exc:
             logs.emit(events.INTERNAL_ERROR, error=repr(exc))
             reply = failure_reply(CactusridgeError(repr(exc)))
+        if reply.status < HTTPStatus.BAD_REQUEST:
+            TRACE.mark(StartStep.answer)
         start_response(_status_line(reply.status), reply.headers)
         return reply.body
 
--- a/cactusridge/platform/catalog_holder.py
+++ b/cactusridge/platform/catalog_holder.py
@@ -16,6 +16,7 @@
 from cactusridge.organisations.keys import key_digest
 from cactusridge.organisations.organisation import Organisation, RateLimit
 from cactusridge.platform.names import MS_PER_S
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.fields import Fields
 from cactusridge.store.row_reports import RowReports
 from cactusridge.store.table import ABSENT, Row
@@ -91,6 +92,7 @@
             return True
         self.catalog = catalog
         self.raw = raw
+        TRACE.mark(StartStep.settings)
         metrics.SETTINGS_VERSION.set({}, catalog.version)
         logs.emit(
             events.SETTINGS_APPLIED,
--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -11,6 +11,7 @@
 )
 from cactusridge.fleet.replica import Replica
 from cactusridge.platform.replica_entry import UnreadableEntry, read_entry
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.table import Row
 from cactusridge.store.table_follower import TableListener
 
@@ -77,6 +78,11 @@
         for key in self._applied_versions.keys() - keys:
             self._drop(key)
 
+    def up_to_date(self, begun_at: float, whole: bool) -> None:
+        """Record the first read of the whole list."""
+        if whole:
+            TRACE.mark(StartStep.replicas)
+
     def _apply(self, row: Row) -> None:
         """Apply a version of an entry; log it if it is rejected."""
         try:
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -1,18 +1,14 @@
 """Assembles a ``direct_entry`` process from its parts."""
 
-from http import HTTPStatus
-
 import gevent
 
-from cactusridge import events, logs, metrics
+from cactusridge import metrics
 from cactusridge.background import run_every, run_forever
 from cactusridge.clock import BootClock
 from cactusridge.dispatch import policies
 from cactusridge.dispatch.run import Runner
-from cactusridge.errors import CactusridgeError
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.http.app import Route, route
-from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.organisations.key_lease import KeyLease
 from cactusridge.peers.audience import Audience
@@ -31,6 +27,7 @@
 from cactusridge.platform.load_report import LOAD_PATH
 from cactusridge.platform.online_parts import OnlineParts
 from cactusridge.platform.peer_list import PeerList
+from cactusridge.platform.readiness import Readiness
 from cactusridge.platform.store_access import StoreAccess
 from cactusridge.platform.strike_parts import (
     JOBS_TABLE,
@@ -142,8 +139,7 @@
             ),
             clock,
         )
-        self._draining = False
-        self._callers_elsewhere = False
+        self._readiness = Readiness(self._holder, self._jobs.intake)
 
     def application(self) -> object:
         """Return the WSGI application for callers."""
@@ -194,12 +190,13 @@
     def on_listening(self) -> None:
         """Start the readiness endpoint that the platform polls."""
         self._serve_at(
-            self._cfg.readiness_listen, route('GET', '/.*', self._readiness)
+            self._cfg.readiness_listen,
+            route('GET', '/.*', self._readiness.serve),
         )
 
     def begin_drain(self) -> None:
         """Make the readiness endpoint fail, hand over limits, end the waits."""
-        self._draining = True
+        self._readiness.begin_drain()
         self._limits.stop()
         self._online.queue.close_after(self._cfg.readiness_delay_s)
 
@@ -224,21 +221,3 @@
 
     def _serve_at(self, listen: str, *routes: Route) -> None:
         start_internal(listen, self._cfg.idle_timeout_s, *routes)
-
-    def _readiness(self, req: Req) -> Reply:
-        if not self._holder.known or self._draining:
-            raise NotReady
-        elsewhere = self._jobs.intake.should_redirect_callers()
-        if elsewhere != self._callers_elsewhere:
-            self._callers_elsewhere = elsewhere
-            logs.emit(events.CALLERS_REDIRECTED, elsewhere=elsewhere)
-        if elsewhere:
-            raise NotReady
-        return json_reply({})
-
-
-class NotReady(CactusridgeError):
-    """This process accepts no new connections at present."""
-
-    status = HTTPStatus.SERVICE_UNAVAILABLE
-    code = 'not_ready'
--- a/cactusridge/serving.py
+++ b/cactusridge/serving.py
@@ -10,6 +10,7 @@
 from cactusridge.exits import ExitStatus
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.server import Server
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.startup.models import CommonSettings
 
 
@@ -59,6 +60,7 @@
         role.late_application(),
     )
     server.start()
+    TRACE.mark(StartStep.listening)
     role.on_listening()
     logs.emit(events.LISTENING)
     stop.wait()
--- a/cactusridge/store/listeners.py
+++ b/cactusridge/store/listeners.py
@@ -32,6 +32,11 @@
             left -= own
             listener.retain(own)
 
+    def up_to_date(self, begun_at: float, whole: bool) -> None:
+        """Notify each listener of the end of a read."""
+        for listener in self._by_prefix.values():
+            listener.up_to_date(begun_at, whole)
+
     def store_recovered(self, since: float) -> None:
         """Notify each listener of the end of an outage of the store."""
         for listener in self._by_prefix.values():
