Jobs: an entry takes over the jobs of its earlier process at its first reads

Cause: the trace of a restart of all entries shows that the takeover follows the read of the heads by 0.2 to 1.1 s (median). An entry awaited its rank for the jobs of its own earlier process (0.4 s per rank, also for entries that had not come back), and the poll for orphaned jobs ran only every 0.25 s.

Change: an entry has rank 0 for a job whose holder has its own name. The first poll follows at once after a read of all heads and after the renewal by which the lease becomes valid. Jobs of other entries that are back as new processes are taken over by rank as before. The row in the store still decides: the write is conditional on the head and the progress row.

--- a/cactusridge/jobs/heads.py
+++ b/cactusridge/jobs/heads.py
@@ -32,6 +32,7 @@
         """Start without any head."""
         self._heads: dict[str, JobHead] = {}
         self._on_change: Callable[[JobHead], None] | None = None
+        self._on_read: Callable[[], None] | None = None
         self._reader = RowReader()
         # Version of each unreadable head by job id.
         self._unreadable: dict[str, int] = {}
@@ -40,6 +41,10 @@
         """Call ``listener`` with each head newer than the known one."""
         self._on_change = listener
 
+    def on_read(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each read of all heads."""
+        self._on_read = listener
+
     def put(self, row: Row) -> None:
         """Update a head from its row; an absent row removes the head."""
         job_id = row.key.rpartition('/')[-1]
@@ -68,9 +73,12 @@
                     known.pop(job_id)
 
     def up_to_date(self, begun_at: float, whole: bool) -> None:
-        """Record the first read of all heads."""
-        if whole:
-            TRACE.mark(StartStep.heads)
+        """Notify the listener of a read of all heads."""
+        if not whole:
+            return
+        TRACE.mark(StartStep.heads)
+        if self._on_read is not None:
+            self._on_read()
 
     def update(self, head: JobHead) -> None:
         """Store a head if it is newer than the known version of the job."""
--- a/cactusridge/jobs/orphans.py
+++ b/cactusridge/jobs/orphans.py
@@ -99,7 +99,13 @@
             )
 
     def rank(self, head: JobHead) -> int:
-        """Return this entry's rank for a job among the live entries, from 0."""
+        """Return this entry's rank for a job among the live entries, from 0.
+
+        It is 0 for a job that this entry held: no other entry need be
+        awaited, and the job may have been held by its previous process.
+        """
+        if head.holder == self._session.me.name:
+            return 0
         live = [member.name for member in self._session.members()]
         ranked = rendezvous(live, hash64(head.id))
         return ranked.index(self._session.me.name)
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -1,6 +1,7 @@
 """The parts of an entry that run batch jobs."""
 
 import gevent
+from gevent.event import Event
 
 from cactusridge import events, logs
 from cactusridge.background import run_every, run_forever
@@ -96,6 +97,7 @@
             store.clock,
             cfg.keep_jobs_s,
         )
+        self.connect_reads()
         self.intake = JobAdmission(lambda: store.lost, clock)
         self.calls = JobCalls(
             self.manager,
@@ -104,6 +106,13 @@
             self.intake,
         )
 
+    def connect_reads(self) -> None:
+        """Poll for orphaned jobs after each read of all heads."""
+        # Set when this entry has read what the next poll for orphaned jobs
+        # needs, so that it does not have to await the interval.
+        self._poll_now = Event()
+        self.heads.on_read(self._poll_now.set)
+
     def connect_peers(self, peers: PeerExchange) -> None:
         """Exchange job changes with ``peers`` and receive their loads."""
         peers.on_loads(self.scheduler.on_loads_changed)
@@ -119,10 +128,10 @@
             Part.session,
             run_every,
             RENEW_INTERVAL_S,
-            self.session.renew_and_read,
+            self.renew,
             at_once=True,
         )
-        spawn(Part.jobs, run_every, ORPHAN_POLL_S, self.manager.poll)
+        spawn(Part.jobs, run_forever, self.poll_orphans)
         spawn(Part.scheduler, run_forever, self.scheduler.step)
         spawn(
             Part.jobs,
@@ -131,6 +140,19 @@
             self._janitor.remove_expired,
         )
 
+    def renew(self) -> None:
+        """Renew the membership; poll for orphaned jobs if it begins anew."""
+        was_valid = self.session.lease_is_valid()
+        self.session.renew_and_read()
+        if self.session.lease_is_valid() and not was_valid:
+            self._poll_now.set()
+
+    def poll_orphans(self) -> None:
+        """Poll for orphaned jobs at the end of the interval, or sooner."""
+        self._poll_now.wait(ORPHAN_POLL_S)
+        self._poll_now.clear()
+        self.manager.poll()
+
     def finish(self, bound_s: float) -> None:
         """Hand over the jobs, then leave the membership list.
 
