Start in an outage: retry soon until the first reads have succeeded

Cause: in the trace of a start while the store is down, the entries stand idle after the store is back. The followers' backoff had grown to 0.8 s, and a failed renewal of the membership was repeated only after a second.

Change: until its first read a follower waits 0.2 s at most, and an entry that is not yet a member tries again to join after 0.2 s. Entries that have read once back off as before.

--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -31,6 +31,11 @@
 from cactusridge.startup.models import DirectEntrySettings
 from cactusridge.work_meter import Part, spawn
 
+# Seconds until an entry that is not yet a member tries again to join. Until
+# then it can neither run jobs nor count the limits of organisations. Retries
+# cost the store nothing while the circuit breaker delays its calls.
+JOIN_RETRY_S = 0.2
+
 
 class JobParts:
     """Membership, ledger, scheduler, manager and janitor of one entry."""
@@ -124,13 +129,7 @@
         # The session takes its first step at once. Until an entry has read
         # the membership list it dispatches as if it were the only one, and
         # after a restart of all entries the requests arrive immediately.
-        spawn(
-            Part.session,
-            run_every,
-            RENEW_INTERVAL_S,
-            self.renew,
-            at_once=True,
-        )
+        spawn(Part.session, run_forever, self.keep_membership)
         spawn(Part.jobs, run_forever, self.poll_orphans)
         spawn(Part.scheduler, run_forever, self.scheduler.step)
         spawn(
@@ -147,6 +146,12 @@
         if self.session.lease_is_valid() and not was_valid:
             self._poll_now.set()
 
+    def keep_membership(self) -> None:
+        """Renew the membership, then wait until the next renewal is due."""
+        self.renew()
+        joined = self.session.has_joined
+        gevent.sleep(RENEW_INTERVAL_S if joined else JOIN_RETRY_S)
+
     def poll_orphans(self) -> None:
         """Poll for orphaned jobs at the end of the interval, or sooner."""
         self._poll_now.wait(ORPHAN_POLL_S)
--- a/cactusridge/store/table_follower.py
+++ b/cactusridge/store/table_follower.py
@@ -27,6 +27,10 @@
 # entries do not all retry at the same time.
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.8
+# Longest backoff before the first read of the table. Until then the process
+# cannot serve. Retries cost the store nothing while the circuit breaker delays
+# its calls.
+MAX_FIRST_PAUSE_S = 0.2
 
 
 class TableListener(abc.ABC):
@@ -174,4 +178,5 @@
 
     def _back_off(self) -> None:
         gevent.sleep(self._pause_s * self._rng.uniform(0.5, 1))
-        self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
+        limit_s = MAX_FIRST_PAUSE_S if self.heard_at is None else MAX_PAUSE_S
+        self._pause_s = min(limit_s, self._pause_s * 2)
