Start: ready only with the replicas; the first configuration without a delay

Cause: an entry that starts while the store is down gets the configuration from a peer, but not the replicas. It was then ready and refused each request. It asked the first peer only after 0.3 s, and no other peer while one did not reply.

Change: readiness requires the configuration and a read of the list of replicas. Until then an online request is refused as not_configured with the Retry-After of 0.3 s that a process without a configuration gives. Requests for jobs need the configuration only; the member list is not awaited. An entry without a configuration asks up to three peers at the same time and at once; an entry that has one awaits the store's feed as before.

--- a/cactusridge/platform/caller_app.py
+++ b/cactusridge/platform/caller_app.py
@@ -27,15 +27,15 @@
 from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.table_follower import TableFollower
 
-# Retry-After, in seconds, of a process without a configuration. A process
-# reads its configuration within this time of its start unless the store is
-# unreachable.
+# Retry-After, in seconds, of a process without a configuration or the list of
+# replicas. A process reads both within this time of its start unless the store
+# is unreachable.
 UNCONFIGURED_RETRY_S = 0.3
 CLOSE = ('Connection', 'close')
 
 
 class NotConfigured(Draining):
-    """This process has not loaded a configuration yet."""
+    """This process has not loaded a configuration or the replicas yet."""
 
     code = 'not_configured'
 
@@ -57,6 +57,7 @@
         self,
         holder: CatalogHolder,
         follower: TableFollower,
+        can_serve: Callable[[], bool],
         online: OnlineDispatcher,
         jobs: JobCalls,
         callers: CallerResolver,
@@ -64,11 +65,13 @@
     ) -> None:
         """Identify callers with ``callers``; serve with ``online`` or ``jobs``.
 
-        ``follower`` keeps the configuration in ``holder`` up to date.
+        ``follower`` keeps the configuration in ``holder`` up to date, and
+        ``can_serve`` returns whether the replicas are known as well.
         """
         self._callers = callers
         self._holder = holder
         self._follower = follower
+        self._can_serve = can_serve
         self._online = online
         self._jobs = jobs
         self._clock = clock
@@ -135,6 +138,8 @@
         route: Route,
         arrived_at: float,
     ) -> Reply:
+        if not self._can_serve():
+            raise NotConfigured(retry_after_s=UNCONFIGURED_RETRY_S)
         caller = self._callers.resolve(call, route)
         left_s = min(call.time_left_s(route.timeout_s), route.timeout_s)
         body = call.body()
--- a/cactusridge/platform/catalog_peers.py
+++ b/cactusridge/platform/catalog_peers.py
@@ -17,8 +17,12 @@
 # Seconds; a round trip to any availability zone takes under 10 ms.
 TIMEOUT_S = 0.5
 # Seconds between a peer's report of a newer version and the request for it.
-# The store's feed usually delivers the version within this time.
+# The store's feed usually delivers the version within this time. An entry
+# without any configuration does not wait.
 FETCH_DELAY_S = 0.3
+# Number of peers that an entry without any configuration asks at the same
+# time: one of them may not reply.
+MAX_FIRST_FETCHES = 3
 
 
 class CatalogPeers:
@@ -28,7 +32,8 @@
         """Keep ``holder`` at the newest version that a peer has."""
         self._holder = holder
         self._clients = Clients(TIMEOUT_S, TIMEOUT_S)
-        self._fetching = False
+        # The peers from which a configuration is being fetched.
+        self._fetching: set[Address] = set()
 
     def version(self) -> int:
         """Return the version of the configuration in force."""
@@ -40,17 +45,22 @@
 
     def on_peer_version(self, peer: tuple[str, int], version: int) -> None:
         """Fetch the configuration of ``peer`` if ``version`` is newer."""
-        if version > self.version() and not self._fetching:
-            self._fetching = True
-            gevent.spawn(self._fetch, Address(*peer), version)
+        address = Address(*peer)
+        limit = 1 if self._holder.known else MAX_FIRST_FETCHES
+        if len(self._fetching) >= limit or address in self._fetching:
+            return
+        if version > self.version():
+            self._fetching.add(address)
+            gevent.spawn(self._fetch, address, version)
 
     def _fetch(self, peer: Address, version: int) -> None:
         try:
-            gevent.sleep(FETCH_DELAY_S)
+            if self._holder.known:
+                gevent.sleep(FETCH_DELAY_S)
             if version > self.version():
                 self._request(peer, version)
         finally:
-            self._fetching = False
+            self._fetching.discard(peer)
 
     def _request(self, peer: Address, version: int) -> None:
         try:
--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -31,6 +31,8 @@
         """Apply the list in the store to ``fleet``."""
         self._fleet = fleet
         self._clock = clock
+        # Whether the list of replicas has been read.
+        self.is_read = False
         self._grace_until = float(0)
         self._missing_keys: set[str] = set()
         # The applied version of each row, by key. Most rows are unchanged
@@ -79,8 +81,9 @@
             self._drop(key)
 
     def up_to_date(self, begun_at: float, whole: bool) -> None:
-        """Record the first read of the whole list."""
+        """Record a read of the whole list."""
         if whole:
+            self.is_read = True
             TRACE.mark(StartStep.replicas)
 
     def _apply(self, row: Row) -> None:
--- a/cactusridge/platform/readiness.py
+++ b/cactusridge/platform/readiness.py
@@ -1,12 +1,12 @@
 """The readiness endpoint, which the platform polls before it sends callers."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 
 from cactusridge import events, logs
 from cactusridge.errors import CactusridgeError
 from cactusridge.http.exchange import Reply, Req, json_reply
 from cactusridge.jobs.job_admission import JobAdmission
-from cactusridge.platform.catalog_holder import CatalogHolder
 from cactusridge.start_trace import TRACE, StartStep
 
 
@@ -20,12 +20,16 @@
 class Readiness:
     """Reports whether this entry can serve callers."""
 
-    def __init__(self, holder: CatalogHolder, intake: JobAdmission) -> None:
-        """Require a configuration in ``holder``.
+    def __init__(
+        self,
+        can_serve: Callable[[], bool],
+        intake: JobAdmission,
+    ) -> None:
+        """Require that ``can_serve`` returns True.
 
         ``intake`` decides whether callers have to use other entries.
         """
-        self._holder = holder
+        self._can_serve = can_serve
         self._intake = intake
         self._draining = False
         self._callers_elsewhere = False
@@ -36,7 +40,7 @@
 
     def serve(self, req: Req) -> Reply:
         """Reply to one poll; raise NotReady."""
-        if not self._holder.known or self._draining:
+        if self._draining or not self._can_serve():
             raise NotReady
         elsewhere = self._intake.should_redirect_callers()
         if elsewhere != self._callers_elsewhere:
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -129,6 +129,7 @@
         self._app = CallerApp(
             self._holder,
             self._catalog_follower,
+            self._can_serve,
             self._online.dispatcher,
             self._jobs.calls,
             CallerResolver(
@@ -139,7 +140,7 @@
             ),
             clock,
         )
-        self._readiness = Readiness(self._holder, self._jobs.intake)
+        self._readiness = Readiness(self._can_serve, self._jobs.intake)
 
     def application(self) -> object:
         """Return the WSGI application for callers."""
@@ -204,6 +205,10 @@
         """Hand over the jobs and leave the membership list."""
         self._jobs.finish(bound_s - self._cfg.store.timeout_s)
 
+    def _can_serve(self) -> bool:
+        """Return whether the configuration and the replicas are known."""
+        return self._holder.known and self._discovery.is_read
+
     def _own_status(self) -> EntryStatus:
         return EntryStatus(
             self._catalogs.version(),
--- a/tests/test_catalog_peers.py
+++ b/tests/test_catalog_peers.py
@@ -15,8 +15,8 @@
 NEWER = {'version': 7, 'routes': [], 'limits': {}}
 
 
-class TestCatalogPeers(unittest.TestCase):
-    """The newest version that a peer announces is fetched from it."""
+class CatalogPeersCase(unittest.TestCase):
+    """An entry without a configuration and a peer that has one."""
 
     def setUp(self):
         """Serve the configuration of a peer, which has version 7."""
@@ -31,6 +31,10 @@
         self.holder = CatalogHolder(KeyLease(ManualClock(), None))
         self.catalogs = CatalogPeers(self.holder)
 
+
+class TestCatalogPeers(CatalogPeersCase):
+    """The newest version that a peer announces is fetched from it."""
+
     def test_newer_is_fetched(self):
         """An entry with an older version gets version 7 from the peer."""
         self.catalogs.on_peer_version(self.peer, 7)
