--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -11,6 +11,7 @@
 )
 from cactusridge.fleet.replica import Replica
 from cactusridge.platform.replica_entry import UnreadableEntry, read_entry
+from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.store.table import Row
 from cactusridge.store.table_follower import TableListener
 
@@ -30,6 +31,8 @@
         """Apply the list in the store to ``fleet``."""
         self._fleet = fleet
         self._clock = clock
+        # Whether the list of replicas has been read.
+        self.is_read = False
         self._grace_until = float(0)
         self._missing_keys: set[str] = set()
         # The applied version of each row, by key. Most rows are unchanged
@@ -77,6 +80,12 @@
         for key in self._applied_versions.keys() - keys:
             self._drop(key)
 
+    def up_to_date(self, begun_at: float, whole: bool) -> None:
+        """Record a read of the whole list."""
+        if whole:
+            self.is_read = True
+            TRACE.mark(StartStep.replicas)
+
     def _apply(self, row: Row) -> None:
         """Apply a version of an entry; log it if it is rejected."""
         try:
