Limits: an entry with the store tells those whose rows go stale

When it woke, the leases of all others were over in its list, so it was the only and oldest member and counted at once. The others did not list it and never heard that it had the store. They went on in the same membership when the store was back, and one of them counted as well.

Change: an entry that has the store reports that to four entries every 0.2 s whose rows have not changed for 1.5 s, also after their leases are over and for up to 60 s. They stop to count without the store, as with any report of an entry that never lacked it. For the limits, the leases in its list begin anew after 1.7 s without a read, so that the others hear of it before it takes their places. The leases of jobs are as before. An entry that has the store responds only to reports of an outage, or two such entries would respond to each other without end.

test_no_expiry_between_reads let 3.2 s pass without a read, which now counts as a suspension; it reads every second instead and asserts more than before.

--- a/cactusridge/jobs/member_records.py
+++ b/cactusridge/jobs/member_records.py
@@ -1,5 +1,6 @@
 """What an entry knows of the members from their rows."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cactusridge.jobs.member import Member, parse_member
@@ -7,6 +8,14 @@
 from cactusridge.store.table import Row
 from cactusridge.store.unreadable import UnreadableRecord
 
+# Seconds between the reads of the same version of a row after which its entry
+# probably lacks the store: two reads in a row, as rows are renewed every
+# second.
+STALE_S = 1.5
+# Seconds after which the entry of such a row is taken for gone. Rows of
+# entries that crashed stay in the store.
+FORGOTTEN_S = 60.0
+
 
 class MemberRecord(NamedTuple):
     """A member, the version of its row and when that version was read.
@@ -21,6 +30,22 @@
     seen_at: float
 
 
+def stale_members(
+    records: Iterable[MemberRecord], read_at: float
+) -> list[Member]:
+    """Return the members whose rows had not changed for some time.
+
+    ``read_at`` is the time of the last read. Those that are not live any
+    more are among them.
+    """
+    return [
+        record.member
+        for record in records
+        if record.member is not None
+        and STALE_S <= read_at - record.seen_at < FORGOTTEN_S
+    ]
+
+
 class MemberReader:
     """Reads the rows of members; an unreadable row changes no lease."""
 
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -10,7 +10,12 @@
 from cactusridge.clock import Clock
 from cactusridge.errors import CactusridgeError, StoreUnavailable
 from cactusridge.jobs.member import MEMBER_PREFIX, Member
-from cactusridge.jobs.member_records import MemberReader, MemberRecord
+from cactusridge.jobs.member_records import (
+    STALE_S,
+    MemberReader,
+    MemberRecord,
+    stale_members,
+)
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.store.table import Priority, Table, Write, WriteUnknown
 
@@ -24,6 +29,10 @@
 # other entries may take over its jobs.
 LEASE_MARGIN_S = 0.7
 
+# Seconds between two reads after which this entry was suspended or slow. With
+# shorter ones a read shows a row as stale before another shows it as expired.
+RESUMED_S = MEMBER_LEASE_S - STALE_S
+
 
 class LeaseAges(NamedTuple):
     """Seconds since the last renewal and read; infinity before the first."""
@@ -60,6 +69,8 @@
         # When the members were last read; whether they have been read since
         # the last attempt that failed.
         self._read_at: float | None = None
+        # When they were first read after this entry was last suspended.
+        self._resumed_at = float('-inf')
         self._is_read = False
         self._has_left = False
         self._on_read: Callable[[], None] | None = None
@@ -165,7 +176,9 @@
         """Return this entry and those that were live at the last read.
 
         Unlike in ``members``, no lease expires between two reads: the row may
-        have been renewed since.
+        have been renewed since. Leases begin anew after a suspension: entries
+        that count limits without the store are told that this one has it
+        before it takes their places.
         """
         read_at = self._read_at or float(0)
         others = [
@@ -173,10 +186,15 @@
             for record in self._records.values()
             if record.member is not None
             and record.member.name != self.me.name
-            and read_at - record.seen_at < MEMBER_LEASE_S
+            and read_at - max(record.seen_at, self._resumed_at) < MEMBER_LEASE_S
         ]
         return [self.me, *others]
 
+    def stale_members(self) -> list[Member]:
+        """Return the other members whose rows are not renewed any more."""
+        found = stale_members(self._records.values(), self._read_at or 0)
+        return [each for each in found if each.name != self.me.name]
+
     def is_live(self, name: str, life: str) -> bool:
         """Return whether the holder of a job may still be running.
 
@@ -257,6 +275,8 @@
         rows = self._table.scan(MEMBER_PREFIX, Priority.lease)
         now = self._clock.monotonic()
         restart = not self._is_read
+        if self.ages().unread_s >= RESUMED_S:
+            self._resumed_at = now
         known = set(self._records)
         found = {
             row.key.removeprefix(MEMBER_PREFIX): row
--- a/cactusridge/organisations/lease_state.py
+++ b/cactusridge/organisations/lease_state.py
@@ -1,6 +1,7 @@
 """What the lease of an entry allows it to count."""
 
 import abc
+from collections.abc import Sequence
 
 from cactusridge.organisations.common_outage import CommonOutage
 
@@ -28,6 +29,14 @@
     def member_s(self) -> float:
         """Return how long the entry was a member at its last renewal."""
 
+    @abc.abstractmethod
+    def stale_members(self) -> Sequence[str]:
+        """Return the entries whose rows are not renewed any more.
+
+        They may be running without the store, also those that the list
+        no longer has.
+        """
+
     @property
     @abc.abstractmethod
     def is_read(self) -> bool:
--- a/cactusridge/organisations/outage_watch.py
+++ b/cactusridge/organisations/outage_watch.py
@@ -47,15 +47,15 @@
     def step(self) -> None:
         """Send reports if the store is away; call every WATCH_INTERVAL_S."""
         members = self._members()
-        now_ms = int(self._now_ms())
         if self._lacks_store():
-            self._outage.note(StoreReport(self._own_name, now_ms, False))
+            self._outage.note(self._own_report(has_store=False))
             known = self._outage.reports()
             reports = self._rng.sample(known, min(len(known), MAX_REPORTS))
-            others = [each for each in members if each != self._own_name]
-            count = min(len(others), RECIPIENTS)
-            for entry in self._rng.sample(others, count):
-                self._send(entry, reports)
+            self._send_to_some(members, reports)
+        elif self._has_store():
+            # Those that lack the store may not know of this entry.
+            report = self._own_report(has_store=True)
+            self._send_to_some(self._lease.stale_members(), [report])
         # Entries that count on in the outage have read the list before it. They
         # know only those that had been members for some time.
         if self._lease.member_s() >= MEMBER_S:
@@ -64,12 +64,13 @@
 
     def receive(self, sender: str, reports: Iterable[StoreReport]) -> None:
         """Record reports; respond if this entry has the store."""
+        lacks_store = False
         for report in reports:
             self._outage.note(report)
-        if self._lease.unrenewed_s() < WITHOUT_STORE_S and self._lease.is_read:
-            now_ms = int(self._now_ms())
-            own = StoreReport(self._own_name, now_ms, has_store=True)
-            self._send(sender, [own])
+            lacks_store |= not report.has_store
+        # Two entries that have the store do not respond to each other.
+        if lacks_store and self._has_store():
+            self._send(sender, [self._own_report(has_store=True)])
 
     def receive_status(self, sender: str, *, has_store: bool) -> None:
         """Record what an entry has said of the store in another message.
@@ -80,6 +81,22 @@
             now_ms = int(self._now_ms())
             self._outage.note(StoreReport(sender, now_ms, has_store=True))
 
+    def _send_to_some(
+        self, entries: Sequence[str], reports: Sequence[StoreReport]
+    ) -> None:
+        others = [each for each in entries if each != self._own_name]
+        count = min(len(others), RECIPIENTS)
+        for entry in self._rng.sample(others, count):
+            self._send(entry, reports)
+
+    def _own_report(self, *, has_store: bool) -> StoreReport:
+        return StoreReport(self._own_name, int(self._now_ms()), has_store)
+
+    def _has_store(self) -> bool:
+        """Return whether the last renewal and read are recent successes."""
+        is_renewed = self._lease.unrenewed_s() < WITHOUT_STORE_S
+        return is_renewed and self._lease.is_read
+
     def _lacks_store(self) -> bool:
         """Return whether neither a renewal nor a read succeeds.
 
--- a/cactusridge/platform/membership_lease.py
+++ b/cactusridge/platform/membership_lease.py
@@ -2,6 +2,7 @@
 
 from cactusridge.jobs.membership import Membership
 from cactusridge.organisations.lease_state import StoreLease
+from cactusridge.peers.peer_socket import peer_name
 
 
 class MembershipLease(StoreLease):
@@ -27,6 +28,13 @@
         """Return how long the entry was a member at its last renewal."""
         return self._session.membership_start.member_s()
 
+    def stale_members(self) -> list[str]:
+        """Return the entries whose rows are not renewed any more."""
+        return [
+            peer_name((each.host, each.port))
+            for each in self._session.stale_members()
+        ]
+
     @property
     def is_read(self) -> bool:
         """Whether the last attempt to read the members succeeded."""
--- a/tests/limits_membership.py
+++ b/tests/limits_membership.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from cactusridge.jobs.member_records import FORGOTTEN_S, STALE_S
+from cactusridge.jobs.membership import RESUMED_S
 from cactusridge.jobs.membership_start import MS_PER_S
 from cactusridge.organisations.lease_state import StoreLease
 from cactusridge.organisations.limit_messages import Candidate
@@ -60,6 +62,14 @@
         """Return how long the entry was a member at its last renewal."""
         return 0 if self._since == NEVER else self._renewed - self._since
 
+    def stale_members(self):
+        """Return the entries whose rows are not renewed any more."""
+        return [
+            name
+            for name, read in self._rows.items()
+            if STALE_S <= self._read_at - read.changed_at < FORGOTTEN_S
+        ]
+
     @property
     def is_read(self):
         """Whether the last read succeeded."""
@@ -95,6 +105,7 @@
             self._is_read = False
             return
         rows = self._entry.fleet.rows
+        restart = not self._is_read or self.unread_s() >= RESUMED_S
         is_new = self._renewed == NEVER
         if is_new:
             self._continue_previous(rows.get(self._entry.name))
@@ -103,7 +114,7 @@
         self._renewed = now
         rows[self._entry.name] = FleetRow(self._since, now)
         self._rows = {
-            name: ReadRow(row, self._changed_at(name, row))
+            name: ReadRow(row, self._changed_at(name, row, restart))
             for name, row in rows.items()
         }
         self._read_at = now
@@ -122,10 +133,10 @@
         if row is not None and now - row.renewed <= MEMBERSHIP_GAP_S:
             self._since = row.since + RESTART_STEP_S
 
-    def _changed_at(self, name: str, row: FleetRow) -> float:
-        """Return since when a row is known; all begin anew after an outage."""
+    def _changed_at(self, name: str, row: FleetRow, restart: bool) -> float:
+        """Return since when a row is known; all begin anew on ``restart``."""
         known = self._rows.get(name)
-        if known is not None and known.row == row and self._is_read:
+        if known is not None and known.row == row and not restart:
             return known.changed_at
         return self._clock.now
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -5,9 +5,11 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.errors import StoreUnavailable
+from cactusridge.jobs.member_records import FORGOTTEN_S
 from cactusridge.jobs.membership import (
     LEASE_MARGIN_S,
     MEMBER_LEASE_S,
+    RENEW_INTERVAL_S,
     Membership,
 )
 from cactusridge.jobs.membership_start import MembershipStart
@@ -35,6 +37,10 @@
             self.table, self.clock, name, address, 'z', membership_start
         )
 
+    def listed(self):
+        """Return the names of those that the first entry lists for limits."""
+        return [member.name for member in self.one.members_as_read()]
+
     def names(self):
         """Return the names of the live members known to the first entry."""
         return [member.name for member in self.one.members()]
@@ -143,10 +149,38 @@
 
     def test_no_expiry_between_reads(self):
         """A member expires for the limits only by a read that shows it."""
-        self.clock.advance(MEMBER_LEASE_S)
+        while self.clock.now < 3 * RENEW_INTERVAL_S:
+            self.clock.advance(RENEW_INTERVAL_S)
+            self.one.renew_and_read()
+            self.assertEqual(['one', 'two'], self.listed())
+        self.clock.advance(MEMBER_LEASE_S - 3 * RENEW_INTERVAL_S)
         self.assertEqual(['one'], self.names())
-        listed = [each.name for each in self.one.members_as_read()]
-        self.assertEqual(['one', 'two'], listed)
+        self.assertEqual(['one', 'two'], self.listed())
+        self.one.renew_and_read()
+        self.assertEqual(['one'], self.listed())
+
+    def test_listed_after_suspension(self):
+        """A resumed entry lists for the limits whom it did not see expire.
+
+        Entries that count without the store had not heard of it.
+        """
+        self.clock.advance(MEMBER_LEASE_S)
         self.one.renew_and_read()
-        listed = [each.name for each in self.one.members_as_read()]
-        self.assertEqual(['one'], listed)
+        self.assertEqual(['one'], self.names())
+        while self.clock.now < 2 * MEMBER_LEASE_S:
+            self.assertEqual(['one', 'two'], self.listed())
+            self.clock.advance(MEMBER_LEASE_S / 4)
+            self.one.renew_and_read()
+        self.assertEqual(['one'], self.listed())
+
+    def test_stale(self):
+        """Entries that renew no more are known, also when they have expired."""
+        self.assertEqual([], self.one.stale_members())
+        stale = []
+        while self.clock.now < FORGOTTEN_S + RENEW_INTERVAL_S:
+            self.clock.advance(RENEW_INTERVAL_S)
+            self.one.renew_and_read()
+            stale.append([each.name for each in self.one.stale_members()])
+        self.assertEqual([], stale[0])
+        self.assertEqual([['two']] * (int(FORGOTTEN_S) - 2), stale[1:-2])
+        self.assertEqual([], stale[-1])
