Limits: report an outage while a call of the store has no reply

Cause: an entry reported an outage only after its read had failed. If the store does not reply, a renewal and a read that is tried twice time out after 1 s each. Half of the members had therefore not reported when the leases ended 2.5 s after the renewal, and nobody counted until the store was back.

Change: an entry that has not renewed for 1.3 s reports the outage once a call has had no reply for 0.1 s. Until its next read succeeds it counts as one whose read failed: it does not report that it has the store, and that read lets the leases for the limits begin anew, on which the other entries rely when the store is back. An entry whose call is overdue never reports that it has the store. One that has it also tells the entries that have reported an outage, as those count on for some time after one that lacked the store has it again.

The store silent to 1, half or 60% of the entries: no window over its bound and no two entries counted.

--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -35,10 +35,15 @@
 
 
 class LeaseAges(NamedTuple):
-    """Seconds since the last renewal and read; infinity before the first."""
+    """Seconds since the last renewal and read; infinity before the first.
+
+    ``overdue_s`` is for how long the call in progress has had no reply, 0 if
+    there is none.
+    """
 
     unrenewed_s: float
     unread_s: float
+    overdue_s: float = 0
 
 
 class Membership:
@@ -69,8 +74,12 @@
         # When the members were last read; whether they have been read since
         # the last attempt that failed.
         self._read_at: float | None = None
-        # When they were first read after this entry was last suspended.
+        # When they were first read after this entry was last suspended, and
+        # whether it has reported an outage since the last read.
         self._resumed_at = float('-inf')
+        self._is_suspect = False
+        # When the renewal and read in progress began their current call.
+        self._called_at: float | None = None
         self._is_read = False
         self._has_left = False
         self._on_read: Callable[[], None] | None = None
@@ -101,10 +110,12 @@
         """
         if self._has_left:
             return
+        self._called_at = self._clock.monotonic()
         try:
             self._renew()
         except (StoreUnavailable, WriteUnknown) as exc:
             logs.emit(events.RENEWAL_FAILED, error=str(exc))
+        self._called_at = self._clock.monotonic()
         try:
             self._read()
         except StoreUnavailable as read_error:
@@ -112,6 +123,8 @@
             # unnoticed: all leases count anew from the next read.
             self._is_read = False
             logs.emit(events.RENEWAL_FAILED, error=str(read_error))
+        finally:
+            self._called_at = None
 
     def lease_is_valid(self) -> bool:
         """Return whether no other entry can have taken over this one's jobs.
@@ -139,18 +152,27 @@
         )
 
     def ages(self) -> LeaseAges:
-        """Return the ages of the last renewal and the last read."""
+        """Return the ages of the last renewal, read and call."""
         now = self._clock.monotonic()
         times = (self.renewed_at, self._read_at)
         unrenewed_s, unread_s = (
             float('inf') if at is None else now - at for at in times
         )
-        return LeaseAges(unrenewed_s, unread_s)
+        overdue_s = 0 if self._called_at is None else now - self._called_at
+        return LeaseAges(unrenewed_s, unread_s, overdue_s)
 
     @property
     def is_read(self) -> bool:
-        """Whether the last attempt to read the members succeeded."""
-        return self._is_read
+        """Whether the last read succeeded and no outage is suspected."""
+        return self._is_read and not self._is_suspect
+
+    def suspect_outage(self) -> None:
+        """Let the leases for the limits begin anew with the next read.
+
+        Until then ``is_read`` is False. Other entries have been told that this
+        one lacks the store, and rely on that when it has it again.
+        """
+        self._is_suspect = True
 
     @property
     def has_joined(self) -> bool:
@@ -275,8 +297,9 @@
         rows = self._table.scan(MEMBER_PREFIX, Priority.lease)
         now = self._clock.monotonic()
         restart = not self._is_read
-        if self.ages().unread_s >= RESUMED_S:
+        if self._is_suspect or self.ages().unread_s >= RESUMED_S:
             self._resumed_at = now
+        self._is_suspect = False
         known = set(self._records)
         found = {
             row.key.removeprefix(MEMBER_PREFIX): row
--- a/cactusridge/organisations/common_outage.py
+++ b/cactusridge/organisations/common_outage.py
@@ -72,6 +72,10 @@
         """Return whether ``entry`` has recently reported an outage."""
         return self._without.get(entry, 0) > self._now_ms() - REPORT_MS
 
+    def lacking(self) -> list[str]:
+        """Return the entries that have recently reported an outage."""
+        return [each for each in self._without if self.recently_lacked(each)]
+
     def update(self, members: Collection[str], unrenewed_s: float) -> None:
         """Evaluate the reports; call this several times a second.
 
--- a/cactusridge/organisations/lease_state.py
+++ b/cactusridge/organisations/lease_state.py
@@ -37,6 +37,17 @@
         no longer has.
         """
 
+    @abc.abstractmethod
+    def overdue_s(self) -> float:
+        """Return for how long a call for the lease has had no reply."""
+
+    @abc.abstractmethod
+    def suspect_outage(self) -> None:
+        """Count the members as not read until the next read succeeds.
+
+        The leases of the others begin anew with that read.
+        """
+
     @property
     @abc.abstractmethod
     def is_read(self) -> bool:
--- a/cactusridge/organisations/outage_watch.py
+++ b/cactusridge/organisations/outage_watch.py
@@ -17,6 +17,10 @@
 # Seconds without a renewal after which the store does not respond to an entry:
 # it renews its lease every second.
 WITHOUT_STORE_S = 1.3
+# Seconds after which a reply of the store is overdue: some twenty-five times
+# the usual 4 ms. A call times out after a second, and half of the members must
+# have reported the outage before the leases end.
+OVERDUE_S = 0.1
 # Seconds of membership at the last renewal that an entry needs to count on.
 MEMBER_S = 3.0
 # Largest number of reports in one message, some 20 KB.
@@ -47,6 +51,7 @@
     def step(self) -> None:
         """Send reports if the store is away; call every WATCH_INTERVAL_S."""
         members = self._members()
+        self._suspect_if_overdue()
         if self._lacks_store():
             self._outage.note(self._own_report(has_store=False))
             known = self._outage.reports()
@@ -54,8 +59,9 @@
             self._send_to_some(members, reports)
         elif self._has_store():
             # Those that lack the store may not know of this entry.
+            lacking = {*self._lease.stale_members(), *self._outage.lacking()}
             report = self._own_report(has_store=True)
-            self._send_to_some(self._lease.stale_members(), [report])
+            self._send_to_some(sorted(lacking), [report])
         # Entries that count on in the outage have read the list before it. They
         # know only those that had been members for some time.
         if self._lease.member_s() >= MEMBER_S:
@@ -93,15 +99,25 @@
         return StoreReport(self._own_name, int(self._now_ms()), has_store)
 
     def _has_store(self) -> bool:
-        """Return whether the last renewal and read are recent successes."""
+        """Return whether the last renewal and read are recent successes.
+
+        An entry that waits for a reply may be the next to lack the store.
+        """
         is_renewed = self._lease.unrenewed_s() < WITHOUT_STORE_S
-        return is_renewed and self._lease.is_read
+        is_overdue = self._lease.overdue_s() >= OVERDUE_S
+        return is_renewed and self._lease.is_read and not is_overdue
+
+    def _suspect_if_overdue(self) -> None:
+        """Do not await the timeout of a call without which the lease ends."""
+        is_renewed = self._lease.unrenewed_s() <= WITHOUT_STORE_S
+        if not is_renewed and self._lease.overdue_s() >= OVERDUE_S:
+            self._lease.suspect_outage()
 
     def _lacks_store(self) -> bool:
         """Return whether neither a renewal nor a read succeeds.
 
-        Only after a failed read does an entry let the leases of the others
-        begin anew, on which they rely when the store is back.
+        Only after a failed or overdue read does an entry let the leases of
+        the others begin anew, on which they rely when the store is back.
         """
         return self._lease.unrenewed_s() > WITHOUT_STORE_S and (
             not self._lease.is_read
--- a/cactusridge/platform/membership_lease.py
+++ b/cactusridge/platform/membership_lease.py
@@ -35,6 +35,14 @@
             for each in self._session.stale_members()
         ]
 
+    def overdue_s(self) -> float:
+        """Return for how long a call for the lease has had no reply."""
+        return self._session.ages().overdue_s
+
+    def suspect_outage(self) -> None:
+        """Count the members as not read until the next read succeeds."""
+        self._session.suspect_outage()
+
     @property
     def is_read(self) -> bool:
         """Whether the last attempt to read the members succeeded."""
--- a/tests/limits_entry.py
+++ b/tests/limits_entry.py
@@ -22,6 +22,8 @@
         self.ready = True
         self.restarted = False
         self.store_lost = False
+        # Whether the store does not reply, so that calls wait for a timeout.
+        self.store_silent = False
         self.frozen = False
         self.powered_off = False
         # Entries with equal names here reach each other; those with an
@@ -59,7 +61,14 @@
         self.process.run_due()
 
     def renew(self) -> None:
-        """Renew this entry's row and read the rows of all entries."""
+        """Renew this entry's row and read the rows of all entries.
+
+        If the store does not reply, go on when the call times out.
+        """
+        wait_s = self.process.members.await_reply()
+        if wait_s:
+            self.renew_at = self.fleet.clock.now + wait_s
+            return
         self.renew_at = self.fleet.clock.now + READ_S
         self.process.renew()
         if self.process.members.is_read and not self.process.members.has_left:
--- a/tests/limits_fleet.py
+++ b/tests/limits_fleet.py
@@ -36,11 +36,15 @@
 
 
 class Outage(NamedTuple):
-    """The store does not respond to a ``share`` of the entries."""
+    """The store is unavailable to a ``share`` of the entries.
+
+    It refuses calls, or does not reply to them if it is ``silent``.
+    """
 
     at: float
     for_s: float
     share: float = 1
+    silent: bool = False
 
 
 class Roll(NamedTuple):
@@ -121,14 +125,14 @@
 
     def _apply_outages(self, outages: Sequence[Outage]) -> None:
         now = self.clock.now
-        shares = [
-            each.share
-            for each in outages
-            if each.at <= now < each.at + each.for_s
+        current = [
+            each for each in outages if each.at <= now < each.at + each.for_s
         ]
-        count = round(len(self.entries) * max(shares, default=0))
-        for number, entry in enumerate(self.entries):
-            entry.store_lost = number < count
+        for silent, kind in ((False, 'store_lost'), (True, 'store_silent')):
+            shares = [each.share for each in current if each.silent is silent]
+            count = round(len(self.entries) * max(shares, default=0))
+            for number, entry in enumerate(self.entries):
+                setattr(entry, kind, number < count)
 
     def _apply_roll(self, roll: Roll) -> None:
         """Stop and restart each entry when it is its turn."""
--- a/tests/limits_membership.py
+++ b/tests/limits_membership.py
@@ -15,6 +15,10 @@
 ROW_CURRENT_S = 2.5
 MEMBERSHIP_GAP_S = 3.0
 RESTART_STEP_S = 0.001
+# Timeout of a call of the store, and the number of calls of each step: a
+# renewal, and a read that is repeated once.
+CALL_TIMEOUT_S = 1.0
+CALLS = 3
 NEVER = float('-inf')
 
 
@@ -45,6 +49,11 @@
         self._read_at = NEVER
         self._is_read = False
         self._rows: dict[str, ReadRow] = {}
+        # The call that waits for a reply: which of CALLS, and since when.
+        self._call = 0
+        self._sent_at = NEVER
+        self._is_renewal_lost = False
+        self._is_suspect = False
 
     def is_current(self):
         """Return whether the row was renewed and the rows read recently."""
@@ -72,8 +81,16 @@
 
     @property
     def is_read(self):
-        """Whether the last read succeeded."""
-        return self._is_read
+        """Whether the last read succeeded and no outage is suspected."""
+        return self._is_read and not self._is_suspect
+
+    def overdue_s(self):
+        """Return for how long the current call has had no reply."""
+        return 0 if self._sent_at == NEVER else self._clock.now - self._sent_at
+
+    def suspect_outage(self):
+        """Count the members as not read until the next read."""
+        self._is_suspect = True
 
     def listed(self) -> list[Candidate]:
         """Return the live entries according to this entry's reads."""
@@ -101,31 +118,62 @@
         now = self._clock.now
         if self.has_left:
             return
-        if self._entry.partitioned or self._entry.store_lost:
+        is_renewal_lost = self._is_renewal_lost
+        self._is_renewal_lost = False
+        if self._lacks_store():
             self._is_read = False
             return
         rows = self._entry.fleet.rows
-        restart = not self._is_read or self.unread_s() >= RESUMED_S
-        is_new = self._renewed == NEVER
-        if is_new:
-            self._continue_previous(rows.get(self._entry.name))
-        if self.unrenewed_s() > MEMBERSHIP_GAP_S and not (continues or is_new):
-            self._since = now
-        self._renewed = now
-        rows[self._entry.name] = FleetRow(self._since, now)
+        restart = not self.is_read or self.unread_s() >= RESUMED_S
+        if not is_renewal_lost:
+            self._renew(now, continues)
         self._rows = {
             name: ReadRow(row, self._changed_at(name, row, restart))
             for name, row in rows.items()
         }
         self._read_at = now
         self._is_read = True
+        self._is_suspect = False
+
+    def await_reply(self) -> float:
+        """Return how long the call in progress waits until it times out.
+
+        Returns 0 if there is a reply, or if all calls have timed out.
+        """
+        now = self._clock.now
+        if self._sent_at != NEVER:
+            self._call += 1
+            self._is_renewal_lost = True
+            self._sent_at = NEVER
+        if self._entry.store_silent and self._call < CALLS:
+            self._sent_at = now
+            return CALL_TIMEOUT_S
+        self._call = 0
+        return 0
 
     def leave(self) -> None:
         """Remove the row if the store responds, and renew it no longer."""
         self.has_left = True
-        if not (self._entry.partitioned or self._entry.store_lost):
+        if not self._lacks_store():
             self._entry.fleet.rows.pop(self._entry.name, None)
 
+    def _lacks_store(self) -> bool:
+        return (
+            self._entry.partitioned
+            or self._entry.store_lost
+            or self._entry.store_silent
+        )
+
+    def _renew(self, now: float, continues: bool) -> None:
+        rows = self._entry.fleet.rows
+        is_new = self._renewed == NEVER
+        if is_new:
+            self._continue_previous(rows.get(self._entry.name))
+        if self.unrenewed_s() > MEMBERSHIP_GAP_S and not (continues or is_new):
+            self._since = now
+        self._renewed = now
+        rows[self._entry.name] = FleetRow(self._since, now)
+
     def _continue_previous(self, row: FleetRow | None) -> None:
         """Continue the membership of a process that ended a moment ago."""
         now = self._clock.now
--- a/tests/test_limits_outage.py
+++ b/tests/test_limits_outage.py
@@ -7,18 +7,49 @@
 
 from cactusridge.organisations.errors import LimitUnavailable
 from cactusridge.organisations.organisation import RateLimit
-from tests.limits_fleet import Fleet
+from tests.limits_fleet import Fleet, Outage
 from tests.limits_limiters import by_owners
+from tests.limits_play import Course, play
 
 NAMES = tuple(f'o{number}' for number in range(8))
 LIMIT = RateLimit(4, 4)
+FLEET = 39
 ENTRIES = 9
+# Largest share of requests within their limits that may be refused.
+MOST_REFUSED = 0.001
 START_S = 15.0
 OUTAGE_AT_S = 20.0
 STEP_S = 0.05
 LONGER_THAN_LEASE_S = 12.0
 
 
+class TestSilentStore(unittest.TestCase):
+    """The store does not reply to any entry for some seconds."""
+
+    @params(3, 5, 7)
+    def test_within_the_limit(self, length_s):
+        """Entries that wait for timeouts go on to count.
+
+        They noticed the outage only when their calls timed out, and nobody
+        counted until the store was back.
+        """
+        outage = Outage(24, length_s, silent=True)
+        course = Course(outages=(outage,))
+        played = play(FLEET, by_owners, 1, course=course)
+        self.assertLessEqual(played.over, 0)
+        self.assertEqual(0, played.doubles)
+        self.assertLess(played.usual_refused_share, MOST_REFUSED)
+
+    @params(1 / FLEET, 0.5, 0.6)
+    def test_silent_to_some(self, share):
+        """The bound holds if the store replies to some entries."""
+        outage = Outage(24, 7, share, silent=True)
+        course = Course(outages=(outage,))
+        played = play(FLEET, by_owners, 1, course=course)
+        self.assertLessEqual(played.over, 0)
+        self.assertEqual(0, played.doubles)
+
+
 class TestOneReachesStore(unittest.TestCase):
     """An entry reaches the store while the others count without it."""
 
@@ -97,6 +128,23 @@
         self.lose_store(self.others, lost=False)
         self.run_until(self.fleet.clock.now + LONGER_THAN_LEASE_S)
 
+    @params(0, 0.3)
+    def test_new_regains_it(self, lost_share):
+        """The one that joined during the outage lacks the store for a time.
+
+        The others go on for longer than after a report of an entry that never
+        lacked it. They must hear of it as soon as it has the store again.
+        """
+        self.fleet.lost_share = lost_share
+        self.run_until(OUTAGE_AT_S)
+        self.lose_store(self.others)
+        self.last.set_lost(lost=False, powered_off=False)
+        self.run_until(OUTAGE_AT_S + STEP_S)
+        self.lose_store([self.last])
+        self.run_until(OUTAGE_AT_S + 5)
+        self.lose_store([self.last], lost=False)
+        self.run_until(self.fleet.clock.now + LONGER_THAN_LEASE_S)
+
     def counts(self, entry, name):
         """Return whether an entry may count an organisation."""
         return entry.process.counter.holds.usable(name) is not None
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -173,6 +173,42 @@
             self.one.renew_and_read()
         self.assertEqual(['one'], self.listed())
 
+    def test_suspected_outage(self):
+        """After a report of an outage the leases for the limits begin anew.
+
+        Other entries count on for some time after such an entry has the store
+        again, so it must not take their places then.
+        """
+        self.clock.advance(RENEW_INTERVAL_S)
+        self.one.renew_and_read()
+        self.one.suspect_outage()
+        self.assertFalse(self.one.is_read)
+        self.clock.advance(RENEW_INTERVAL_S)
+        self.one.renew_and_read()
+        self.assertTrue(self.one.is_read)
+        while self.clock.now < RENEW_INTERVAL_S + MEMBER_LEASE_S:
+            self.assertEqual(['one', 'two'], self.listed())
+            self.clock.advance(RENEW_INTERVAL_S)
+            self.one.renew_and_read()
+        self.assertEqual(['one', 'two'], self.listed())
+
+    def test_overdue(self):
+        """A renewal or read without a reply is overdue while it waits."""
+        overdue = []
+
+        def wait_for_reply(*call):
+            self.clock.advance(1)
+            overdue.append(self.one.ages().overdue_s)
+            raise StoreUnavailable
+
+        with (
+            mock.patch.object(self.table, 'transact', wait_for_reply),
+            mock.patch.object(self.table, 'scan', wait_for_reply),
+        ):
+            self.one.renew_and_read()
+        self.assertEqual([1, 1], overdue)
+        self.assertEqual(0, self.one.ages().overdue_s)
+
     def test_stale(self):
         """Entries that renew no more are known, also when they have expired."""
         self.assertEqual([], self.one.stale_members())
