--- a/cactusridge/jobs/member_views.py
+++ b/cactusridge/jobs/member_views.py
@@ -51,11 +51,15 @@
         own: Member,
         records: Mapping[str, MemberRecord],
         read_at: float,
+        resumed_at: float,
     ) -> tuple[Member, ...]:
-        """Return ``own`` and the members that were live at ``read_at``."""
-        basis = (own, records, read_at)
+        """Return ``own`` and the members that were live at ``read_at``.
+
+        No lease began before ``resumed_at``.
+        """
+        basis = (own, records, read_at, resumed_at)
         if basis != self._as_read_basis:
-            found = self._members(own, records, read_at)
+            found = self._members(own, records, read_at, resumed_at)
             if found != self._as_read:
                 self._as_read = found
             self._as_read_basis = basis
@@ -66,13 +70,14 @@
         own: Member,
         records: Mapping[str, MemberRecord],
         now: float,
+        resumed_at: float = -NEVER_S,
     ) -> tuple[Member, ...]:
         others = [
             record.member
             for record in records.values()
             if record.member is not None
             and record.member.name != own.name
-            and now - record.seen_at < self._lease_s
+            and now - max(record.seen_at, resumed_at) < self._lease_s
         ]
         return (own, *others)
 
--- a/tests/test_outage_watch.py
+++ b/tests/test_outage_watch.py
@@ -42,6 +42,17 @@
         """Return a time that suffices to count on."""
         return 60
 
+    def stale_members(self):
+        """Return no entry, since none renews its row."""
+        return ()
+
+    def overdue_s(self):
+        """Return that no call awaits a reply."""
+        return 0
+
+    def suspect_outage(self):
+        """Do nothing, since the last read has failed."""
+
     @property
     def is_read(self):
         """Whether the last read succeeded: it has failed."""
