--- a/tests/test_recovery_of_jobs.py
+++ b/tests/test_recovery_of_jobs.py
@@ -13,15 +13,23 @@
 import gevent
 from nose2.tools import params
 
+from cactusridge.errors import StoreUnavailable
 from cactusridge.hashing import hash64, rendezvous
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.keys import head_key
+from cactusridge.jobs.manager import ORPHAN_POLL_S
 from cactusridge.jobs.membership import MEMBER_LEASE_S
 from cactusridge.jobs.model import JobHead, head_value
-from cactusridge.jobs.orphans import RANK_DELAY_S, Orphans
+from cactusridge.jobs.orphans import (
+    RANK_DELAY_S,
+    UNREADABLE_PAUSE_S,
+    Orphans,
+)
 from cactusridge.platform.job_parts import JobParts
 from cactusridge.store.table import Row
+from cactusridge.store.unreadable import UnreadableRecord
 from standins.waiting import wait_for
+from tests.emitted import emitted
 from tests.machine_case import MachineCase
 from tests.test_spoilt_members import MemberCase
 
@@ -55,6 +63,23 @@
         for job in self.jobs('two', self.old_life):
             self.assertTrue(self.due(self.two, job))
 
+    @params(
+        (UnreadableRecord('its items'), False),
+        (StoreUnavailable(), True),
+    )
+    def test_failed_takeover(self, exc, due):
+        """An own job that cannot be read is delayed, and no other job is."""
+        failing, other = self.jobs('two', self.old_life)[:2]
+        orphans = Orphans(self.two, self.clock)
+        self.assertTrue(orphans.should_take_over(failing))
+        with emitted():
+            orphans.takeover_failed(failing, exc)
+        self.clock.advance(ORPHAN_POLL_S)
+        self.assertEqual(due, orphans.should_take_over(failing))
+        self.assertTrue(orphans.should_take_over(other))
+        self.clock.advance(UNREADABLE_PAUSE_S)
+        self.assertTrue(orphans.should_take_over(failing))
+
     def test_of_another(self):
         """One of the other entries at most takes over at once, by rank."""
         for job in self.jobs('two', self.old_life):
