Limits: return a token to the entry that counted the request

Cause: OwnerLimiter kept the entry that was asked last for an organisation, also if it had not counted. The token of a request went to that entry when a later request of the organisation was counted elsewhere or by no entry.

Change: only an entry that counted is kept. Limiter.check returns it, the permit of the request keeps it, and return_token is given it; it returns nothing if no entry counted. The call in test_limits.py and the simulated limiter have the new parameter.

--- a/cactusridge/organisations/limiter.py
+++ b/cactusridge/organisations/limiter.py
@@ -20,25 +20,36 @@
 class Limiter(abc.ABC):
     """Decides whether one more request of an organisation may run."""
 
-    def check(self, organisation: Organisation, version: int) -> None:
-        """Count a request of ``organisation``.
+    def check(self, organisation: Organisation, version: int) -> str:
+        """Count a request of ``organisation``; return where it was counted.
 
         ``version`` is the catalog version that contains its limit. Raises
         OverLimit if the limit is exceeded, and LimitUnavailable if no entry
         that counts the organisation could be reached.
         """
         if organisation.limit is None:
-            return
+            return ''
         wait_s = self.take(organisation.name, organisation.limit, version)
         if wait_s:
             raise OverLimit(
                 f'{organisation.name} has exceeded its rate limit',
                 retry_after_s=max(MIN_RETRY_S, wait_s),
             )
+        return self.counted_by(organisation.name)
+
+    def counted_by(self, name: str) -> str:
+        """Return the entry that counted the request of the last ``take``.
+
+        It is empty if that was not another entry's decision.
+        """
+        return ''
 
     @abc.abstractmethod
-    def return_token(self, name: str) -> None:
-        """Return the token of a request that has not run."""
+    def return_token(self, name: str, counted_by: str) -> None:
+        """Return the token of a request that has not run.
+
+        ``counted_by`` is what ``check`` returned for the request.
+        """
 
     @abc.abstractmethod
     def take(self, name: str, limit: RateLimit, version: int) -> float:
@@ -75,7 +86,7 @@
             bucket.change(share, now)
         return bucket.take(now)
 
-    def return_token(self, name: str) -> None:
+    def return_token(self, name: str, counted_by: str) -> None:
         """Return a token to this entry's share."""
         self._buckets[name].put_back()
 
@@ -87,5 +98,5 @@
         """Admit the request without counting it."""
         return 0
 
-    def return_token(self, name: str) -> None:
+    def return_token(self, name: str, counted_by: str) -> None:
         """Do nothing, since no request is counted."""
--- a/cactusridge/organisations/owner_limiter.py
+++ b/cactusridge/organisations/owner_limiter.py
@@ -59,6 +59,7 @@
         Returns 0, or the seconds until a token is available. Raises
         LimitUnavailable if no entry counted the request.
         """
+        self._counted_by.pop(name, None)
         request = LimitRequest(name, limit, version)
         for entry in self._owners.ranked_entries(name):
             reply = self._request_patiently(entry, request)
@@ -73,17 +74,20 @@
             )
         raise LimitUnavailable
 
-    def return_token(self, name: str) -> None:
-        """Return a token to the entry that counted the last request.
+    def counted_by(self, name: str) -> str:
+        """Return the entry that counted the last request, '' if none did."""
+        return self._counted_by.get(name, '')
+
+    def return_token(self, name: str, counted_by: str) -> None:
+        """Return a token to the entry that counted the request, if any.
 
         The datagram is not acknowledged: if it is lost, the organisation
         loses that one token.
         """
-        owner = self._counted_by[name]
-        if owner == self._own_name:
+        if counted_by == self._own_name:
             self._counter.return_token(name)
-        else:
-            self._client.return_token(owner, name)
+        elif counted_by:
+            self._client.return_token(counted_by, name)
 
     def _is_known_ended(self, entry: str) -> bool:
         """Return whether ``entry`` is in backoff and known to have exited."""
@@ -118,7 +122,8 @@
         round trips for each ranked entry.
         """
         reply = self._request(entry, request)
-        self._counted_by[request.name] = entry
+        if reply is not None and reply.counted:
+            self._counted_by[request.name] = entry
         if reply is None or reply.moved_to in {'', entry}:
             return reply
         moved_to = reply.moved_to
--- a/cactusridge/organisations/permit.py
+++ b/cactusridge/organisations/permit.py
@@ -69,6 +69,7 @@
         self._limiter = limiter
         self._version = version
         self._counted = False
+        self._counted_by = ''
 
     def check(self) -> None:
         """Raise UnknownKey or KeysUnconfirmed unless the key is still valid.
@@ -91,8 +92,9 @@
         """
         if self._counted:
             return
-        self._limiter.check(self._organisation, self._version)
+        counted_by = self._limiter.check(self._organisation, self._version)
         self._counted = True
+        self._counted_by = counted_by
         # The key is checked again, because the host may have been suspended
         # while the request to the limiter was pending.
         self.check()
@@ -100,5 +102,7 @@
     def undo_count(self) -> None:
         """Undo the count if the request was counted against a limit."""
         if self._counted and self._organisation.limit is not None:
-            self._limiter.return_token(self._organisation.name)
+            self._limiter.return_token(
+                self._organisation.name, self._counted_by
+            )
         self._counted = False
--- a/tests/limits_limiters.py
+++ b/tests/limits_limiters.py
@@ -59,7 +59,7 @@
         """Take a token for a request that another entry admitted."""
         self._bucket(name, limit).take(self._entry.fleet.clock.now)
 
-    def return_token(self, name):
+    def return_token(self, name, counted_by):
         """Do nothing, since no simulated request is returned."""
 
     def _bucket(self, name, limit):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -198,11 +198,11 @@
         clock = ManualClock()
         limiter = FixedShares(lambda: 1, clock)
         organisation = Organisation('o', None, RateLimit(2, 1))
-        limiter.check(organisation, 1)
+        counted_by = limiter.check(organisation, 1)
         with self.assertRaises(OverLimit) as refused:
             limiter.check(organisation, 1)
         self.assertEqual(0.5, refused.exception.retry_after_s)
-        limiter.return_token('o')
+        limiter.return_token('o', counted_by)
         limiter.check(organisation, 1)
 
     def test_no_limit(self):
