--- a/cactusridge/organisations/limit_counter.py
+++ b/cactusridge/organisations/limit_counter.py
@@ -160,7 +160,7 @@
         if found is None:
             found = self._owners.first(name)
         if found == self._owners.own:
-            found = self._owners.previous(name)
+            found = self._owners.predecessor(name)
         return '' if found is None else found.name
 
     def _count_as_backup(self, request: LimitRequest) -> LimitResponse:
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -78,7 +78,7 @@
     def rebalance(self) -> None:
         """Hand over the counts of which this entry is the owner no longer."""
         own = self._owners.own
-        if own is None:
+        if own is None or self.has_stopped:
             return
         has_lapsed = self._lease.has_lapsed()
         for name in self._holds.names():
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from cactusridge.clock import Clock
+from cactusridge.hashing import hash64, rendezvous
 from cactusridge.organisations.limit_messages import Candidate
 from cactusridge.organisations.member_ages import MemberAges, SettledMembers
 from cactusridge.organisations.ranking import Ranking
@@ -135,21 +136,15 @@
     def predecessor(self, organisation: str) -> Candidate | None:
         """Return the entry that may have counts of an organisation.
 
-        None if nobody can have any that it would hand over.
-        """
-        found = self.previous(organisation)
-        return None if found in self._stopping else found
-
-    def previous(self, organisation: str) -> Candidate | None:
-        """Return the entry that may have counted an organisation before.
-
         It is the first one before the last change, or the next one if this
-        entry was first then. It may be stopping.
+        entry was first then. None if nobody can have any.
         """
         before = self._previous.of(organisation)[:1]
         after = self._eligible.of(organisation)[:2]
-        others = (each for each in (*before, *after) if each != self.own)
-        return next(others, None)
+        for each in (*before, *after):
+            if each != self.own:
+                return None if each in self._stopping else each
+        return None
 
     def first(self, organisation: str) -> Candidate | None:
         """Return the owner of an organisation, None while there is none."""
@@ -164,6 +159,11 @@
         """Return whether this entry is the owner or a backup owner."""
         return self.own_name in self.ranked_entries(organisation)
 
+    def is_outranked(self, organisation: str, entry: Candidate) -> bool:
+        """Return whether ``entry`` comes before this one if both are listed."""
+        names = (entry.name, self.own_name)
+        return rendezvous(names, hash64(organisation))[0] == entry.name
+
     def is_before(self, organisation: str, entry: Candidate) -> bool:
         """Return whether ``entry`` is to have counts before this one."""
         for each in self._receivers.of(organisation):
@@ -172,21 +172,17 @@
         return False
 
     def is_possible_owner(self, entry: Candidate) -> bool:
-        """Return whether an entry may be an owner and is not stopping."""
-        is_eligible = entry in self._eligible.members
-        return is_eligible and entry not in self._stopping
+        """Return whether an entry may be an owner."""
+        return entry in self._eligible.members
 
     def note_stopping(self, entry: Candidate) -> None:
-        """Rank ``entry`` no longer, unless all possible owners are stopping."""
+        """Rank ``entry`` no longer: it has stopped counting for good."""
         if entry not in self._stopping:
             self._stopping |= {entry}
             self.update()
 
     def stop(self) -> None:
-        """Rank this entry no longer, in any membership.
-
-        It stays ranked while all possible owners are stopping.
-        """
+        """Rank this entry no longer, in any membership."""
         self._has_stopped = True
         self.update()
 
@@ -225,26 +221,17 @@
             self._stopping |= {self.own}
 
     def _rank(self, settled: SettledMembers) -> None:
-        """Rank the members that have been listed for long enough.
-
-        While nobody can take over from the entries that are stopping, these
-        stay ranked: they serve callers until they exit and count them.
-        """
+        """Rank the members that have been listed for long enough."""
+        self._set_eligible(settled.eligible)
+        self.has_own_right = self.own in settled.counting
+        own = frozenset({self.own} if self.own else ())
+        counting = (settled.others | own) - self._stopping
+        self._counting = self._counting.updated(counting)
         receivers = settled.receivers - self._stopping
         self._receivers = self._receivers.updated(receivers)
-        own = frozenset({self.own} if self.own else ())
-        counting = settled.others | own
-        self._counting = self._counting.updated(
-            counting - self._stopping or counting
-        )
-        self.has_own_right = self.own in settled.counting
-        self._set_eligible(
-            settled.eligible - self._stopping
-            if receivers
-            else settled.receivers
-        )
 
-    def _set_eligible(self, eligible: frozenset[Candidate]) -> None:
+    def _set_eligible(self, settled: frozenset[Candidate]) -> None:
+        eligible = settled - self._stopping
         if eligible == self._eligible.members:
             return
         self._previous = self._eligible
--- a/cactusridge/organisations/limit_receipts.py
+++ b/cactusridge/organisations/limit_receipts.py
@@ -14,7 +14,6 @@
     HeldCount,
 )
 from cactusridge.organisations.limit_owners import LimitOwners
-from cactusridge.organisations.ranking import is_ranked_first
 
 
 class _Receipt(NamedTuple):
@@ -89,9 +88,7 @@
             for each in held.ceders
             if each.entry.name != self._owners.own_name
             and each.until_ms > now_ms
-            and is_ranked_first(
-                each.entry.name, self._owners.own_name, held.name
-            )
+            and self._owners.is_outranked(held.name, each.entry)
         )
 
     def _drop_old(self) -> None:
--- a/cactusridge/organisations/owner_limiter.py
+++ b/cactusridge/organisations/owner_limiter.py
@@ -18,9 +18,6 @@
 # that responds but does not count yet.
 OWNER_RETRIES = 2
 OWNER_RETRY_S = 0.02
-# How often a request follows to the entry that is said to count instead. While
-# several entries stop at the same time, counts move twice.
-MAX_MOVES = 2
 
 
 class OwnerLimiter(Limiter):
@@ -121,20 +118,20 @@
     ) -> LimitResponse | None:
         """Request a token from an entry, or from the one that it names.
 
-        That one may name another one, up to MAX_MOVES times, which bounds the
+        That one is not followed further, so a request costs at most two
         round trips for each ranked entry.
         """
         reply = self._request(entry, request)
-        moved = reply
-        for _ in range(MAX_MOVES):
-            if moved is None or moved.counted or moved.moved_to in {'', entry}:
-                break
-            entry = moved.moved_to
-            moved = self._request(entry, request)
-        if moved is None or not moved.counted:
+        if reply is not None and reply.counted:
+            self._counted_by[request.name] = entry
+        if reply is None or reply.moved_to in {'', entry}:
             return reply
-        self._counted_by[request.name] = entry
-        return moved
+        moved_to = reply.moved_to
+        followed = self._request(moved_to, request)
+        if followed is None or not followed.counted:
+            return reply
+        self._counted_by[request.name] = moved_to
+        return followed
 
     def _request(
         self, entry: str, request: LimitRequest
--- a/cactusridge/organisations/ranking.py
+++ b/cactusridge/organisations/ranking.py
@@ -27,8 +27,3 @@
     def updated(self, members: frozenset[Candidate]) -> 'Ranking':
         """Return the ranking of ``members``: this one if they are the same."""
         return self if members == self.members else Ranking(members)
-
-
-def is_ranked_first(entry: str, other: str, organisation: str) -> bool:
-    """Return whether ``entry`` comes before ``other`` in any ranking."""
-    return rendezvous((entry, other), hash64(organisation))[0] == entry
