Limits: an entry stopped before it reads the list counts nothing

Cause: LimitHandover.stop did nothing while the entry did not know its own row. A process that restarts continues the membership of the one before. If it was told to stop before its first read, it began to count as the owner after that read, and handed nothing over when it ended.

Change: the stop is kept by LimitOwners whether the members have been read or not. The entry then never counts, accepts no handover, and announces its stop once it has read the list.

--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -50,17 +50,14 @@
         self._lease = lease
         self._link = link
         self._clock = clock
-        self._stopping: Candidate | None = None
         self._announced_at = float(0)
         self._revision = owners.revision
         self._receipts = LimitReceipts(owners, holds, lease, clock)
 
     def stop(self) -> None:
         """Stop counting for good and hand over all counts."""
-        own = self._owners.own
-        if own is None or self._stopping is not None:
+        if self.has_stopped:
             return
-        self._stopping = own
         self._owners.stop()
         self._announced_at = self._clock.monotonic()
         self._cede(self._holds.names())
@@ -73,7 +70,7 @@
     @property
     def has_stopped(self) -> bool:
         """Whether this entry has stopped counting for good."""
-        return self._stopping is not None
+        return self._owners.has_stopped
 
     def rebalance(self) -> None:
         """Hand over the counts of which this entry is the owner no longer."""
@@ -91,14 +88,16 @@
         """Repeat messages that were not answered; call this often."""
         self._rebalance_if_due()
         now = self._clock.monotonic()
-        if self._stopping and now - self._announced_at >= ANNOUNCE_S:
+        own = self._owners.own
+        is_due = now - self._announced_at >= ANNOUNCE_S
+        if own is not None and self.has_stopped and is_due:
             self._announced_at = now
-            self._link.announce_stop(self._stopping)
+            self._link.announce_stop(own)
         for handover in self.outbox.pending():
             self._check_receiver(handover)
         self.outbox.resend()
-        if self._owners.own is not None:
-            self.takeovers.resend(self._owners.own)
+        if own is not None:
+            self.takeovers.resend(own)
 
     def receive(self, handover: Handover) -> None:
         """Take over counts, unless the message is old or not for this entry."""
@@ -106,8 +105,8 @@
         sender = handover.sender
         if handover.receiver != self._owners.own or now_ms > handover.until_ms:
             return
-        if self._stopping is not None:
-            self._link.announce_stop(self._stopping, sender.name)
+        if self.has_stopped:
+            self._link.announce_stop(handover.receiver, sender.name)
             return
         if handover.stopping:
             self._owners.note_stopping(sender)
@@ -205,7 +204,7 @@
 
     def _send(self, receiver: Candidate, names: Sequence[str]) -> None:
         """Stop counting ``names`` and send their counts to ``receiver``."""
-        own = self._stopping or self._owners.own
+        own = self._owners.own
         if own is None:
             return
         now = self._clock.monotonic()
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -64,7 +64,8 @@
         self._clock = clock
         self._stopping: frozenset[Candidate] = frozenset()
         self._owners_changed_at = clock.monotonic()
-        self._has_stopped = False
+        # Whether this entry is ranked no longer, in any membership.
+        self.has_stopped = False
         self._next_change_ms = float('inf')
         # Entries that may be owners, the ones before the last change, and
         # those that may be counting in their own right.
@@ -187,7 +188,7 @@
 
     def stop(self) -> None:
         """Rank this entry no longer, in any membership."""
-        self._has_stopped = True
+        self.has_stopped = True
         self.update()
 
     def update(self) -> None:
@@ -200,7 +201,7 @@
             (each for each in listed if each.name == self.own_name), None
         )
         self._stopping &= self.listed | self._previous.members
-        if self._has_stopped and self.own is not None:
+        if self.has_stopped and self.own is not None:
             self._stopping |= {self.own}
         self._next_change_ms = next_change_ms(listed, now_ms)
         self._set_eligible(settled(listed, now_ms - SETTLE_MS))
