--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -57,7 +57,8 @@
         self._clock = clock
         self._stopping: frozenset[Candidate] = frozenset()
         self._owners_changed_at = clock.monotonic()
-        self._has_stopped = False
+        # Whether this entry is ranked no longer, in any membership.
+        self.has_stopped = False
         self._next_change_ms = float('inf')
         self._ages = MemberAges(())
         # What the rankings were last computed from.
@@ -183,7 +184,7 @@
 
     def stop(self) -> None:
         """Rank this entry no longer, in any membership."""
-        self._has_stopped = True
+        self.has_stopped = True
         self.update()
 
     def update(self) -> None:
@@ -217,7 +218,7 @@
             )
         if self._stopping:
             self._stopping &= self.listed | self._previous.members
-        if self._has_stopped and self.own is not None:
+        if self.has_stopped and self.own is not None:
             self._stopping |= {self.own}
 
     def _rank(self, settled: SettledMembers) -> None:
