--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 from standins.ports import Ports
 
@@ -31,3 +32,29 @@
         """A reserved port refuses connections until a server listens on it."""
         with self.assertRaises(ConnectionRefusedError):
             socket.create_connection(self.address)
+
+
+class TestDatagrams(unittest.TestCase):
+    """A released port may still receive datagrams of an earlier test."""
+
+    def test_port_in_use(self):
+        """A port is not reserved while a process receives datagrams there.
+
+        The system chose such a port again, and an entry could not bind it.
+        """
+        ports = Ports()
+        self.addCleanup(ports.close)
+        used, free = ports.reserve(), ports.reserve()
+        ports.close()
+        with socket.socket(type=socket.SOCK_DGRAM) as other:
+            other.bind(used)
+            chosen = iter((used, free))
+            bind = socket.socket.bind
+            with mock.patch.object(
+                socket.socket,
+                'bind',
+                lambda sock, address: bind(
+                    sock, address if address[1] else next(chosen)
+                ),
+            ):
+                self.assertEqual(free, ports.reserve())
