--- a/tests/limits_membership.py
+++ b/tests/limits_membership.py
@@ -2,8 +2,8 @@
 
 import typing
 
+from cactusridge.jobs.lease_times import RESUMED_S
 from cactusridge.jobs.member_records import FORGOTTEN_S, STALE_S
-from cactusridge.jobs.membership import RESUMED_S
 from cactusridge.jobs.membership_start import MS_PER_S
 from cactusridge.organisations.lease_state import StoreLease
 from cactusridge.organisations.limit_messages import Candidate
--- a/tests/test_machine_links.py
+++ b/tests/test_machine_links.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from cactusridge import wire
-from cactusridge.jobs.membership import MEMBER_LEASE_S
+from cactusridge.jobs.lease_times import MEMBER_LEASE_S
 from standins.waiting import wait_for
 from tests.machine_case import MachineCase
 from tests.test_machine_failures import request_headers
--- a/tests/test_member_cost.py
+++ b/tests/test_member_cost.py
@@ -10,8 +10,9 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.http.client import parse_address
+from cactusridge.jobs.lease_times import MEMBER_LEASE_S
 from cactusridge.jobs.member import MEMBER_PREFIX
-from cactusridge.jobs.membership import MEMBER_LEASE_S, Membership
+from cactusridge.jobs.membership import Membership
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.jobs.model import JobHead
 from cactusridge.jobs.orphans import RANK_DELAY_S, Orphans
--- a/tests/test_recovery_of_jobs.py
+++ b/tests/test_recovery_of_jobs.py
@@ -17,8 +17,8 @@
 from cactusridge.hashing import hash64, rendezvous
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.keys import head_key
+from cactusridge.jobs.lease_times import MEMBER_LEASE_S
 from cactusridge.jobs.manager import ORPHAN_POLL_S
-from cactusridge.jobs.membership import MEMBER_LEASE_S
 from cactusridge.jobs.model import JobHead, head_value
 from cactusridge.jobs.orphans import (
     RANK_DELAY_S,
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -5,13 +5,9 @@
 
 from cactusridge.clock import ManualClock
 from cactusridge.errors import StoreUnavailable
+from cactusridge.jobs.lease_times import LEASE_MARGIN_S, MEMBER_LEASE_S
 from cactusridge.jobs.member_records import FORGOTTEN_S
-from cactusridge.jobs.membership import (
-    LEASE_MARGIN_S,
-    MEMBER_LEASE_S,
-    RENEW_INTERVAL_S,
-    Membership,
-)
+from cactusridge.jobs.membership import RENEW_INTERVAL_S, Membership
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.store.store_clock import StoreClock
 from standins.memory_table import MemoryTable
--- a/tests/test_spoilt_members.py
+++ b/tests/test_spoilt_members.py
@@ -10,13 +10,10 @@
 from cactusridge.clock import ManualClock
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.keys import head_key, payload_prefix, progress_key
+from cactusridge.jobs.lease_times import MEMBER_LEASE_S
 from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.manager import JobManager
-from cactusridge.jobs.membership import (
-    MEMBER_LEASE_S,
-    MEMBER_PREFIX,
-    Membership,
-)
+from cactusridge.jobs.membership import MEMBER_PREFIX, Membership
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.jobs.model import JobHead, JobItem
 from cactusridge.jobs.orphans import UNREADABLE_PAUSE_S, Orphans
--- a/tests/test_takeover_line.py
+++ b/tests/test_takeover_line.py
@@ -9,7 +9,8 @@
 from unittest import mock
 
 from cactusridge import events, logs
-from cactusridge.jobs.membership import MEMBER_LEASE_S, RENEW_INTERVAL_S
+from cactusridge.jobs.lease_times import MEMBER_LEASE_S
+from cactusridge.jobs.membership import RENEW_INTERVAL_S
 from cactusridge.jobs.model import JobHead
 from cactusridge.jobs.orphans import RANK_DELAY_S, Orphans
 from standins.waiting import wait_for
