Membership: a call in progress ends with any error

Change: the call is a context manager of LeaseTimes; comments say what the times are. Result: test_session, test_spoilt_members, test_limits_outage pass.

--- a/cactusridge/jobs/lease_times.py
+++ b/cactusridge/jobs/lease_times.py
@@ -1,5 +1,8 @@
 """When an entry renewed its lease and read the members."""
 
+import contextlib
+from collections.abc import Iterator
+
 from cactusridge.clock import Clock
 from cactusridge.jobs.lease_ages import LeaseAges
 from cactusridge.jobs.member_records import STALE_S
@@ -11,8 +14,9 @@
 # other entries may take over its jobs.
 LEASE_MARGIN_S = 0.7
 
-# Seconds between two reads after which this entry was suspended or slow. With
-# shorter ones a read shows a row as stale before another shows it as expired.
+# Seconds between two reads from which the leases for the limits begin anew.
+# With a shorter gap one read shows a row as stale before another shows it as
+# expired.
 RESUMED_S = MEMBER_LEASE_S - STALE_S
 
 
@@ -29,21 +33,22 @@
         # the last attempt that failed.
         self.read_at: float | None = None
         self.last_read_succeeded = False
-        # When they were first read after this entry was last suspended, and
-        # whether it has reported an outage since the last read.
+        # Time of the last read with which all leases for the limits began
+        # anew, and whether an outage is suspected since the last read.
         self.resumed_at = float('-inf')
         self._is_suspect = False
-        # When the renewal and read in progress began their current call.
+        # When the renewal or the read in progress began; None between them.
         self._called_at: float | None = None
         self._clock = clock
 
-    def begin_call(self) -> None:
-        """Record that a call to the store begins now."""
+    @contextlib.contextmanager
+    def call(self) -> Iterator[None]:
+        """Record that a renewal or a read is in progress."""
         self._called_at = self._clock.monotonic()
-
-    def end_call(self) -> None:
-        """Record that no call is in progress."""
-        self._called_at = None
+        try:
+            yield
+        finally:
+            self._called_at = None
 
     def begin_update(self, now: float) -> None:
         """Record that the reply with the members arrived at ``now``.
--- a/cactusridge/jobs/membership.py
+++ b/cactusridge/jobs/membership.py
@@ -75,19 +75,17 @@
         """
         if self._has_left:
             return
-        self._times.begin_call()
         try:
-            self._renew()
+            with self._times.call():
+                self._renew()
         except (StoreUnavailable, WriteUnknown) as exc:
             logs.emit(events.RENEWAL_FAILED, error=str(exc))
-        self._times.begin_call()
         try:
-            self._read()
+            with self._times.call():
+                self._read()
         except StoreUnavailable as read_error:
             self._times.fail_read()
             logs.emit(events.RENEWAL_FAILED, error=str(read_error))
-        finally:
-            self._times.end_call()
 
     def lease_is_valid(self) -> bool:
         """Return whether no other entry can have taken over this one's jobs.
@@ -117,8 +115,9 @@
     def suspect_outage(self) -> None:
         """Let the leases for the limits begin anew with the next read.
 
-        Until then ``is_read`` is False. Other entries have been told that this
-        one lacks the store, and rely on that when it has it again.
+        Until then ``is_read`` is False. Other entries may count limits on the
+        strength of this entry's report; they must receive the opposite one
+        before this entry replaces them.
         """
         self._times.suspect_outage()
 
