Bench of the recovery: readiness before the first call; constants of the soak

Cause: a newcomer's reading: the readiness was asked for after the call, so that its time was often missing; numbers without names; a wait without a limit.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import contextlib
 import io
 import itertools
 import json
@@ -15,6 +16,7 @@
 import time
 from collections.abc import Iterator
 from datetime import datetime
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +31,11 @@
 CALL_INTERVAL_S = 0.02
 # Items of a job: as many as an entry runs at once, each of 30 s.
 ITEMS = 2
+REPLICAS = 4
+# Seconds for the first checkpoint and for two reads of the member list.
+SETTLE_S = 2
+# Longest time in seconds until every entry has answered a call.
+ANSWER_S = 60
 ITEM_BODY = '600 0.05'
 LINES = ('serving_started', 'jobs_resumed')
 
@@ -46,7 +53,7 @@
     waits: list[tuple[list[float], list[float]]] = []
     for _ in range(args.rounds):
         with tempfile.TemporaryDirectory() as folder:
-            site = MachineSite(Path(folder), 4, args.entries)
+            site = MachineSite(Path(folder), REPLICAS, args.entries)
             try:
                 waits.append(_measure(site, args.entries, args.store_down_s))
                 lines.extend(_events(site, *LINES))
@@ -78,8 +85,7 @@
         )
     jobs = {f'job-{name}' for name in entries}
     wait_for('all jobs run', lambda: jobs == set(_started(site, 0)))
-    # The output is checkpointed and every entry has read the members.
-    gevent.sleep(2)
+    gevent.sleep(SETTLE_S)
     for name in entries:
         site.entries[name].kill()
         site.entries[name].log.write_text('')
@@ -95,7 +101,7 @@
         gevent.sleep(down_s)
         site.store.down = False
         since = time.time()
-    gevent.joinall(callers)
+    gevent.joinall(callers, ANSWER_S, raise_error=True)
     wait_for(
         'all jobs run again',
         lambda: jobs == set(_started(site, since)),
@@ -110,14 +116,13 @@
 def _call_until_answered(site: MachineSite, name: str) -> None:
     """Poll the readiness of an entry and call it until it answers."""
     status = 0
-    while status != 200:
+    while status != HTTPStatus.OK:
         gevent.sleep(CALL_INTERVAL_S)
         headers = {'X-Attempt-Id': f'{name}-{time.time()}'}
-        try:
+        with contextlib.suppress(NotReady, OSError):
+            # The entry records when it was ready for the first time.
+            site.is_ready(name)
             status = site.call(name, 'POST', '/on/', b'1', headers)[0]
-        except (NotReady, OSError):
-            continue
-        site.is_ready(name)
 
 
 def _started(site: MachineSite, since: float) -> dict[str, float]:
@@ -148,8 +153,9 @@
 def _print_table(lines: list[dict[str, Any]]) -> None:
     for event in LINES:
         chosen = [line for line in lines if line['event'] == event]
-        names = [name for name in chosen[0] if name.endswith('_s')]
         sys.stdout.write(f'{event}: {len(chosen)} lines\n')
+        first = next(iter(chosen), {})
+        names = [name for name in first if name.endswith('_s')]
         for name in names:
             times = [_since_imports(line, name) for line in chosen]
             sys.stdout.write(f'  {name}: {_summary(times)}\n')
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -118,8 +118,9 @@
         return self.send(spec).status == 200
 
     def _pause_s(self, call: Call) -> float:
-        told_s = call.headers.get('Retry-After', 0) if call.key else 0
-        return float(told_s) or self._rng.uniform(0, MAX_PAUSE_S)
+        # Calls without a key ignore it, so that earlier seeds draw the same.
+        retry_after_s = call.headers.get('Retry-After', 0) if call.key else 0
+        return float(retry_after_s) or self._rng.uniform(0, MAX_PAUSE_S)
 
     def _draw(self) -> RequestSpec:
         kind = self._rng.choice(('on', 'on', 'again', 'safe', 'version'))
--- a/soak/organisation_checks.py
+++ b/soak/organisation_checks.py
@@ -7,7 +7,10 @@
 UNAUTHORIZED = 401
 # Codes of the refusals that a limit causes.
 LIMIT_CODES = (b'"over_limit"', b'"limit_unsure"')
+# Seconds after a revocation within which its key may still be used (revoke_ms).
 REVOKED_BOUND_S = 5
+# In any WINDOW_S seconds an organisation may run at most
+# (rate x WINDOW_S + burst) x EXCESS_FACTOR + EXCESS requests.
 WINDOW_S = 5
 EXCESS_FACTOR = 1.1
 EXCESS = 20
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,7 @@
 # run of the longest items.
 FINISH_S = 18
 POLL_S = 0.1
+# Seconds between two rotations of keys.
 ROTATE_S = 4
 # Lower seeds, which are kept as regression cases, draw the same as before.
 FIRST_SEED_OF_ORGANISATIONS = 300
