--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -76,6 +76,7 @@
 REQUEST_QUEUED: Final = Event(430, 'request_queued')
 REQUEST_DEQUEUED: Final = Event(431, 'request_dequeued')
 SLOW_CALLER_DROPPED: Final = Event(432, 'slow_caller_dropped', 'warning')
+LIMITS_RIGHT_CHANGED: Final = Event(433, 'limits_right_changed')
 PEER_UNREACHABLE: Final = Event(410, 'peer_unreachable', 'warning')
 PEER_UNREADABLE: Final = Event(411, 'peer_unreadable', 'warning')
 
--- a/cactusridge/organisations/limit_holds.py
+++ b/cactusridge/organisations/limit_holds.py
@@ -6,6 +6,7 @@
 from cactusridge.organisations.limit_count import LimitCount
 from cactusridge.organisations.limit_messages import Candidate, Ceder
 from cactusridge.organisations.limit_owners import LimitOwners
+from cactusridge.organisations.ranking import is_outranked
 
 # Milliseconds for which an entry does not count an organisation in its own
 # right after it has handed it over to one ranked after it.
@@ -91,7 +92,7 @@
     def cede(self, name: str, receiver: Candidate, until_ms: int) -> None:
         """Stop counting an organisation in favour of ``receiver``."""
         self._holds.pop(name, None)
-        upward = self._owners.is_outranked(name, receiver)
+        upward = is_outranked(name, self._owners.own_name, receiver)
         self._cessions[name] = Cession(receiver, until_ms, upward)
 
     def pass_over(self, name: str, sender: Candidate, until_ms: int) -> None:
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Collection, Sequence
 
 from cactusridge.clock import Clock
-from cactusridge.hashing import hash64, rendezvous
 from cactusridge.organisations.limit_messages import Candidate
 from cactusridge.organisations.member_ages import MemberAges, SettledMembers
+from cactusridge.organisations.own_right import OwnRight
 from cactusridge.organisations.ranking import Ranking
 
 # Seconds between two updates of the set of entries that may be owners.
@@ -47,8 +47,6 @@
         self.changes = 0
         self.revision = 0
         self.own: Candidate | None = None
-        # Whether this entry may be an owner without a handover.
-        self.has_own_right = False
         self.listed: frozenset[Candidate] = frozenset()
         self.now_ms = now_ms
         self.is_current = is_current
@@ -61,6 +59,7 @@
         self.has_stopped = False
         self._next_change_ms = float('inf')
         self._ages = MemberAges(())
+        self._right = OwnRight()
         # What the rankings were last computed from.
         self._basis: tuple[object, ...] = ()
         # Entries that may be owners, the ones before the last change, and
@@ -71,6 +70,11 @@
         # Entries that counts may be handed over to.
         self._receivers = Ranking(())
 
+    @property
+    def has_own_right(self) -> bool:
+        """Whether this entry may be an owner without a handover."""
+        return self._right.holds
+
     def ranked_entries(self, organisation: str) -> list[str]:
         """Return the owner of an organisation, then its backup owners.
 
@@ -160,11 +164,6 @@
         """Return whether this entry is the owner or a backup owner."""
         return self.own_name in self.ranked_entries(organisation)
 
-    def is_outranked(self, organisation: str, entry: Candidate) -> bool:
-        """Return whether ``entry`` comes before this one if both are listed."""
-        names = (entry.name, self.own_name)
-        return rendezvous(names, hash64(organisation))[0] == entry.name
-
     def is_before(self, organisation: str, entry: Candidate) -> bool:
         """Return whether ``entry`` is to have counts before this one."""
         for each in self._receivers.of(organisation):
@@ -197,6 +196,7 @@
         basis = (self.own, self._stopping, settled)
         if basis != self._basis:
             self._basis = basis
+            self._right.update(self.own, self._ages, settled, now_ms)
             self._rank(settled)
         after = (self.own, self._eligible, self._counting, self._receivers)
         if before != after:
@@ -224,7 +224,6 @@
     def _rank(self, settled: SettledMembers) -> None:
         """Rank the members that have been listed for long enough."""
         self._set_eligible(settled.eligible)
-        self.has_own_right = self.own in settled.counting
         own = frozenset({self.own} if self.own else ())
         counting = (settled.others | own) - self._stopping
         self._counting = self._counting.updated(counting)
--- a/cactusridge/organisations/limit_receipts.py
+++ b/cactusridge/organisations/limit_receipts.py
@@ -14,6 +14,7 @@
     HeldCount,
 )
 from cactusridge.organisations.limit_owners import LimitOwners
+from cactusridge.organisations.ranking import is_outranked
 
 
 class _Receipt(NamedTuple):
@@ -88,7 +89,7 @@
             for each in held.ceders
             if each.entry.name != self._owners.own_name
             and each.until_ms > now_ms
-            and self._owners.is_outranked(held.name, each.entry)
+            and is_outranked(held.name, self._owners.own_name, each.entry)
         )
 
     def _drop_old(self) -> None:
--- a/cactusridge/organisations/ranking.py
+++ b/cactusridge/organisations/ranking.py
@@ -27,3 +27,9 @@
     def updated(self, members: frozenset[Candidate]) -> 'Ranking':
         """Return the ranking of ``members``: this one if they are the same."""
         return self if members == self.members else Ranking(members)
+
+
+def is_outranked(organisation: str, own_name: str, entry: Candidate) -> bool:
+    """Return whether ``entry`` comes before ``own_name`` if both are listed."""
+    names = (entry.name, own_name)
+    return rendezvous(names, hash64(organisation))[0] == entry.name
