Tests of real processes keep their logs when they fail

Cause: test_takeover_line and test_frozen were each red once beside load, and their folders of logs were removed with the test, so neither could be traced.

--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -3,7 +3,6 @@
 import itertools
 import signal
 import tempfile
-import unittest
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +12,7 @@
 from standins.fleet_plan import FleetPlan
 from standins.local_fleet import LocalFleet
 from standins.waiting import wait_for
+from tests.kept_logs import KeptLogsCase
 
 DEMO = {'Authorization': 'Bearer demo'}
 SHORT = {'lease_s': 3, 'lease_margin_s': 0.5, 'scan_s': 0.2}
@@ -23,7 +23,7 @@
 )
 
 
-class FleetCase(unittest.TestCase):
+class FleetCase(KeptLogsCase):
     """Starts a fleet for each test class and kills it after the tests."""
 
     plan = PLAN
@@ -33,7 +33,8 @@
     def setUpClass(cls) -> None:
         """Start the fleet."""
         cls.folder = tempfile.TemporaryDirectory()
-        cls.fleet = LocalFleet(Path(cls.folder.name), cls.plan)
+        cls.log_folder = Path(cls.folder.name)
+        cls.fleet = LocalFleet(cls.log_folder, cls.plan)
         cls.addClassCleanup(cls.folder.cleanup)
         cls.addClassCleanup(cls.fleet.kill_all)
         cls.fleet.start()
--- a/tests/machine_case.py
+++ b/tests/machine_case.py
@@ -1,16 +1,16 @@
 """A test case with entry processes, a stand-in store and replicas."""
 
 import tempfile
-import unittest
 from pathlib import Path
 
 from standins.machines.site import MachineSite
 from standins.waiting import wait_for
+from tests.kept_logs import KeptLogsCase
 
 JOB_WAIT_S = 40
 
 
-class MachineCase(unittest.TestCase):
+class MachineCase(KeptLogsCase):
     """Starts a site with two replicas and entries for each test."""
 
     replicas = 2
@@ -21,7 +21,8 @@
         """Start the site."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.site = MachineSite(Path(folder.name), self.replicas, self.slots)
+        self.log_folder = Path(folder.name)
+        self.site = MachineSite(self.log_folder, self.replicas, self.slots)
         self.addCleanup(self.site.stop)
         self.site.start()
         for name in self.entries:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak.organisations import LIMITS, Organisations
 from soak.record import Call, CallEnd, Record, RunStart
 from soak.run import Size, run
+from tests.kept_logs import KeptLogsCase
 
 SECONDS = 6
 # Seed 8 draws planned maintenance only, which may not interrupt any request;
@@ -18,14 +19,16 @@
 UNSURE = b'{"error":{"code":"limit_unsure"}}'
 
 
-class TestSoak(unittest.TestCase):
+class TestSoak(KeptLogsCase):
     """Entry processes run while faults are injected from outside."""
 
     @params(*SEEDS)
     def test_seed(self, seed):
         """No guarantee is violated during the faults or after them."""
-        with tempfile.TemporaryDirectory() as folder:
-            record = run(seed, Size(SECONDS), Path(folder))
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.log_folder = Path(folder.name)
+        record = run(seed, Size(SECONDS), self.log_folder)
         self.assertEqual([], record.violations)
         # A run without served requests or finished items would prove nothing.
         self.assertTrue(any(call.status == 200 for call in record.calls))
