Limits: a new process counts once the others know it, not by age alone

Cause: a process that starts within 3 s of the end of an earlier one continues its membership, so it counted by that age at once.

Evidence: trace of 595. 10.0.0.0 declines a handover at 75.355 s and promises not to count for 10 s, so 10.0.0.1 goes on; its process is replaced at 75.7 s, its question gets no answer in 0.25 s, it counts at 76.45 s. 10.0.0.1 has not read its row.

Change: such a process announces itself like one of a new fleet and counts once all others have confirmed, else 3 s after its first read, when everybody else has read its row or lost the lease. A process whose host refuses connections counts as known: it counts nothing, and the next one at its address has to ask for confirmation too. An entry listens at its peer address before it joins.

--- a/cactusridge/organisations/announced_members.py
+++ b/cactusridge/organisations/announced_members.py
@@ -11,14 +11,18 @@
 
 
 class Announcement(NamedTuple):
-    """An entry, and whether it may count without a handover by now."""
+    """An entry, and whether it may count without a handover by now.
+
+    From ``until_ms`` of the store's clock on the list shows it.
+    """
 
     entry: Candidate
     counts: bool
+    until_ms: float
 
 
 class AnnouncedMembers:
-    """The announced entries that are too young to count by their age.
+    """The entries that were announced some seconds ago.
 
     This entry is one of them once all others have confirmed that they know
     it.
@@ -28,36 +32,36 @@
         """Start without announcements."""
         self._by_name: dict[str, Announcement] = {}
 
-    def note(self, entry: Candidate, *, counts: bool) -> None:
+    def note(self, entry: Candidate, now_ms: float, *, counts: bool) -> None:
         """Record an announcement, unless a later one is known."""
         known = self._by_name.get(entry.name)
         if known is not None:
             if known.entry.since_ms > entry.since_ms:
                 return
-            counts |= known == Announcement(entry, counts=True)
-        self._by_name[entry.name] = Announcement(entry, counts)
+            counts |= known.counts and known.entry == entry
+        until_ms = now_ms + COUNT_MS
+        self._by_name[entry.name] = Announcement(entry, counts, until_ms)
 
-    def has_confirmed(self, entry: Candidate | None) -> bool:
+    def has_confirmed(self, entry: Candidate) -> bool:
         """Return whether ``entry`` may count although it is young."""
-        if entry is None:
-            return False
-        return self._by_name.get(entry.name) == Announcement(entry, counts=True)
+        known = self._by_name.get(entry.name)
+        return known is not None and known.counts and known.entry == entry
 
     def added_to(
         self, listed: Sequence[Candidate], now_ms: float
     ) -> tuple[Candidate, ...]:
         """Return ``listed`` with the announced entries at ``now_ms``.
 
-        An announcement is forgotten when its entry counts by its age, or when
-        the list shows a later membership of that entry.
+        An announcement is forgotten after some seconds, or when the list shows
+        a later membership of its entry.
         """
         if not self._by_name:
             return tuple(listed)
         by_name = {each.name: each for each in listed}
         for name, known in tuple(self._by_name.items()):
             found = by_name.get(name, known.entry)
-            is_old = now_ms >= known.entry.since_ms + COUNT_MS
-            if is_old or found.since_ms > known.entry.since_ms:
+            is_later = found.since_ms > known.entry.since_ms
+            if is_later or now_ms >= known.until_ms:
                 self._by_name.pop(name)
             else:
                 by_name[name] = known.entry
@@ -73,7 +77,8 @@
         )
         return SettledMembers(
             settled.eligible | known,
-            settled.counting | confirmed,
+            settled.counting,
             settled.others | known,
             settled.receivers | confirmed,
+            confirmed,
         )
--- a/cactusridge/organisations/join_confirmations.py
+++ b/cactusridge/organisations/join_confirmations.py
@@ -1,12 +1,17 @@
-"""Confirmations with which an entry of a new fleet may count at once.
+"""Confirmations with which an entry may count at once.
 
 An entry that joins counts without a handover after 4.5 s, when all others must
 have read its row or have lost their leases. After a restart of the whole fleet
-nobody could count until then. An entry of a new fleet therefore announces
-itself to all others, and counts when each of them has confirmed that it knows
-it. Those that join after its read of the list find its row at their first one.
+nobody could count until then, and a process that continues the membership of
+an earlier one does not know what that one has handed over. Such an entry
+announces itself to all others, and counts when each of them has confirmed that
+it knows it. Those that join after its read of the list find its row at their
+first one.
 """
 
+import random
+from collections.abc import Sequence
+
 from cactusridge.clock import Clock
 from cactusridge.organisations.lease_state import LeaseState
 from cactusridge.organisations.limit_handover import LimitHandover
@@ -16,6 +21,12 @@
 
 # Seconds between two announcements to an entry that has not confirmed.
 REPEAT_S = 0.1
+# Milliseconds after its first read for which a new process does not go by the
+# age of its membership. Entries that have not read its row by then have lost
+# their leases, which need a read every 2.5 s.
+PROCESS_MS = 3000
+# Entries of which one repetition checks whether they have exited.
+MAX_CHECKS = 32
 
 
 class JoinConfirmations:
@@ -35,6 +46,10 @@
         self._handover = handover
         self._link = link
         self._clock = clock
+        # Whether this process has read the list as a member; until then it
+        # may not count.
+        self._has_joined = False
+        owners.right.from_ms = float('inf')
         # The membership that is announced, None if it need not be.
         self._joining: Candidate | None = None
         # The other members at the last read, and the names of those that have
@@ -42,6 +57,7 @@
         self._others: frozenset[Candidate] = frozenset()
         self._confirmed_by: set[str] = set()
         self._announced_at = float('-inf')
+        self._rng = random.Random(owners.own_name)  # noqa: S311
 
     def list_read(self) -> None:
         """Determine who has to confirm; call this after each read.
@@ -51,7 +67,13 @@
         first read may have missed it.
         """
         own = self._owners.own
-        if own is None or not self._lease.is_renewed() or not self._is_new(own):
+        if own is None or not self._lease.is_renewed():
+            return
+        if not self._has_joined:
+            self._has_joined = True
+            self._owners.right.from_ms = self._owners.now_ms() + PROCESS_MS
+            self._owners.update()
+        if not self._must_announce(own):
             self._joining = None
             return
         if own != self._joining:
@@ -60,8 +82,7 @@
             self._announced_at = float('-inf')
         self._others = self._owners.listed - {own}
         if not self._missing():
-            self._owners.announced.note(own, counts=True)
-            self._owners.update()
+            self._count()
 
     def run_due(self) -> None:
         """Announce this entry to those that have not confirmed; call often."""
@@ -71,9 +92,13 @@
             return
         if own != self._owners.own or self._owners.announced.has_confirmed(own):
             return
+        is_repeated = self._announced_at > float('-inf')
         self._announced_at = now
-        for name in self._missing():
+        missing = self._missing()
+        for name in missing:
             self._link.announce(name, own, counts=False)
+        if is_repeated:
+            self._note_exited(own, missing)
 
     def receive(self, joining: Candidate, *, counts: bool) -> None:
         """Record the announcement of another entry, and confirm it.
@@ -81,10 +106,10 @@
         This entry no longer counts what the other one owns: it hands that over
         once the other one counts.
         """
-        is_old = self._owners.now_ms() >= joining.since_ms + COUNT_MS
-        if is_old or joining.name == self._owners.own_name:
+        if joining.name == self._owners.own_name:
             return
-        self._owners.announced.note(joining, counts=counts)
+        now_ms = self._owners.now_ms()
+        self._owners.announced.note(joining, now_ms, counts=counts)
         self._owners.update()
         if counts:
             self._handover.rebalance()
@@ -93,21 +118,49 @@
 
     def receive_confirmation(self, entry: str, joining: Candidate) -> None:
         """Record that ``entry`` knows this entry as the member ``joining``."""
+        self._note_known(joining, [entry])
+
+    def _note_exited(self, own: Candidate, missing: list[str]) -> None:
+        """Await nothing from processes that have exited.
+
+        One that starts at the same address finds this entry in the list, and
+        awaits its confirmation.
+        """
+        count = min(len(missing), MAX_CHECKS)
+        exited = self._link.exited(self._rng.sample(missing, count))
+        if exited:
+            self._note_known(own, exited)
+
+    def _note_known(self, joining: Candidate, names: Sequence[str]) -> None:
+        """Record entries that know this one or have exited."""
         if joining != self._joining or joining != self._owners.own:
             return
-        self._confirmed_by.add(entry)
+        self._confirmed_by.update(names)
         has_confirmed = self._owners.announced.has_confirmed(joining)
         if has_confirmed or self._missing():
             return
-        self._owners.announced.note(joining, counts=True)
-        self._owners.update()
+        self._count()
         for each in self._others:
             self._link.announce(each.name, joining, counts=True)
 
-    def _is_new(self, own: Candidate) -> bool:
-        """Return whether this entry is young and so is the whole fleet."""
-        is_young = self._owners.now_ms() < own.since_ms + COUNT_MS
-        return is_young and self._owners.ages.is_new(own)
+    def _count(self) -> None:
+        """Let this entry count, since all others know it."""
+        own = self._owners.own
+        if own is not None:
+            now_ms = self._owners.now_ms()
+            self._owners.announced.note(own, now_ms, counts=True)
+            self._owners.update()
+
+    def _must_announce(self, own: Candidate) -> bool:
+        """Return whether others have to confirm before this entry counts.
+
+        An entry that joins a fleet with older members does without: it gets
+        counts handed over when it has been a member for some seconds.
+        """
+        now_ms = self._owners.now_ms()
+        if now_ms < own.since_ms + COUNT_MS:
+            return self._owners.ages.is_new(own)
+        return now_ms < self._owners.right.from_ms
 
     def _missing(self) -> list[str]:
         """Return the entries that have to confirm and have not yet."""
--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -184,3 +184,7 @@
     @abc.abstractmethod
     def confirm(self, joining: Candidate) -> None:
         """Respond to ``joining`` that this entry knows it from now on."""
+
+    @abc.abstractmethod
+    def exited(self, entries: Sequence[str]) -> list[str]:
+        """Return those of ``entries`` whose processes have surely exited."""
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -63,7 +63,7 @@
         self.announced = AnnouncedMembers()
         self._next_change_ms = float('inf')
         self.ages = MemberAges(())
-        self._right = OwnRight()
+        self.right = OwnRight()
         # What the rankings were last computed from.
         self._basis: tuple[object, ...] = ()
         # Entries that may be owners, the ones before the last change, and
@@ -77,7 +77,7 @@
     @property
     def has_own_right(self) -> bool:
         """Whether this entry may be an owner without a handover."""
-        return self._right.holds
+        return self.right.holds
 
     def ranked_entries(self, organisation: str) -> list[str]:
         """Return the owner of an organisation, then its backup owners.
@@ -195,13 +195,15 @@
         before = (self.own, self._eligible, self._counting, self._receivers)
         now_ms = self.now_ms()
         self._update_listed(now_ms)
-        self._next_change_ms = self.ages.next_change_ms(now_ms)
+        self._next_change_ms = min(
+            self.ages.next_change_ms(now_ms), self.right.next_change_ms(now_ms)
+        )
         settled = self.announced.added_to_settled(self.ages.settled_at(now_ms))
         basis = (self.own, self.stopping, settled)
         if basis != self._basis:
             self._basis = basis
-            self._right.update(self.own, self.ages, settled, now_ms)
             self._rank(settled)
+        self.right.update(self.own, len(self.listed), settled, now_ms)
         after = (self.own, self._eligible, self._counting, self._receivers)
         if before != after:
             self.revision += 1
--- a/cactusridge/organisations/member_ages.py
+++ b/cactusridge/organisations/member_ages.py
@@ -34,13 +34,14 @@
 
     ``eligible`` may be owners, ``counting`` count in their own right,
     ``others`` may do so by their own clocks, and ``receivers`` get counts
-    handed over.
+    handed over. ``confirmed`` count whatever their age.
     """
 
     eligible: frozenset[Candidate]
     counting: frozenset[Candidate]
     others: frozenset[Candidate]
     receivers: frozenset[Candidate]
+    confirmed: frozenset[Candidate] = frozenset()
 
 
 class MemberAges:
--- a/cactusridge/peers/join_messages.py
+++ b/cactusridge/peers/join_messages.py
@@ -1,11 +1,13 @@
 """Messages between entries about one that joins a new fleet."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from cactusridge.http.client import parse_address
 from cactusridge.organisations.join_confirmations import JoinConfirmations
 from cactusridge.organisations.limit_messages import Candidate, JoinLink
 from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.exit_check import exited
 from cactusridge.peers.limit_handovers import decode_candidate
 from cactusridge.peers.peer_socket import Target, peer_name
 from cactusridge.peers.plain import plain_message
@@ -41,6 +43,10 @@
         """Respond to ``joining`` that this entry knows it from now on."""
         self._send(joining.name, KNOWN_TOPIC, joining)
 
+    def exited(self, entries: Sequence[str]) -> list[str]:
+        """Return those of ``entries`` whose hosts refuse connections."""
+        return exited(entries)
+
     def _send(self, entry: str, topic: str, payload: Any) -> None:
         self._peers.send_to(parse_address(entry), topic, plain_message(payload))
 
--- a/cactusridge/peers/limit_requests.py
+++ b/cactusridge/peers/limit_requests.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import gevent
-from gevent import socket
 from gevent.event import AsyncResult
 
 from cactusridge.http.client import parse_address
@@ -17,6 +16,7 @@
 )
 from cactusridge.organisations.limit_owners import LimitOwners
 from cactusridge.peers.exchange import PeerExchange
+from cactusridge.peers.exit_check import has_exited
 from cactusridge.peers.peer_socket import Target
 from cactusridge.peers.rate_limits import decode_limit
 
@@ -69,20 +69,8 @@
             self._pending.pop(number)
 
     def has_exited(self, entry: str) -> bool:
-        """Return whether an entry's host refuses connections at its address.
-
-        An entry that is unreachable in another way may still be running.
-        """
-        try:
-            sock = socket.create_connection(
-                parse_address(entry), RESPONSE_TIMEOUT_S
-            )
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        sock.close()
-        return False
+        """Return whether an entry's host refuses connections."""
+        return has_exited(entry)
 
     def pause(self, length_s: float) -> None:
         """Wait while other greenlets receive messages."""
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -153,6 +153,12 @@
     def start(self) -> None:
         """Start the greenlets and the internal servers."""
         self._peers.start()
+        # Before this entry is a member: peers take a refused connection for
+        # the end of its process.
+        self._serve_at(
+            self._cfg.peer_listen,
+            route('GET', CATALOG_PATH, self._catalogs.serve),
+        )
         followers = (
             self._catalog_follower,
             self._store.follower(
@@ -183,10 +189,6 @@
             route('GET', '/metrics', metrics.serve),
             route('GET', LOAD_PATH, self._online.load_report.serve),
         )
-        self._serve_at(
-            self._cfg.peer_listen,
-            route('GET', CATALOG_PATH, self._catalogs.serve),
-        )
 
     def on_listening(self) -> None:
         """Start the readiness endpoint that the platform polls."""
--- a/tests/limits_entry.py
+++ b/tests/limits_entry.py
@@ -52,6 +52,12 @@
         runs = other.alive and not other.frozen
         return runs and self.partition == other.partition
 
+    def has_seen_exit(self, name: str) -> bool:
+        """Return whether the host of an entry is reachable but refuses."""
+        other = self.fleet.by_name[name]
+        is_refused = not (other.alive or other.powered_off)
+        return is_refused and self.partition == other.partition
+
     def run_due(self, now: float) -> None:
         """Run the periodic work that is due at ``now``."""
         if not self.alive or self.frozen:
--- a/tests/limits_limiters.py
+++ b/tests/limits_limiters.py
@@ -25,9 +25,7 @@
 
     def has_exited(self, entry):
         """Return whether the entry's host is reachable but refuses."""
-        other = self._fleet.by_name[entry]
-        reachable = other.partition == self._entry.partition
-        return reachable and not (other.alive or other.powered_off)
+        return self._entry.has_seen_exit(entry)
 
     def pause(self, length_s):
         """Do nothing, since simulated messages arrive at once."""
--- a/tests/limits_links.py
+++ b/tests/limits_links.py
@@ -56,6 +56,10 @@
         for other in self._reached(joining.name, 'confirmation'):
             other.process.joins.receive_confirmation(self._entry.name, joining)
 
+    def exited(self, entries):
+        """Return the entries whose hosts are reachable but refuse."""
+        return [each for each in entries if self._entry.has_seen_exit(each)]
+
     def send_reports(self, entry, reports):
         """Deliver reports about the store."""
         for other in self._reached(entry, 'reports'):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -18,6 +18,7 @@
 from cactusridge.organisations.member_ages import PEER_READ_MS, SETTLE_MS
 from cactusridge.organisations.organisation import Organisation, RateLimit
 from cactusridge.organisations.token_bucket import TokenBucket
+from cactusridge.peers.exit_check import exited
 from cactusridge.peers.limit_requests import LimitRequests
 from tests.limits_fleet import Loss
 from tests.limits_limiters import BroadcastCounts, by_owners, by_shares
@@ -142,7 +143,8 @@
         """Return the organisations of an entry that knows announcements."""
         owners = self.owners(own_name)
         for entry in announced:
-            owners.announced.note(entry, counts=entry.name == own_name)
+            is_own = entry.name == own_name
+            owners.announced.note(entry, owners.now_ms(), counts=is_own)
         owners.update()
         names = [f'o{number}' for number in range(40)]
         return {each for each in names if owners.owned_s(each) is not None}
@@ -287,8 +289,10 @@
         server.start()
         entry = f'127.0.0.1:{server.server_port}'
         self.assertFalse(self.client.has_exited(entry))
+        self.assertEqual([], exited([entry]))
         server.stop()
         self.assertTrue(self.client.has_exited(entry))
+        self.assertEqual([entry], exited([entry]))
 
     def test_silence(self):
         """A request to an entry that does not respond returns None."""
--- a/tests/test_limits_chaos.py
+++ b/tests/test_limits_chaos.py
@@ -10,8 +10,9 @@
 LENGTH_S = 60
 # Seed 178 found entries that joined just before an outage of the store, 85 a
 # small fleet in which all memberships began anew within a few seconds, and 244
-# a new entry that alone had the store.
-SEEDS = (0, 1, 2, 3, 85, 178, 244)
+# a new entry that alone had the store. In 595 an entry that had promised not to
+# count was killed, and its next process did not know of that.
+SEEDS = (0, 1, 2, 3, 85, 178, 244, 595)
 # In these all memberships begin anew within some seconds. An entry that counted
 # at once as a member of a new fleet was unknown to the one that counted before.
 RED_SEEDS = (35, 136, 240, 256, 310, 471)
--- a/tests/test_limits_handover.py
+++ b/tests/test_limits_handover.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from nose2.tools import params
+
 from cactusridge.organisations.errors import LimitUnavailable
 from cactusridge.organisations.limit_copies import BACKUP_BURST
 from cactusridge.organisations.limit_count import BURST_TOLERANCE
@@ -90,10 +92,14 @@
         self.assertEqual(ALL_TOKENS, self.admitted)
 
     def test_restarted_at_once(self):
-        """A process that is back at once does not count without a handover."""
+        """A process that is back at once does not count without a handover.
+
+        The others do not know it until they read its row.
+        """
         self.stop(self.owner)
         self.run_for(0.2)
         self.owner.start()
+        self.lose(self.owner, 'announcement')
         self.owner.renew()
         self.run_for(0.5)
         self.assertFalse(self.holds(self.owner))
@@ -103,6 +109,36 @@
         self.send(40)
         self.assertEqual(ALL_TOKENS, self.admitted)
 
+    def test_restarted_and_announced(self):
+        """It gets the counts back as soon as the others know it."""
+        self.stop(self.owner)
+        self.run_for(0.2)
+        self.owner.start()
+        self.owner.renew()
+        self.run_for(0.2)
+        self.assertTrue(self.holds(self.owner))
+        self.assertFalse(self.holds(self.successor))
+        self.send(40)
+        self.assertEqual(ALL_TOKENS, self.admitted)
+
+    @params('announcement', 'confirmation')
+    def test_restarted_unknown(self, kind):
+        """It does not count while another one may have what it handed over.
+
+        Nobody answers its questions, so it cannot know who counts.
+        """
+        self.stop(self.owner)
+        self.run_for(0.2)
+        self.owner.start()
+        for each in self.fleet.entries:
+            self.lose(each, kind, 'ask', 'decline', 'handover')
+            each.renew_at = self.fleet.clock.now + 1
+        self.owner.renew()
+        for _ in range(4):
+            self.run_for(0.2)
+            self.send(1)
+            self.assertFalse(self.holds(self.owner))
+
     def test_lost_handover(self):
         """Nobody counts until the handover has been sent again."""
         self.lose(self.owner, 'handover', 'stop')
@@ -287,6 +323,7 @@
         self.stop(self.owner)
         self.run_for(0.5)
         self.owner.start()
+        self.lose(self.owner, 'announcement')
         self.owner.renew()
         for each in self.fleet.entries:
             each.store_lost = True
--- a/tests/test_limits_joins.py
+++ b/tests/test_limits_joins.py
@@ -109,6 +109,20 @@
         self.advance(SOON_S)
         self.assertTrue(self.held_by(1))
 
+    @params(True, False)
+    def test_first_is_gone(self, powered_off):
+        """It awaits nothing from a process that has exited for certain."""
+        self.start(0)
+        self.advance(SOON_S)
+        first = self.fleet.entries[0]
+        first.set_lost(lost=True, powered_off=powered_off)
+        first.set_lost = lambda *args, **more: None
+        self.start(1)
+        self.advance(2 * SOON_S)
+        self.assertEqual(not powered_off, bool(self.held_by(1)))
+        self.advance(LATER_S)
+        self.assertEqual(set(NAMES), self.held_by(1))
+
     def test_oldest_has_left(self):
         """An entry that has read that the oldest one left awaits the others.
 
