Limits: what backup owners admit counts towards the limit

Cause: the requests that a backup owner admits while the owner does not answer were counted nowhere.

Change: they are a loan. A backup owner that begins to count takes them from its own tokens, another one reports them to the owner when the next copy of its tokens arrives (limit_admitted). After 5 s they are forgotten.

--- a/cactusridge/organisations/limit_copies.py
+++ b/cactusridge/organisations/limit_copies.py
@@ -1,5 +1,7 @@
 """Copies of what other entries have left, and what this one admits for them."""
 
+from typing import NamedTuple
+
 from cactusridge.clock import Clock
 from cactusridge.organisations.limit_count import LimitCount, with_tolerance
 from cactusridge.organisations.limit_messages import (
@@ -14,6 +16,15 @@
 # requests at once, and this share of the limit's rate.
 BACKUP_BURST = 4
 BACKUP_RATE_SHARE = 0.02
+# Seconds after which the owner need not count what a backup owner admitted.
+FORGET_S = 5.0
+
+
+class _Uncharged(NamedTuple):
+    """Requests that a backup owner has admitted, the last one at ``at``."""
+
+    requests: int
+    at: float
 
 
 class LimitCopies:
@@ -24,6 +35,7 @@
         self._clock = clock
         self._copies: dict[str, LimitCount] = {}
         self._allowances: dict[str, LimitCount] = {}
+        self._uncharged: dict[str, _Uncharged] = {}
 
     def names(self) -> list[str]:
         """Return the organisations of which there is a copy."""
@@ -61,7 +73,21 @@
             bucket = TokenBucket(limit, limit.burst, now)
             found = LimitCount(bucket, request.version)
             self._allowances[request.name] = found
-        return self._take(found, request, limit)
+        response = self._take(found, request, limit)
+        if not response.wait_s:
+            admitted = self.pop_uncharged(request.name) + 1
+            self._uncharged[request.name] = _Uncharged(admitted, now)
+        return response
+
+    def pop_uncharged(self, name: str) -> int:
+        """Return how many requests were admitted that no owner has counted.
+
+        Those that do not matter for the limit any more are forgotten.
+        """
+        found = self._uncharged.pop(name, None)
+        if found is None or self._clock.monotonic() - found.at > FORGET_S:
+            return 0
+        return found.requests
 
     def continued(self, request: LimitRequest) -> LimitCount | None:
         """Return the copy that ``count`` continues for a request, if any."""
--- a/cactusridge/organisations/limit_counter.py
+++ b/cactusridge/organisations/limit_counter.py
@@ -71,6 +71,7 @@
             now = self._clock.monotonic()
             limit = with_tolerance(request.limit)
             found.apply_version(limit, request.version, now)
+            found.bucket.charge(self._copies.pop_uncharged(request.name))
             wait_s = found.bucket.take(now)
             self._send_copy(request, found)
             return LimitResponse(counted=True, wait_s=wait_s)
@@ -87,6 +88,19 @@
         if found is not None:
             found.bucket.put_back()
 
+    def charge(self, name: str, requests: int) -> None:
+        """Count requests that a backup owner has admitted."""
+        found = self.holds.usable(name)
+        if found is not None:
+            found.bucket.charge(requests)
+
+    def pop_uncharged(self, name: str) -> int:
+        """Return what this entry has admitted as a backup owner, once.
+
+        It is to be sent to the entry that counts the organisation again.
+        """
+        return self._copies.pop_uncharged(name)
+
     def store_copy(self, copy: LimitCopy) -> None:
         """Store the remaining tokens unless this entry itself counts."""
         self._drop_foreign_counts()
--- a/cactusridge/organisations/token_bucket.py
+++ b/cactusridge/organisations/token_bucket.py
@@ -56,6 +56,10 @@
         """Return the token of a request that has not run."""
         self.tokens += 1
 
+    def charge(self, requests: int) -> None:
+        """Take the tokens of requests that have run, also if there are none."""
+        self.tokens -= requests
+
     def change(self, limit: RateLimit, now: float) -> None:
         """Refill by ``limit`` from ``now`` on, and cap at its burst."""
         self._fill(now)
--- a/cactusridge/peers/limit_requests.py
+++ b/cactusridge/peers/limit_requests.py
@@ -25,6 +25,7 @@
 MOVED_TOPIC = 'limit_moved'
 RETURNED_TOPIC = 'limit_back'
 REMAINING_TOPIC = 'limit_left'
+ADMITTED_TOPIC = 'limit_admitted'
 # Timeout of a request in seconds. The round trip to any availability zone
 # takes less than 10 ms, but a busy entry on a small host responds later.
 RESPONSE_TIMEOUT_S = 0.08
@@ -50,6 +51,7 @@
         peers.on_message(MOVED_TOPIC, self._handle_moved)
         peers.on_message(RETURNED_TOPIC, self._handle_return)
         peers.on_message(REMAINING_TOPIC, self._handle_remaining)
+        peers.on_message(ADMITTED_TOPIC, self._handle_admitted)
         counter.on_counted(self._send_remaining)
 
     def request(self, entry: str, asked: LimitRequest) -> LimitResponse | None:
@@ -121,6 +123,14 @@
         found = _decode_request(*asked, as_backup=False, owners_exited=False)
         copy = LimitCopy(found.name, found.limit, found.version, float(tokens))
         self._counter.store_copy(copy)
+        admitted = self._counter.pop_uncharged(found.name)
+        if admitted:
+            self._peers.send_to(peer, ADMITTED_TOPIC, [found.name, admitted])
+
+    def _handle_admitted(self, peer: Target, raw: Any) -> None:
+        """Count what a backup owner admitted; raises ValueError, TypeError."""
+        name, admitted = raw
+        self._counter.charge(str(name), max(0, int(admitted)))
 
     def _handle_return(self, peer: Target, raw: Any) -> None:
         self._counter.return_token(str(raw))
--- a/tests/limits_process.py
+++ b/tests/limits_process.py
@@ -105,3 +105,5 @@
             self._fleet.messages += 1
             if self._entry.reaches(other):
                 other.process.counter.store_copy(copy)
+                admitted = other.process.counter.pop_uncharged(copy.name)
+                self.counter.charge(copy.name, admitted)
