Limits: a confirmation says whether its sender counts

Cause (by reading, not seen): an entry that continues a membership lists a dead member for another lease, so that one of a new fleet, which lists it no longer, looks to it like one that joined an old fleet and does not count yet. A confirmation by an earlier process at an address stood for the next one too, and after 3 s an entry could count beside one that was confirmed within that time.

No test fails before: it takes three failures within 4 s.

--- a/cactusridge/organisations/announced_members.py
+++ b/cactusridge/organisations/announced_members.py
@@ -42,10 +42,16 @@
         until_ms = now_ms + COUNT_MS
         self._by_name[entry.name] = Announcement(entry, counts, until_ms)
 
-    def has_confirmed(self, entry: Candidate) -> bool:
-        """Return whether ``entry`` may count although it is young."""
+    def has(self, entry: Candidate) -> bool:
+        """Return whether ``entry`` was announced."""
         known = self._by_name.get(entry.name)
-        return known is not None and known.counts and known.entry == entry
+        return known is not None and known.entry == entry
+
+    def has_confirmed(self, entry: Candidate | None) -> bool:
+        """Return whether all others have confirmed that they know ``entry``."""
+        if entry is None or not self.has(entry):
+            return False
+        return self._by_name[entry.name].counts
 
     def added_to(
         self, listed: Sequence[Candidate], now_ms: float
--- a/cactusridge/organisations/join_confirmations.py
+++ b/cactusridge/organisations/join_confirmations.py
@@ -21,10 +21,6 @@
 
 # Seconds between two announcements to an entry that has not confirmed.
 REPEAT_S = 0.1
-# Milliseconds after its first read for which a new process does not go by the
-# age of its membership. Entries that have not read its row by then have lost
-# their leases, which need a read every 2.5 s.
-PROCESS_MS = 3000
 # Entries of which one repetition checks whether they have exited.
 MAX_CHECKS = 32
 
@@ -71,7 +67,7 @@
             return
         if not self._has_joined:
             self._has_joined = True
-            self._owners.right.from_ms = self._owners.now_ms() + PROCESS_MS
+            self._owners.right.from_ms = self._owners.now_ms() + COUNT_MS
             self._owners.update()
         if not self._must_announce(own):
             self._joining = None
@@ -108,17 +104,29 @@
         """
         if joining.name == self._owners.own_name:
             return
-        now_ms = self._owners.now_ms()
-        self._owners.announced.note(joining, now_ms, counts=counts)
-        self._owners.update()
+        if not self._owners.announced.has(joining):
+            # An earlier process at its address has confirmed, if any.
+            self._confirmed_by.discard(joining.name)
+            self._others |= {joining}
+        self._note(joining, counts=counts)
         if counts:
             self._handover.rebalance()
-        else:
-            self._link.confirm(joining)
+            return
+        own = self._owners.own
+        counts_itself = self._owners.announced.has_confirmed(own)
+        self._link.confirm(joining, own, counts=counts_itself)
 
-    def receive_confirmation(self, entry: str, joining: Candidate) -> None:
-        """Record that ``entry`` knows this entry as the member ``joining``."""
-        self._note_known(joining, [entry])
+    def receive_confirmation(
+        self, name: str, joining: Candidate, counting: Candidate | None
+    ) -> None:
+        """Record that the entry ``name`` knows the member ``joining``.
+
+        If that entry was confirmed itself, it is the member ``counting``. By
+        its age this entry may not expect that it counts.
+        """
+        if counting is not None:
+            self._note(counting, counts=True)
+        self._note_known(joining, [name])
 
     def _note_exited(self, own: Candidate, missing: list[str]) -> None:
         """Await nothing from processes that have exited.
@@ -147,9 +155,12 @@
         """Let this entry count, since all others know it."""
         own = self._owners.own
         if own is not None:
-            now_ms = self._owners.now_ms()
-            self._owners.announced.note(own, now_ms, counts=True)
-            self._owners.update()
+            self._note(own, counts=True)
+
+    def _note(self, entry: Candidate, *, counts: bool) -> None:
+        now_ms = self._owners.now_ms()
+        self._owners.announced.note(entry, now_ms, counts=counts)
+        self._owners.update()
 
     def _must_announce(self, own: Candidate) -> bool:
         """Return whether others have to confirm before this entry counts.
--- a/cactusridge/organisations/limit_messages.py
+++ b/cactusridge/organisations/limit_messages.py
@@ -182,8 +182,14 @@
         """
 
     @abc.abstractmethod
-    def confirm(self, joining: Candidate) -> None:
-        """Respond to ``joining`` that this entry knows it from now on."""
+    def confirm(
+        self, joining: Candidate, own: Candidate | None, *, counts: bool
+    ) -> None:
+        """Respond to ``joining`` that this entry knows it from now on.
+
+        This entry is the member ``own``, None if it is none. ``counts`` is set
+        if it was confirmed itself.
+        """
 
     @abc.abstractmethod
     def exited(self, entries: Sequence[str]) -> list[str]:
--- a/cactusridge/peers/join_messages.py
+++ b/cactusridge/peers/join_messages.py
@@ -39,9 +39,12 @@
         message = [joining, counts]
         self._send(entry, JOINED_TOPIC, message)
 
-    def confirm(self, joining: Candidate) -> None:
+    def confirm(
+        self, joining: Candidate, own: Candidate | None, *, counts: bool
+    ) -> None:
         """Respond to ``joining`` that this entry knows it from now on."""
-        self._send(joining.name, KNOWN_TOPIC, joining)
+        message = [joining, own, counts]
+        self._send(joining.name, KNOWN_TOPIC, message)
 
     def exited(self, entries: Sequence[str]) -> list[str]:
         """Return those of ``entries`` whose hosts refuse connections."""
@@ -56,6 +59,11 @@
             self._joins.receive(decode_candidate(joining), counts=bool(counts))
 
     def _handle_known(self, peer: Target, raw: Any) -> None:
-        joining = decode_candidate(raw)
+        joining, own, counts = raw
+        entry = None if own is None else decode_candidate(own)
         if self._joins is not None:
-            self._joins.receive_confirmation(peer_name(peer), joining)
+            self._joins.receive_confirmation(
+                peer_name(peer),
+                decode_candidate(joining),
+                entry if counts else None,
+            )
--- a/tests/limits_links.py
+++ b/tests/limits_links.py
@@ -51,10 +51,12 @@
         for other in self._reached(entry, 'announcement'):
             other.process.joins.receive(joining, counts=counts)
 
-    def confirm(self, joining):
+    def confirm(self, joining, own, *, counts):
         """Deliver the response to an announcement."""
         for other in self._reached(joining.name, 'confirmation'):
-            other.process.joins.receive_confirmation(self._entry.name, joining)
+            other.process.joins.receive_confirmation(
+                self._entry.name, joining, own if counts else None
+            )
 
     def exited(self, entries):
         """Return the entries whose hosts are reachable but refuse."""
--- a/tests/test_limit_messages.py
+++ b/tests/test_limit_messages.py
@@ -122,13 +122,15 @@
         """Announcements and confirmations are decoded to what was sent."""
         joins = JoinMessages(self.here)
         joins.announce(RECEIVER.name, SENDER, counts=True)
-        joins.confirm(SENDER)
+        joins.confirm(SENDER, RECEIVER, counts=True)
+        joins.confirm(SENDER, RECEIVER, counts=False)
         self.here.pass_on(self.there)
         confirmed_by = '127.0.0.1:9'
         self.assertEqual(
             [
                 ('receive', (SENDER,), {'counts': True}),
-                ('receive_confirmation', (confirmed_by, SENDER), {}),
+                ('receive_confirmation', (confirmed_by, SENDER, RECEIVER), {}),
+                ('receive_confirmation', (confirmed_by, SENDER, None), {}),
             ],
             self.recorder.calls,
         )
