Limits: at a planned stop a young entry is better than none

Cause: an entry that stops hands over to members of 3.6 s and more alone, and requests go to members of 3 s and more alone; with none left nobody counted. An entry that had stopped answered a handover with its stop alone, so that the sender, which ranks it if the stop was lost, waited 10 s to count again.

Change: an entry that stops hands over to any member that stays if there is no older one, and members that stay are asked if there is no older one. A fleet counts as new by the members that stay. An entry that has stopped declines, or confirms what it had taken before.

--- a/cactusridge/organisations/limit_counter.py
+++ b/cactusridge/organisations/limit_counter.py
@@ -131,7 +131,7 @@
             found = LimitCount(bucket, request.version)
         self.holds.hold(name, found)
         if self._handover is not None:
-            self._handover.takeovers.forget(name)
+            self._handover.takeovers.forget([name])
         metrics.LIMIT_HANDOVERS.inc({'outcome': 'started'})
         return found
 
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -105,15 +105,15 @@
         sender = handover.sender
         if handover.receiver != self._owners.own or now_ms > handover.until_ms:
             return
-        if self.has_stopped:
-            self._link.announce_stop(handover.receiver, sender.name)
-            return
         if handover.stopping:
             self._owners.note_stopping(sender)
-        accepted = self._receipts.receive(handover)
+        if self.has_stopped:
+            self._link.announce_stop(handover.receiver, sender.name)
+            accepted = self._receipts.has_accepted(handover)
+        else:
+            accepted = self._receipts.receive(handover)
         if accepted:
-            for held in handover.counts:
-                self.takeovers.forget(held.name)
+            self.takeovers.forget(held.name for held in handover.counts)
         self._link.acknowledge(sender.name, handover.number, accepted=accepted)
 
     def acknowledged(self, number: int, *, accepted: bool) -> None:
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -234,10 +234,14 @@
         counting = (settled.others | own) - self.stopping
         self._counting = self._counting.updated(counting)
         receivers = settled.receivers - self.stopping
+        if self.has_stopped and not receivers:
+            # A young entry that others may not know is better than none.
+            receivers = self.listed - self.stopping
         self._receivers = self._receivers.updated(receivers)
 
     def _set_eligible(self, settled: frozenset[Candidate]) -> None:
-        eligible = settled - self.stopping
+        staying = self.listed - self.stopping
+        eligible = (settled - self.stopping) or staying
         if eligible == self._eligible.members:
             return
         self._previous = self._eligible
--- a/cactusridge/organisations/limit_receipts.py
+++ b/cactusridge/organisations/limit_receipts.py
@@ -61,6 +61,11 @@
                 self._pass_over(handover)
         return receipt.accepted
 
+    def has_accepted(self, handover: Handover) -> bool:
+        """Return whether the counts of a handover were accepted before."""
+        receipt = self._receipts.get((handover.sender, handover.number))
+        return receipt is not None and receipt.accepted
+
     def _take(self, handover: Handover) -> None:
         """Hold the counts of a handover, except for those already held."""
         now = self._clock.monotonic()
--- a/cactusridge/organisations/limit_takeovers.py
+++ b/cactusridge/organisations/limit_takeovers.py
@@ -1,7 +1,7 @@
 """Requests to other entries to hand over the counts of organisations."""
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from cactusridge import metrics
@@ -80,9 +80,10 @@
                 asked = ask._replace(declined=True, nobody=reply.nobody)
             self._asks[name] = asked
 
-    def forget(self, name: str) -> None:
-        """Forget a request: the organisation is counted now."""
-        self._asks.pop(name, None)
+    def forget(self, names: Iterable[str]) -> None:
+        """Forget requests: the organisations are counted now."""
+        for name in names:
+            self._asks.pop(name, None)
 
     def resend(self, own: Candidate) -> None:
         """Repeat the requests that were not answered yet."""
--- a/cactusridge/organisations/member_ages.py
+++ b/cactusridge/organisations/member_ages.py
@@ -76,14 +76,6 @@
             self._listed_since(now_ms - CEDE_MS),
         )
 
-    def is_new(self, member: Candidate) -> bool:
-        """Return whether no earlier owner than the new members can be left.
-
-        ``member`` and all that joined before it did so within SETTLE_MS, as
-        after a restart of the whole fleet.
-        """
-        return member.since_ms <= self._new_until_ms()
-
     def next_change_ms(self, now_ms: float) -> float:
         """Return when another member will have been listed for long enough."""
         next_ms = float('inf')
--- a/tests/test_limits_early_stop.py
+++ b/tests/test_limits_early_stop.py
@@ -14,6 +14,8 @@
 STEP_S = 0.05
 # An entry joins and may count within 4.5 s.
 LONGER_THAN_JOIN_S = 8.0
+# Age of an entry that others may not know yet and that does not count.
+YOUNG_S = 1.9
 
 
 class TestEarlyStop(unittest.TestCase):
@@ -53,3 +55,57 @@
         """The others learn that it has stopped and count in its place."""
         self.run_for(LONGER_THAN_JOIN_S)
         self.assertEqual([1] * len(NAMES), list(map(self.fleet.holders, NAMES)))
+
+
+class TestOthersAreYoung(unittest.TestCase):
+    """All entries stop but one that joined a moment ago."""
+
+    def setUp(self):
+        """Let the first two of three entries count; the third one joins."""
+        self.fleet = Fleet(3, by_owners, 1)
+        self.refused = 0
+        self.run_for(START_S)
+        self.leaving = self.fleet.entries[:2]
+        self.young = self.fleet.entries[2]
+        self.young.alive = False
+        self.young.process.members.leave()
+        self.run_for(LONGER_THAN_JOIN_S)
+        self.young.alive = True
+        self.young.start()
+        self.young.renew()
+        self.run_for(YOUNG_S)
+
+    def run_for(self, length_s):
+        """Send requests that are within the limits to all entries."""
+        end = self.fleet.clock.now + length_s
+        while self.fleet.clock.now < end:
+            self.fleet.advance_to(self.fleet.clock.now + STEP_S, ())
+            for name in NAMES:
+                self.assertLessEqual(self.fleet.holders(name), 1)
+                for entry in self.serving():
+                    self.refused += self.is_refused(entry, name)
+
+    def serving(self):
+        """Return the entries that callers are sent to."""
+        return [each for each in self.fleet.entries if each.serves]
+
+    def is_refused(self, entry, name):
+        """Return whether a request cannot be counted."""
+        try:
+            entry.limiter.take(name, LIMIT, 1)
+        except LimitUnavailable:
+            return True
+        return False
+
+    def test_none_refused(self):
+        """The young one counts on, so that no request is refused."""
+        self.refused = 0
+        for entry in self.leaving:
+            entry.process.handover.stop()
+            self.run_for(0.1)
+        self.run_for(1)
+        for entry in self.leaving:
+            entry.process.members.leave()
+            entry.alive = False
+        self.run_for(LONGER_THAN_JOIN_S)
+        self.assertEqual(0, self.refused)
