Limits: a new process announces itself at once and waits for the list

Cause: an entry serves as soon as it can place requests, and refused what has a limit until it knew members; announcements ran only once the configuration was known, which was looked at every 0.5 s.

Change: in the first second of a process a request waits for the first read, later none does. The announcement starts with the read and is sent as soon as there is a configuration with organisations.

--- a/cactusridge/organisations/join_confirmations.py
+++ b/cactusridge/organisations/join_confirmations.py
@@ -17,7 +17,7 @@
 from cactusridge.organisations.limit_handover import LimitHandover
 from cactusridge.organisations.limit_messages import Candidate, JoinLink
 from cactusridge.organisations.limit_owners import LimitOwners
-from cactusridge.organisations.member_ages import COUNT_MS
+from cactusridge.organisations.member_ages import COUNT_MS, SETTLE_MS
 
 # Seconds between two announcements to an entry that has not confirmed.
 REPEAT_S = 0.1
@@ -80,13 +80,20 @@
         if not self._missing():
             self._count()
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether others have to confirm that they know this entry."""
+        own = self._joining
+        if own is None or own != self._owners.own:
+            return False
+        return not self._owners.announced.has_confirmed(own)
+
     def run_due(self) -> None:
         """Announce this entry to those that have not confirmed; call often."""
         own = self._joining
         now = self._clock.monotonic()
-        if own is None or now - self._announced_at < REPEAT_S:
-            return
-        if own != self._owners.own or self._owners.announced.has_confirmed(own):
+        is_due = now - self._announced_at >= REPEAT_S
+        if own is None or not (is_due and self.is_awaited):
             return
         is_repeated = self._announced_at > float('-inf')
         self._announced_at = now
@@ -166,12 +173,15 @@
         """Return whether others have to confirm before this entry counts.
 
         An entry that joins a fleet with older members does without: it gets
-        counts handed over when it has been a member for some seconds.
+        counts handed over when it has been a member for some seconds. Those
+        that are stopping count nothing any more.
         """
         now_ms = self._owners.now_ms()
-        if now_ms < own.since_ms + COUNT_MS:
-            return self._owners.ages.is_new(own)
-        return now_ms < self._owners.right.from_ms
+        if now_ms >= own.since_ms + COUNT_MS:
+            return now_ms < self._owners.right.from_ms
+        staying = self._owners.listed - self._owners.stopping
+        oldest_ms = min((each.since_ms for each in staying), default=0)
+        return own.since_ms <= oldest_ms + SETTLE_MS
 
     def _missing(self) -> list[str]:
         """Return the entries that have to confirm and have not yet."""
--- a/cactusridge/organisations/owner_limiter.py
+++ b/cactusridge/organisations/owner_limiter.py
@@ -18,6 +18,10 @@
 # that responds but does not count yet.
 OWNER_RETRIES = 2
 OWNER_RETRY_S = 0.02
+# Seconds after the start of the process for which requests wait until it has
+# read the members. It takes requests as soon as it can place them.
+START_S = 1.0
+START_RETRIES = round(START_S / OWNER_RETRY_S)
 
 
 class OwnerLimiter(Limiter):
@@ -47,6 +51,7 @@
         self._counter = counter
         self._client = client
         self._clock = clock
+        self._started_until = clock.monotonic() + START_S
         # The entry that counted an organisation's last request.
         self._counted_by: dict[str, str] = {}
         self._backoff_until: dict[str, float] = {}
@@ -61,7 +66,7 @@
         """
         self._counted_by.pop(name, None)
         request = LimitRequest(name, limit, version)
-        for entry in self._owners.ranked_entries(name):
+        for entry in self._ranked_entries(name):
             reply = self._request_patiently(entry, request)
             if reply is not None and reply.counted:
                 return reply.wait_s
@@ -89,6 +94,18 @@
         elif counted_by:
             self._client.return_token(counted_by, name)
 
+    def _ranked_entries(self, name: str) -> list[str]:
+        """Return the owner and the backup owners.
+
+        A new process waits for the first read of the members.
+        """
+        for _ in range(START_RETRIES):
+            ranked = self._owners.ranked_entries(name)
+            if ranked or self._clock.monotonic() >= self._started_until:
+                return ranked
+            self._client.pause(OWNER_RETRY_S)
+        return []
+
     def _is_known_ended(self, entry: str) -> bool:
         """Return whether ``entry`` is in backoff and known to have exited."""
         # An entry with an old list may not know who counts now.
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 
-from cactusridge.background import run_every, run_every_while
+from cactusridge.background import run_every, run_every_while, run_forever
 from cactusridge.clock import Clock
 from cactusridge.jobs.member import Member
 from cactusridge.jobs.membership import Membership
@@ -60,6 +61,7 @@
         self._session = session
         self._listed = DerivedMembers(session.members_as_read, _candidates_of)
         self._has_organisations = has_organisations
+        self._list_read = Event()
         self._has_handover = cfg.policy.limit_handover == 'acknowledged'
         own_name = str(cfg.peer_address)
         lease = MembershipLease(session)
@@ -119,12 +121,12 @@
             steps = (
                 (WATCH_INTERVAL_S, self._watch.step),
                 (HANDOVER_INTERVAL_S, self._handover.run_due),
-                (HANDOVER_INTERVAL_S, self._joins.run_due),
             )
             for pause_s, step in steps:
                 gevent.spawn(
                     run_every_while, pause_s, step, self._has_organisations
                 )
+            gevent.spawn(run_forever, self._announce)
 
     def stop(self) -> None:
         """Hand over what this entry counts; it counts nothing afterwards."""
@@ -140,6 +142,19 @@
         self.owners.update()
         if self._has_handover:
             self._joins.list_read()
+            self._list_read.set()
+
+    def _announce(self) -> None:
+        """Wait for a read of the list; announce this entry if it is new.
+
+        The configuration may be read later than the list.
+        """
+        self._list_read.wait()
+        self._list_read.clear()
+        while self._joins.is_awaited:
+            if self._has_organisations():
+                self._joins.run_due()
+            gevent.sleep(HANDOVER_INTERVAL_S)
 
     def _candidates(self) -> tuple[Candidate, ...]:
         """Return the live members; none until the membership list was read."""
