--- a/tests/test_caller_watch.py
+++ b/tests/test_caller_watch.py
@@ -38,7 +38,8 @@
     def setUp(self):
         """Watch one end."""
         ends = socket.socketpair()
-        self.server, self.caller = ends
+        self.server = ends[0]
+        self.caller = ends[1]
         self.addCleanup(self.server.close)
         self.addCleanup(self.caller.close)
         self.watch = SocketWatch(self.server)
