--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -140,9 +140,8 @@
     def _handle_read(self) -> None:
         """Update who may count after a read of the list, without blocking."""
         self.owners.update()
-        if self._has_handover:
-            self._joins.list_read()
-            self._list_read.set()
+        self._joins.list_read()
+        self._list_read.set()
 
     def _announce(self) -> None:
         """Wait for a read of the list; announce this entry if it is new.
--- a/tests/limits_process.py
+++ b/tests/limits_process.py
@@ -82,7 +82,7 @@
         has_handover = self._fleet.has_handover
         self.members.step(has_handover and self.outage.holds())
         self.owners.update()
-        if has_handover and not self.members.unread_s():
+        if not self.members.unread_s():
             self.joins.list_read()
 
     def _is_due(self, work: str, interval_s: float) -> bool:
--- a/tests/test_limits_roll.py
+++ b/tests/test_limits_roll.py
@@ -70,3 +70,9 @@
         """Without handover many requests within their limits are refused."""
         naive = rolled(1, has_handover=False, outages=(Outage(50, 2.9),))
         self.assertGreater(naive.usual_refused_share, 10 * MOST_REFUSED)
+
+    def test_calm_without_handover(self):
+        """Without messages an entry counts by the age of its membership."""
+        course = Course(has_handover=False)
+        played = play(8, by_owners, 1, course=course)
+        self.assertEqual(0, played.refused)
--- a/tests/test_takeover_line.py
+++ b/tests/test_takeover_line.py
@@ -167,7 +167,8 @@
 
     def test_killed(self):
         """The parts are there and the job's first item follows at once."""
-        self.site.submit('one', 'j1', ['200 0.05'] * 3)
+        status = self.site.submit('one', 'j1', ['200 0.05'] * 3)
+        self.assertEqual(202, status)
         wait_for('its items run', lambda: 'item_started' in self.lines('one'))
         self.site.entries['one'].kill()
         wait_for('a new start', lambda: 'item_started' in self.lines('two'))
