--- a/soak/checks.py
+++ b/soak/checks.py
@@ -196,6 +196,7 @@
             call.sent_at - QUIET_S, call.ended_at, False
         ):
             text = f'{call.id} {call.end} after {took_s:.2f} s at {call.entry}'
+            text = f'{text}, sent at {call.sent_at:.3f}'
             record.add_violation('planned work cuts nothing', text)
 
 
