Limits: a backup owner with nothing left to admit counts nothing

Cause: the answer of a backup owner whose four requests were used up was the time until its allowance of 2% of the rate has a token again, though the owner may count a moment later. In the kept logs one entry alone had the right to count; the other one had joined some seconds before.

Tests: test_used_up, red before.

--- a/cactusridge/organisations/limit_copies.py
+++ b/cactusridge/organisations/limit_copies.py
@@ -61,7 +61,8 @@
         """Count a request for an owner that does not respond.
 
         If it has exited, the copy is continued, else there is a small
-        allowance.
+        allowance. Once that is used up, requests are not counted: the owner
+        may respond again long before the allowance has grown.
         """
         copy = self._copies.get(request.name)
         if copy is not None and request.owners_exited:
@@ -74,9 +75,10 @@
             found = LimitCount(bucket, request.version)
             self._allowances[request.name] = found
         response = self._take(found, request, limit)
-        if not response.wait_s:
-            admitted = self.pop_uncharged(request.name) + 1
-            self._uncharged[request.name] = _Uncharged(admitted, now)
+        if response.wait_s:
+            return response._replace(counted=False)
+        admitted = self.pop_uncharged(request.name) + 1
+        self._uncharged[request.name] = _Uncharged(admitted, now)
         return response
 
     def pop_uncharged(self, name: str) -> int:
--- a/tests/test_limits_charged.py
+++ b/tests/test_limits_charged.py
@@ -86,6 +86,16 @@
         self.count(OWNER, 40)
         self.assertEqual(most, self.admitted)
 
+    def test_used_up(self):
+        """What a backup owner does not admit is unsure and not over the limit.
+
+        A caller would be told to return after 50 times the usual wait.
+        """
+        request = REQUEST._replace(limit=RateLimit(1, 10), as_backup=True)
+        counter = self.counters[BACKUP]
+        counted = [counter.count(request).counted for _ in range(10)]
+        self.assertEqual([True] * BACKUP_BURST + [False] * 6, counted)
+
     def test_itself(self):
         """A backup owner that becomes the owner takes its own."""
         self.send_copy()
