Limits: announcements that change nothing do not update the owners

Cause: each announcement and each confirmation updated the owners, which walks all members; after a restart of all entries that is the square of the fleet for each entry.

Change: an entry that is expected to count already is noted without an update; the awaited entries are a set that shrinks. Counts are handed over by the next periodic update.

--- a/cactusridge/organisations/join_confirmations.py
+++ b/cactusridge/organisations/join_confirmations.py
@@ -14,7 +14,6 @@
 
 from cactusridge.clock import Clock
 from cactusridge.organisations.lease_state import LeaseState
-from cactusridge.organisations.limit_handover import LimitHandover
 from cactusridge.organisations.limit_messages import Candidate, JoinLink
 from cactusridge.organisations.limit_owners import LimitOwners
 from cactusridge.organisations.member_ages import COUNT_MS, SETTLE_MS
@@ -32,14 +31,12 @@
         self,
         owners: LimitOwners,
         lease: LeaseState,
-        handover: LimitHandover,
         link: JoinLink,
         clock: Clock,
     ) -> None:
         """Announce this entry through ``link``."""
         self._owners = owners
         self._lease = lease
-        self._handover = handover
         self._link = link
         self._clock = clock
         # Whether this process has read the list as a member; until then it
@@ -48,10 +45,10 @@
         owners.right.from_ms = float('inf')
         # The membership that is announced, None if it need not be.
         self._joining: Candidate | None = None
-        # The other members at the last read, and the names of those that have
-        # confirmed this membership.
-        self._others: frozenset[Candidate] = frozenset()
+        # The names of the entries that have confirmed this membership, and of
+        # those that have to and have not yet.
         self._confirmed_by: set[str] = set()
+        self._awaited: set[str] = set()
         self._announced_at = float('-inf')
         self._rng = random.Random(owners.own_name)  # noqa: S311
 
@@ -76,8 +73,10 @@
             self._joining = own
             self._confirmed_by.clear()
             self._announced_at = float('-inf')
-        self._others = self._owners.listed - {own}
-        if not self._missing():
+        others = self._owners.listed - self._owners.stopping - {own}
+        names = {each.name for each in others}
+        self._awaited = names - self._confirmed_by
+        if not self._awaited:
             self._count()
 
     @property
@@ -97,11 +96,13 @@
             return
         is_repeated = self._announced_at > float('-inf')
         self._announced_at = now
-        missing = self._missing()
-        for name in missing:
+        for name in tuple(self._awaited):
             self._link.announce(name, own, counts=False)
+        stopped = [each.name for each in self._owners.stopping]
         if is_repeated:
-            self._note_exited(own, missing)
+            stopped += self._exited()
+        if stopped:
+            self._note_known(own, stopped)
 
     def receive(self, joining: Candidate, *, counts: bool) -> None:
         """Record the announcement of another entry, and confirm it.
@@ -114,10 +115,11 @@
         if not self._owners.announced.has(joining):
             # An earlier process at its address has confirmed, if any.
             self._confirmed_by.discard(joining.name)
-            self._others |= {joining}
-        self._note(joining, counts=counts)
+            self._awaited.add(joining.name)
+        now_ms = self._owners.now_ms()
+        self._owners.announced.note(joining, now_ms, counts=counts)
+        self._update_for(joining)
         if counts:
-            self._handover.rebalance()
             return
         own = self._owners.own
         counts_itself = self._owners.announced.has_confirmed(own)
@@ -132,42 +134,49 @@
         its age this entry may not expect that it counts.
         """
         if counting is not None:
-            self._note(counting, counts=True)
+            now_ms = self._owners.now_ms()
+            self._owners.announced.note(counting, now_ms, counts=True)
+            self._update_for(counting)
         self._note_known(joining, [name])
 
-    def _note_exited(self, own: Candidate, missing: list[str]) -> None:
-        """Await nothing from processes that have exited.
+    def _exited(self) -> list[str]:
+        """Return awaited entries whose processes have exited.
 
         One that starts at the same address finds this entry in the list, and
         awaits its confirmation.
         """
-        count = min(len(missing), MAX_CHECKS)
-        exited = self._link.exited(self._rng.sample(missing, count))
-        if exited:
-            self._note_known(own, exited)
+        count = min(len(self._awaited), MAX_CHECKS)
+        return self._link.exited(self._rng.sample(sorted(self._awaited), count))
+
+    def _update_for(self, joining: Candidate) -> None:
+        """Rank ``joining``, unless this entry expects already that it counts.
+
+        After a restart of a large fleet nearly all announcements are of such
+        entries, and an update walks all members. The next periodic one hands
+        counts over to them.
+        """
+        if joining not in self._owners.counting.members:
+            self._owners.update()
 
     def _note_known(self, joining: Candidate, names: Sequence[str]) -> None:
-        """Record entries that know this one or have exited."""
+        """Record entries that know this one or count nothing any more."""
         if joining != self._joining or joining != self._owners.own:
             return
         self._confirmed_by.update(names)
-        has_confirmed = self._owners.announced.has_confirmed(joining)
-        if has_confirmed or self._missing():
+        self._awaited.difference_update(names)
+        if self._awaited or not self.is_awaited:
             return
         self._count()
-        for each in self._others:
+        for each in self._owners.listed - {joining}:
             self._link.announce(each.name, joining, counts=True)
 
     def _count(self) -> None:
         """Let this entry count, since all others know it."""
         own = self._owners.own
         if own is not None:
-            self._note(own, counts=True)
-
-    def _note(self, entry: Candidate, *, counts: bool) -> None:
-        now_ms = self._owners.now_ms()
-        self._owners.announced.note(entry, now_ms, counts=counts)
-        self._owners.update()
+            now_ms = self._owners.now_ms()
+            self._owners.announced.note(own, now_ms, counts=True)
+            self._owners.update()
 
     def _must_announce(self, own: Candidate) -> bool:
         """Return whether others have to confirm before this entry counts.
@@ -182,9 +191,3 @@
         staying = self._owners.listed - self._owners.stopping
         oldest_ms = min((each.since_ms for each in staying), default=0)
         return own.since_ms <= oldest_ms + SETTLE_MS
-
-    def _missing(self) -> list[str]:
-        """Return the entries that have to confirm and have not yet."""
-        awaited = self._others - self._owners.stopping
-        names = {each.name for each in awaited}
-        return sorted(names - self._confirmed_by)
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -70,7 +70,7 @@
         # those that may be counting in their own right.
         self._eligible = Ranking(())
         self._previous = Ranking(())
-        self._counting = Ranking(())
+        self.counting = Ranking(())
         # Entries that counts may be handed over to.
         self._receivers = Ranking(())
 
@@ -124,7 +124,7 @@
         if not self.is_current() or self.own is None:
             return False
         self.update_if_due()
-        for each in self._counting.of(organisation):
+        for each in self.counting.of(organisation):
             if each not in ceders:
                 return each == self.own
         return False
@@ -192,7 +192,7 @@
 
     def update(self) -> None:
         """Update the possible owners and whether this entry may count."""
-        before = (self.own, self._eligible, self._counting, self._receivers)
+        before = (self.own, self._eligible, self.counting, self._receivers)
         now_ms = self.now_ms()
         self._update_listed(now_ms)
         self._next_change_ms = min(
@@ -204,7 +204,7 @@
             self._basis = basis
             self._rank(settled)
         self.right.update(self.own, len(self.listed), settled, now_ms)
-        after = (self.own, self._eligible, self._counting, self._receivers)
+        after = (self.own, self._eligible, self.counting, self._receivers)
         if before != after:
             self.revision += 1
 
@@ -232,7 +232,7 @@
         self._set_eligible(settled.eligible)
         own = frozenset({self.own} if self.own else ())
         counting = (settled.others | own) - self.stopping
-        self._counting = self._counting.updated(counting)
+        self.counting = self.counting.updated(counting)
         receivers = settled.receivers - self.stopping
         if self.has_stopped and not receivers:
             # A young entry that others may not know is better than none.
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -81,7 +81,7 @@
         )
         self._join_messages = JoinMessages(peers)
         self._joins = JoinConfirmations(
-            self.owners, lease_state, self._handover, self._join_messages, clock
+            self.owners, lease_state, self._join_messages, clock
         )
         reports = OutageReports(peers)
         self._watch = OutageWatch(
--- a/tests/limits_process.py
+++ b/tests/limits_process.py
@@ -50,9 +50,7 @@
         self.handover = LimitHandover(
             self.owners, self.counter.holds, lease, self.link, clock
         )
-        self.joins = JoinConfirmations(
-            self.owners, lease, self.handover, self.link, clock
-        )
+        self.joins = JoinConfirmations(self.owners, lease, self.link, clock)
         if self._fleet.has_handover:
             self.counter.connect_handover(self.handover)
         self.watch = OutageWatch(
