Limits: a stop of an earlier process does not stand for the next one

Cause (by reading): an entry that has stopped was taken as known by its name, so one that starts again at that address while its stop is remembered needed not confirm.

Change: only members that stop and are still listed count as known.

Result: joins, restart and early stop pass (18 tests).

--- a/cactusridge/organisations/join_confirmations.py
+++ b/cactusridge/organisations/join_confirmations.py
@@ -98,11 +98,13 @@
         self._announced_at = now
         for name in tuple(self._awaited):
             self._link.announce(name, own, counts=False)
-        stopped = [each.name for each in self._owners.stopping]
+        # Not the earlier process of an entry that has started again.
+        stopped = self._owners.stopping & self._owners.listed
+        known = [each.name for each in stopped]
         if is_repeated:
-            stopped += self._exited()
-        if stopped:
-            self._note_known(own, stopped)
+            known += self._exited()
+        if known:
+            self._note_known(own, known)
 
     def receive(self, joining: Candidate, *, counts: bool) -> None:
         """Record the announcement of another entry, and confirm it.
