Stand-ins: a replica that falls silent for some time and goes on

It accepts connections and requests and keeps those that run, but sends nothing and works on nothing, as a process that its host does not run.

--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -46,6 +46,9 @@
     start time of the current incarnation in Unix milliseconds, and ``version``
     that of its software, which the text of the events contains unless it is
     UNMARKED_VERSION. The recorded counts include all incarnations.
+
+    After ``fall_silent`` the replica accepts connections and requests, but
+    neither starts nor continues any work for some time.
     """
 
     def __init__(self, replica_id: str, slots: int) -> None:
@@ -63,6 +66,7 @@
         self.max_running = 0
         self.incomplete_streams = 0
         self.crash_times_s: list[float] = []
+        self._silent_until_s = float(0)
         self._on_crash: Callable[[bool], None] | None = None
         self._slot_count = slots
         self._slots = BoundedSemaphore(slots)
@@ -76,6 +80,7 @@
         if not request_id:
             return self._refuse(start, '400 Bad Request')
         body = environ['wsgi.input'].read()
+        self.wait_silent()
         self.runs[request_id] += 1
         self.request_headers[request_id] = headers
         self.targets.append(environ[TARGET_KEY])
@@ -93,6 +98,15 @@
         """
         self._on_crash = listener
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing and work on nothing for ``seconds`` from now."""
+        self._silent_until_s = time.monotonic() + seconds
+
+    def wait_silent(self) -> None:
+        """Return when the replica is not silent any more."""
+        while time.monotonic() < self._silent_until_s:
+            gevent.sleep(STEP_S)
+
     def restart(self) -> None:
         """Start a new incarnation; running streams break off."""
         self.born = max(self.born + 1, time.time_ns() // NS_PER_MS)
@@ -187,6 +201,7 @@
         try:
             for number in range(int(last) + 1, int(count) + 1):
                 gevent.sleep(self.step_s(float(event_s or STEP_S)))
+                self.wait_silent()
                 if slots is not self._slots:
                     raise ResponseCut
                 if number == close_after_events:
