--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,8 @@
 import time
 from collections import Counter
 
-from soak.record import Call, CallEnd, Job, Record, RunStart
+from soak.loss_checks import QUIET_S, check_losses
+from soak.record import Call, Job, Record, RunStart
 from soak.versions import versions_in, without_marks
 
 # Statuses of requests that have not run and never will.
@@ -17,13 +18,7 @@
 ENDED_BOUND_S = 3
 DRAIN_BOUND_S = 2
 CONFIG_BOUND_S = 2
-# Seconds after the last byte of a request within which the connection may
-# end without a response, if no replica has received the request. Callers
-# measure this time, and 0.3 s of it is the delay of their own event loop that
-# is not recorded as a stall.
-LOSS_SLACK_S = 0.2 + 0.3
 GONE_BOUND_S = 1
-QUIET_S = 3
 ATTEMPTS = 2
 # Seconds after which an item may be given up, by the route of the jobs.
 MAX_WAIT_S = 60
@@ -45,7 +40,7 @@
     _check_ended_jobs(record, runs)
     _check_withheld(record)
     _check_configuration(record)
-    _check_planned_cuts(record, runs)
+    check_losses(record, runs)
 
 
 def check_outstanding(record: Record, seconds: float) -> None:
@@ -209,22 +204,5 @@
             )
 
 
-def _check_planned_cuts(
-    record: Record, runs: dict[str, list[RunStart]]
-) -> None:
-    """Check that planned operations leave no request without a response."""
-    for call in record.calls:
-        if call.end not in {CallEnd.cut, CallEnd.closed, CallEnd.silent}:
-            continue
-        took_s = call.ended_at - call.sent_at
-        had = call.id in runs or took_s > LOSS_SLACK_S
-        if had and record.is_undisturbed(
-            call.sent_at - QUIET_S, call.ended_at, False
-        ):
-            text = f'{call.id} {call.end} after {took_s:.2f} s at {call.entry}'
-            text = f'{text}, sent at {call.sent_at:.3f}'
-            record.add_violation('planned work cuts nothing', text)
-
-
 def _locations(runs: list[RunStart]) -> str:
     return ', '.join(f'{each.life} at {each.at:.3f}' for each in runs)
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -16,8 +16,11 @@
 # others together send about 13 requests a second.
 GREEDY = 'greedy'
 GREEDY_KEY = f'secret-{GREEDY}'
+STEADY = 'steady-'
+# Rates and bursts that a changed quota may have; callers stay below all.
+QUOTAS = (20, 40)
 LIMITS = (
-    *((f'steady-{number}', Limit(20, 20)) for number in range(3)),
+    *((f'{STEADY}{number}', Limit(20, 20)) for number in range(3)),
     ('unlimited', Limit(0, 0)),
     (GREEDY, Limit(8, 8)),
 )
@@ -31,7 +34,9 @@
 
     def __init__(self, limits: tuple[tuple[str, Limit], ...] = ()) -> None:
         """Grant each organisation its first key."""
+        # The largest limits so far, and those of the next catalog.
         self.limits = dict(limits)
+        self._quotas = dict(limits)
         self.first_keys = [f'secret-{name}' for name in self.limits]
         # The organisation of each key, and when it was revoked, in seconds.
         self.owners = dict(zip(self.first_keys, self.limits, strict=True))
@@ -48,7 +53,7 @@
                 'api_keys': [key for key in valid if self.owners[key] == name],
                 **limit._asdict(),
             }
-            for name, limit in self.limits.items()
+            for name, limit in self._quotas.items()
         ]
         return holders or None
 
@@ -63,6 +68,14 @@
         name = list(self.limits)[number % len(self.limits)]
         self.owners[f'secret-{name}-{number}'] = name
 
+    def change_quota(self, rng: random.Random) -> None:
+        """Draw the limit of one of the organisations that stay below it."""
+        names = [name for name in self.limits if name.startswith(STEADY)]
+        name = rng.choice(names)
+        quota = Limit(rng.randint(*QUOTAS), rng.randint(*QUOTAS))
+        self._quotas[name] = quota
+        self.limits[name] = Limit(*map(max, quota, self.limits[name]))
+
     def draw_key(self, rng: random.Random) -> str:
         """Return a valid or revoked key of others; '' if none exist."""
         keys = [key for key, name in self.owners.items() if name != GREEDY]
--- a/soak/process_faults.py
+++ b/soak/process_faults.py
@@ -1,7 +1,6 @@
 """Faults of entry processes: kill, suspension, planned stop and reload."""
 
 import random
-import signal
 
 import gevent
 
@@ -106,4 +105,4 @@
         """Send SIGHUP twice if the entry can already handle it."""
         for _ in range(2):
             if self.world.has_loaded(self.entry):
-                self.world.entries[self.entry].send(signal.SIGHUP)
+                self.world.reload(self.entry)
--- a/soak/record.py
+++ b/soak/record.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from soak.organisations import Organisations
+from soak.planned_work import PlannedWorks
 
 
 class CallEnd(enum.StrEnum):
@@ -56,6 +57,13 @@
     organisation: str = ''
 
 
+class RunEnd(NamedTuple):
+    """When a run ended, in seconds, and whether its replica broke it off."""
+
+    at: float
+    broken_off: bool
+
+
 class ExclusionInterval(NamedTuple):
     """An interval in which an incarnation may receive no requests.
 
@@ -69,6 +77,14 @@
     promise: str
 
 
+class SilenceInterval(NamedTuple):
+    """An interval, in seconds, in which a sound replica was silent."""
+
+    replica: str
+    since: float
+    until: float
+
+
 class Violation(NamedTuple):
     """A broken promise and the evidence for it."""
 
@@ -126,6 +142,10 @@
         self.organisations = Organisations()
         # When each guilty part of a prompt crashed a replica, in seconds.
         self.guilty_parts: dict[str, list[float]] = {}
+        self.planned_works = PlannedWorks()
+        self.silences: list[SilenceInterval] = []
+        # The ends of runs, by the request's id and the incarnation.
+        self.run_ends: dict[tuple[str, str], RunEnd] = {}
 
     def add_violation(self, promise: str, text: str) -> None:
         """Record a broken promise, once for each evidence text."""
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -2,14 +2,15 @@
 
 import math
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import gevent
 
 from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
-from soak.record import Record, RunStart
+from soak.record import Record, RunEnd, RunStart, SilenceInterval
 from soak.versions import version_mark
-from standins.machines.replica import MachineReplica
+from standins.machines.replica import MachineReplica, ResponseCut
 
 HANG_S = 30
 # Prefix of the ids in list entries that no replica has written.
@@ -17,6 +18,8 @@
 # Prefix of the ids of requests whose events are large.
 UNREAD = 'unread'
 LARGE_EVENT = 'x' * (64 << 10)
+# Seconds for which a replica works between two silences.
+WORKS_S = 0.2
 
 
 class SoakReplica(MachineReplica):
@@ -88,6 +91,34 @@
         """Return the seconds that an event takes, given the requested ones."""
         return requested_s * self.slow_factor
 
+    def fall_silent(self, seconds: float) -> None:
+        """Fall silent, unless a silence lasts or has just ended.
+
+        Silences that overlap would otherwise last longer than any of them.
+        """
+        now = time.monotonic()
+        if now < self._silent_until_s + WORKS_S:
+            return
+        super().fall_silent(seconds)
+        self._record.silences.append(
+            SilenceInterval(self.id, now, now + seconds)
+        )
+
+    def _events(
+        self, request_id: str, body: bytes, last: str
+    ) -> Iterator[bytes]:
+        life = self.life
+        broken_off = False
+        try:
+            yield from super()._events(request_id, body, last)
+        except ResponseCut:
+            broken_off = True
+            raise
+        finally:
+            self._record.run_ends[request_id, life] = RunEnd(
+                time.monotonic(), broken_off
+            )
+
     def _record_guilty(self, listed: str) -> None:
         for entry in listed.split(',')[:-1]:
             crashes = self._record.guilty_parts.get(entry.partition(':')[0])
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,12 +4,14 @@
 import random
 import time
 from pathlib import Path
+from types import MappingProxyType
 from typing import NamedTuple
 
 import gevent
 
 from soak import checks
 from soak.callers import Caller
+from soak.configurations import SECOND_SERVICE, Configurations
 from soak.faults import Fault
 from soak.job_callers import JobCaller, complete
 from soak.organisation_callers import KINDS
@@ -19,7 +21,11 @@
 from soak.part_faults import SHARED, SOUND, send_prompt
 from soak.record import Job, Record
 from soak.resuming_caller import ResumingCaller
-from soak.schedule import FIRST_SEED_OF_VERSIONS, schedule
+from soak.schedule import (
+    FIRST_SEED_OF_SILENCES,
+    FIRST_SEED_OF_VERSIONS,
+    schedule,
+)
 from soak.world import World
 
 # Seconds after the last fault within which every entry must serve again.
@@ -37,6 +43,15 @@
 # Statuses of requests that no quarantine refuses.
 NOT_HELD_BACK = frozenset((200, 401, 429))
 RESUMING_CALLERS = 3
+# From FIRST_SEED_OF_SILENCES on, of three seeds one has one replica of each
+# version with few slots, and one has a service of its own for its last replica.
+FLEETS = 3
+SMALL_FLEET = 0
+SPLIT_FLEET = 1
+# What the machines have: entries take requests for 3 s after SIGTERM.
+STOP_SETTINGS = MappingProxyType(
+    {'readiness_delay_s': 2.7, 'drain_timeout_s': 4.5}
+)
 
 
 class Size(NamedTuple):
@@ -53,12 +68,17 @@
 def run(seed: int, size: Size, folder: Path) -> Record:
     """Run a seed with entry logs in ``folder``; return its record."""
     names = [f'entry-{number}' for number in range(size.entries)]
+    silences = seed >= FIRST_SEED_OF_SILENCES
+    if silences and seed % FLEETS == SMALL_FLEET:
+        size = size._replace(replicas=2, slots=2)
     world = World(folder, size.replicas, size.slots)
     if seed >= FIRST_SEED_OF_ORGANISATIONS:
         world.record.organisations = Organisations(LIMITS)
         world.extra_settings['revoke_ms'] = REVOKED_BOUND_S * 1000
     if seed >= FIRST_SEED_OF_VERSIONS:
         world.mix_versions()
+    if silences:
+        _vary_configurations(world, seed)
     try:
         world.begin(names)
         _run(world, seed, size)
@@ -67,6 +87,15 @@
     return world.record
 
 
+def _vary_configurations(world: World, seed: int) -> None:
+    split = seed % FLEETS == SPLIT_FLEET
+    rng = random.Random(seed)  # noqa: S311
+    world.configurations = Configurations(rng, split)
+    if split:
+        world.replicas[-1].service = SECOND_SERVICE
+    world.extra_settings.update(STOP_SETTINGS)
+
+
 def _run(world: World, seed: int, size: Size) -> None:
     further = KINDS if world.record.organisations.limits else ()
     resuming = RESUMING_CALLERS if seed >= FIRST_SEED_OF_VERSIONS else 0
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -34,6 +34,7 @@
     Restart,
     Slow,
 )
+from soak.silence_faults import Silent
 from soak.store_faults import (
     AnswersOfWritesLost,
     HistoryLost,
@@ -86,6 +87,12 @@
 # Every seed that this number divides has planned operations only, which may
 # not interrupt a request.
 PLANNED_EVERY = 4
+# From this seed on sound replicas fall silent for a short time.
+FIRST_SEED_OF_SILENCES = 800
+SILENCES = (Silent, Silent)
+# Every such seed that this number divides has silences and planned operations
+# only.
+SILENCES_ONLY_EVERY = 2
 GAPS_S = (0.1, 2.0)
 LASTS_S = (0.3, 5.0)
 
@@ -114,6 +121,8 @@
 
 
 def _kinds(seed: int) -> tuple[type[Fault], ...]:
+    if seed >= FIRST_SEED_OF_SILENCES and seed % SILENCES_ONLY_EVERY == 0:
+        return (*PLANNED, *SILENCES)
     lists = LISTS if seed >= FIRST_SEED_OF_LISTS else ()
     if seed >= FIRST_SEED_OF_PARTS and seed % PARTS_ONLY_EVERY == 0:
         return (*PARTS, Reload, Reconfigure)
@@ -125,4 +134,6 @@
     newer = REPLACEMENTS if seed >= FIRST_SEED_OF_VERSIONS else ()
     if seed >= FIRST_SEED_OF_PARTS:
         newer += PARTS
+    if seed >= FIRST_SEED_OF_SILENCES:
+        newer += SILENCES
     return (*FAULTS, *PAUSES, *lists, *restarts, *newer)
--- a/standins/machines/listed_replicas.py
+++ b/standins/machines/listed_replicas.py
@@ -53,7 +53,7 @@
     ) -> dict[str, Any]:
         """Return the list entry that a replica writes for itself."""
         return {
-            'service': 'model',
+            'service': replica.service,
             'address': str(address),
             'zone': 'z',
             'version': replica.version,
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -11,14 +11,20 @@
 
 from cactusridge.http.client import Address
 from soak.checks import DRAIN_BOUND_S, check_at_end
+from soak.configurations import TIMEOUTS_MS, Configurations
 from soak.list_faults import EntrySpoiled, StrayEntry
+from soak.organisations import LIMITS, QUOTAS, Limit, Organisations
 from soak.record import Call, CallEnd, ExclusionInterval, Record, RunStart
+from soak.replica import WORKS_S, SoakReplica
 from soak.replica_faults import Leaving, Restart
-from soak.schedule import PLANNED, schedule
+from soak.schedule import FAULTS, PLANNED, schedule
+from soak.silence_faults import Silent
 from soak.world import World
 from standins.forwarder import Forwarder
+from standins.machines.site import ROUTES
 
 SECONDS = 20
+STEADY_NAMES = ('steady-0', 'steady-1', 'steady-2')
 LATER_KINDS = frozenset((EntrySpoiled, StrayEntry, Restart))
 
 
@@ -45,6 +51,75 @@
         planned = {*PLANNED, EntrySpoiled, StrayEntry}
         self.assertEqual(planned, drawn_kinds(range(200, 240, 4)))
 
+    def test_silences(self):
+        """Seeds from 800 on draw silences, half of them beside planned work.
+
+        Lower seeds draw none.
+        """
+        self.assertNotIn(Silent, drawn_kinds(range(1, 800)))
+        self.assertEqual({*PLANNED, Silent}, drawn_kinds(range(800, 820, 2)))
+        self.assertLess({*FAULTS, Silent}, drawn_kinds(range(801, 841, 2)))
+
+
+class TestSilent(unittest.TestCase):
+    """Silences are short and leave the replica time to work between them."""
+
+    def test_overlapping(self):
+        """Two silences of one replica at a time do not become a longer one."""
+        record = Record()
+        replica = SoakReplica('i-0', 4, record)
+        replica.fall_silent(0.1)
+        replica.fall_silent(9)
+        self.assertEqual(1, len(record.silences))
+        replica.wait_silent()
+        replica.fall_silent(9)
+        self.assertEqual(1, len(record.silences))
+        time.sleep(WORKS_S)
+        replica.fall_silent(0.1)
+        self.assertEqual(2, len(record.silences))
+
+
+class TestConfigurations(unittest.TestCase):
+    """What configurations change, and that lower seeds change nothing."""
+
+    def test_unchanged(self):
+        """Without a random generator routes and limits stay as they are."""
+        configurations = Configurations()
+        organisations = Organisations(LIMITS)
+        before = organisations.holders()
+        configurations.change_quota(organisations)
+        self.assertEqual(list(ROUTES), configurations.routes(ROUTES))
+        self.assertEqual(before, organisations.holders())
+
+    def test_changed(self):
+        """Time-outs, weights and quotas change, but not those of jobs."""
+        configurations = Configurations(random.Random(1), split=True)
+        organisations = Organisations(LIMITS)
+        drawn = [configurations.routes(ROUTES) for _ in range(20)]
+        online, jobs = (
+            [routes[number] for routes in drawn] for number in (0, -1)
+        )
+        self.assertEqual([ROUTES[-1]] * len(drawn), jobs)
+        self.assertEqual(
+            set(TIMEOUTS_MS), {each['timeout_ms'] for each in online}
+        )
+        self.assertGreater(len({str(e['traffic_split']) for e in online}), 2)
+        before = organisations.holders()
+        configurations.change_quota(organisations)
+        self.assertNotEqual(before, organisations.holders())
+
+    def test_largest_quota(self):
+        """The check knows the largest limit that an organisation has had."""
+        organisations = Organisations(LIMITS)
+        rng = random.Random(1)
+        for _ in range(500):
+            organisations.change_quota(rng)
+        largest = Limit(*[QUOTAS[1]] * 2)
+        self.assertEqual(
+            dict(LIMITS) | dict.fromkeys(STEADY_NAMES, largest),
+            organisations.limits,
+        )
+
 
 class TestEntrySpoiled(unittest.TestCase):
     """A list entry that another writer corrupts is restored afterwards."""
