Soak: callers leave a stream after a gap, and attempts that resume count as calls

New check (GONE): of the requests whose caller has left, at most three reach a replica over 0.5 s later (0.8 s, as the caller may be late) while nothing but planned work disturbs the fleet.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,8 @@
 MAX_EVENTS = 40
 EVENT_S = 0.03
 MAX_PAUSE_S = 0.4
+# Kinds of requests whose answers are streams.
+STREAMS = frozenset(('on', 'again'))
 DISCONNECT_SHARE = 0.05
 DISCONNECT_AFTER_S = 0.2
 
@@ -140,20 +142,24 @@
         spec: RequestSpec,
         request_id: str,
     ) -> tuple[CallEnd, Response | None, bytes]:
+        silent, cut = CallEnd.silent, CallEnd.cut
         try:
             resp = self._start(spec, request_id).getresponse()
         except TimeoutError:
-            return self._without_response(CallEnd.silent)
+            return self._without_response(self._end_of_gap(spec, silent))
         except (OSError, HTTPException):
             return self._without_response(CallEnd.closed)
         try:
             body = resp.read()
         except IncompleteRead as exc:
             self._close()
-            return CallEnd.cut, resp, exc.partial
+            return cut, resp, exc.partial
+        except TimeoutError:
+            self._close()
+            return self._end_of_gap(spec, cut), resp, b''
         except (OSError, HTTPException):
             self._close()
-            return CallEnd.cut, resp, b''
+            return cut, resp, b''
         if resp.will_close:
             self._close()
         return CallEnd.whole, resp, body
@@ -166,9 +172,19 @@
             **key_headers(spec.key),
         }
         conn = self._connect()
+        gap_s = self._gap_s(spec)
+        conn.sock.settimeout(gap_s or TIMEOUT_S)
         conn.request('POST', spec.target, spec.body, headers)
         return conn
 
+    def _gap_s(self, spec: RequestSpec) -> float | None:
+        """Return after which gap the caller leaves, None if it stays."""
+        return self._world.gap_s if spec.kind in STREAMS else None
+
+    def _end_of_gap(self, spec: RequestSpec, without_gap: CallEnd) -> CallEnd:
+        """Return how a call ends in which nothing came for too long."""
+        return CallEnd.caller_closed if self._gap_s(spec) else without_gap
+
     def _without_response(self, end: CallEnd) -> tuple[CallEnd, None, bytes]:
         self._close()
         return end, None, b''
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 from collections import Counter
 
 from soak.loss_checks import QUIET_S, check_losses
-from soak.record import Call, Job, Record, RunStart
+from soak.record import Call, CallEnd, Job, Record, RunStart
 from soak.versions import versions_in, without_marks
 
 # Statuses of requests that have not run and never will.
@@ -18,7 +18,10 @@
 ENDED_BOUND_S = 3
 DRAIN_BOUND_S = 2
 CONFIG_BOUND_S = 2
-GONE_BOUND_S = 1
+# Seconds after its caller has left within which a request may still reach a
+# replica, and how many may later.
+GONE_BOUND_S = 0.5 + 0.3
+GONE_REQUESTS = 3
 ATTEMPTS = 2
 # Seconds after which an item may be given up, by the route of the jobs.
 MAX_WAIT_S = 60
@@ -41,6 +44,7 @@
     _check_withheld(record)
     _check_configuration(record)
     check_losses(record, runs)
+    _check_gone(record, runs)
 
 
 def check_outstanding(record: Record, seconds: float) -> None:
@@ -166,6 +170,20 @@
             record.add_violation(exclusion.promise, text)
 
 
+def _check_gone(record: Record, runs: dict[str, list[RunStart]]) -> None:
+    """Check that few requests reach a replica after their caller has left."""
+    late = [
+        f'{run_start.id} {run_start.at - call.ended_at:.2f} s'
+        for call in record.calls
+        for run_start in runs.get(call.id, ())
+        if call.end == CallEnd.caller_closed
+        and run_start.at > call.ended_at + GONE_BOUND_S
+        and record.is_undisturbed(call.sent_at - QUIET_S, run_start.at, False)
+    ]
+    if len(late) > GONE_REQUESTS:
+        record.add_violation('callers who left', f'run later: {late}')
+
+
 def _check_configuration(record: Record) -> None:
     """Check that catalog versions apply in time and are never rolled back.
 
--- a/soak/resuming_caller.py
+++ b/soak/resuming_caller.py
@@ -1,6 +1,7 @@
 """A caller that leaves streams and resumes them at other entries."""
 
 import random
+import time
 from http.client import HTTPException
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 
 from soak.checks import check_one_version
 from soak.organisations import key_headers
+from soak.record import Call, CallEnd
 from soak.versions import without_marks
 from soak.world import World
 from standins.machines.stream_caller import StreamCaller, StreamPart
@@ -18,6 +20,13 @@
 # Most attempts at one stream.
 ATTEMPTS = 4
 MAX_PAUSE_S = 0.4
+KIND = 'resumed'
+
+
+def _end_of(part: StreamPart) -> CallEnd:
+    if part.left:
+        return CallEnd.caller_closed
+    return CallEnd.whole if part.whole else CallEnd.cut
 
 
 class Begun(NamedTuple):
@@ -47,7 +56,7 @@
         self._world = world
         self._name = name
         self._rng = random.Random(seed)  # noqa: S311
-        self._caller = StreamCaller(self._address_of)
+        self._caller = StreamCaller(self._address_of, world.gap_s)
         self._count = 0
 
     def run(self) -> None:
@@ -75,19 +84,42 @@
         """Make one attempt; return None if it brought no answer."""
         entry = self._rng.choice(sorted(self._world.caller_links))
         leaves_after = self._rng.randint(1, MAX_EVENTS)
-        keys = self._world.record.organisations
+        record = self._world.record
+        key = record.organisations.draw_key(self._rng)
+        sent_at = time.monotonic()
+        part = None
+        end = CallEnd.closed
         try:
-            return self._caller.read(
+            part = self._caller.read(
                 entry,
                 request_id,
                 stream.body,
                 leaves_after,
                 stream.id,
                 stream.last_id,
-                key_headers(keys.draw_key(self._rng)),
+                key_headers(key),
             )
+        except TimeoutError:
+            gap = self._world.gap_s
+            end = CallEnd.caller_closed if gap else CallEnd.silent
         except (OSError, HTTPException):
-            return None
+            link = self._world.caller_links[entry]
+            if self._caller.local_address in link.unforwarded_clients:
+                end = CallEnd.unreached
+        record.calls.append(
+            Call(
+                request_id,
+                KIND,
+                entry,
+                sent_at,
+                time.monotonic(),
+                end if part is None else _end_of(part),
+                None if part is None else part.status,
+                headers={} if part is None else part.headers,
+                key=key,
+            )
+        )
+        return part
 
     def _check(self, stream: Begun) -> None:
         """Check that the parts fit together."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,6 +48,9 @@
 FLEETS = 3
 SMALL_FLEET = 0
 SPLIT_FLEET = 1
+# Seconds without data after which callers leave a stream: the longest of 2 s,
+# four times the latency objective and eight times the longest pause.
+GAP_S = 2.0
 # What the machines have: entries take requests for 3 s after SIGTERM.
 STOP_SETTINGS = MappingProxyType(
     {'readiness_delay_s': 2.7, 'drain_timeout_s': 4.5}
@@ -78,7 +81,7 @@
     if seed >= FIRST_SEED_OF_VERSIONS:
         world.mix_versions()
     if silences:
-        _vary_configurations(world, seed)
+        _vary(world, seed)
     try:
         world.begin(names)
         _run(world, seed, size)
@@ -87,13 +90,15 @@
     return world.record
 
 
-def _vary_configurations(world: World, seed: int) -> None:
+def _vary(world: World, seed: int) -> None:
+    """Vary what lower seeds have the same in every run."""
     split = seed % FLEETS == SPLIT_FLEET
     rng = random.Random(seed)  # noqa: S311
     world.configurations = Configurations(rng, split)
     if split:
         world.replicas[-1].service = SECOND_SERVICE
     world.extra_settings.update(STOP_SETTINGS)
+    world.gap_s = GAP_S
 
 
 def _run(world: World, seed: int, size: Size) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -52,6 +52,8 @@
         # Places of list entries that another writer has overwritten.
         self.spoiled: set[Place] = set()
         self.configurations = Configurations()
+        # Seconds without data after which callers leave a stream, if they do.
+        self.gap_s: float | None = None
 
     def make_replica(self, replica_id: str, slots: int) -> MachineReplica:
         """Return a replica that records its runs."""
