--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -1,5 +1,6 @@
 """Runs each test module in a process of its own, some at a time."""
 
+import os
 import subprocess  # noqa: S404
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -7,7 +8,9 @@
 
 ROOT = Path(__file__).parent.parent
 REPORTS = ROOT / '.run'
-AT_ONCE = 6
+# Modules mostly wait, so that six of them keep two processors busy.
+MIN_AT_ONCE = 6
+MAX_AT_ONCE = 8
 # The longest go first, each before the shorter ones, so that none is left alone
 # at the end.
 LONGEST = (
@@ -84,7 +87,8 @@
     names = modules()
     for name in names:
         report_of(name).unlink(missing_ok=True)
-    with ThreadPoolExecutor(AT_ONCE) as workers:
+    at_once = max(MIN_AT_ONCE, min(MAX_AT_ONCE, os.cpu_count() or 1))
+    with ThreadPoolExecutor(at_once) as workers:
         statuses = list(workers.map(run, names))
     return int(any(statuses))
 
