Stops: every connection is ended, and every request in work is answered

Cause: after the last look of the drain nobody read or ended connections; they stayed open until the interpreter had freed its memory. A request that was still in work at the limit ended with the process.

Now the server ends the connections itself after the drain, within the limit: idle ones are closed at once, requests whose bytes have arrived are read and refused with 503, and what is left after 0.15 s is cut: 503 if the body had not arrived or no replica was tried, 502 otherwise, and streams end visibly without their last chunk. Event 115 counts what was cut. The process then exits without freeing its memory.

--- a/cactusridge/dispatch/retries.py
+++ b/cactusridge/dispatch/retries.py
@@ -9,6 +9,7 @@
     DeadlineExceeded,
     NoReplica,
     Overloaded,
+    StopLimit,
 )
 
 # Number of rejections by replicas after which the caller gets an error.
@@ -44,7 +45,7 @@
         if progress.rejections >= MAX_REJECTIONS:
             raise Overloaded(retry_after_s=NO_REPLICA_RETRY_S) from exc
         return
-    if isinstance(exc, Overloaded | NoReplica | DeadlineExceeded):
+    if isinstance(exc, Overloaded | NoReplica | DeadlineExceeded | StopLimit):
         raise exc
     if not may_retry(call, progress):
         raise exc
--- a/cactusridge/errors.py
+++ b/cactusridge/errors.py
@@ -195,6 +195,19 @@
     code = 'outcome_unknown'
 
 
+class StopLimit(CactusridgeError):
+    """The process stops before the request could be answered."""
+
+    kind = 'unavailable'
+    code = 'stop_limit'
+    default_retry_after_s = 0
+
+    @property
+    def status(self) -> int:
+        """503 for a request that has certainly not run, else 502."""
+        return Draining.status if self.not_run else OutcomeUnknown.status
+
+
 class UpstreamFailed(CactusridgeError):
     """The upstream failed after the request had begun."""
 
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -24,6 +24,7 @@
 LOOP_LATE: Final = Event(112, 'loop_late', 'warning')
 WORK_REPORT: Final = Event(113, 'work_report')
 SERVING_STARTED: Final = Event(114, 'serving_started')
+REQUESTS_CUT: Final = Event(115, 'requests_cut', 'warning')
 
 SETTINGS_APPLIED: Final = Event(201, 'settings_applied')
 SETTINGS_FROM_PEER: Final = Event(202, 'settings_from_peer')
--- a/cactusridge/http/exchange.py
+++ b/cactusridge/http/exchange.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs
 
 from cactusridge import wire
-from cactusridge.errors import BadRequest, SlowRequest, TooLarge
+from cactusridge.errors import BadRequest, SlowRequest, StopLimit, TooLarge
 from cactusridge.http.readable import is_readable
 from cactusridge.http.unpaused_time import UnpausedTimeout
 
@@ -84,8 +84,8 @@
     def body(self) -> bytes:
         """Return the whole body.
 
-        Raises TooLarge, SlowRequest, or BadRequest if the body is shorter
-        than its Content-Length.
+        Raises TooLarge, SlowRequest, BadRequest if the body is shorter than
+        its Content-Length, or StopLimit.
         """
         length = self.content_length()
         if length is not None and length > self.max_body:
@@ -127,3 +127,6 @@
             return source.read(self.max_body + 1)
         except OSError as exc:
             raise BadRequest(f'the body could not be read: {exc}') from exc
+        except StopLimit as limit:
+            limit.not_run = True
+            raise
--- /dev/null
+++ b/cactusridge/http/handler.py
@@ -0,0 +1,163 @@
+"""Serves one connection of gevent's WSGI server."""
+
+import contextlib
+import socket
+from http import HTTPStatus
+from typing import Any
+
+import gevent
+from gevent import pywsgi
+
+from cactusridge import events, logs
+from cactusridge.errors import Draining, StopLimit
+from cactusridge.http.blocked_write import send_now
+from cactusridge.http.connection_ends import Connection, Stage
+from cactusridge.http.exchange import (
+    HEADERS_KEY,
+    REQUEST_KEY,
+    SOCKET_KEY,
+    TARGET_KEY,
+)
+from cactusridge.http.readable import is_readable
+from cactusridge.http.unreadable import raw_reply, refusal
+
+SERVER_FAULT = 500
+# The system's send buffer of a connection, in bytes; Linux reserves twice as
+# much. It would grow to some megabytes for a caller that does not read.
+SEND_BUFFER_BYTES = 131_072
+# Seconds to wait for the rest of a body after its request was cut.
+CUT_BODY_S = 0.05
+
+
+class Handler(pywsgi.WSGIHandler, Connection):
+    """Handles one connection; counts the requests in flight."""
+
+    def __init__(self, *args: Any) -> None:
+        """Take the arguments of the library's handler."""
+        super().__init__(*args)
+        self._stage = Stage.idle
+        self._greenlet = gevent.getcurrent()
+
+    @property
+    def stage(self) -> Stage:
+        """What the connection is being used for."""
+        if self._stage == Stage.waiting and self.headers_sent:
+            return Stage.answering
+        return self._stage
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no byte of a request has arrived."""
+        if self._stage == Stage.idle and not is_readable(self.socket):
+            self.shut_down()
+
+    def cut(self) -> None:
+        """Fail the request in progress, with a reply if none has begun."""
+        if self._stage == Stage.reading and self.wsgi_input is None:
+            status = HTTPStatus(Draining.status)
+            with contextlib.suppress(OSError):
+                send_now(self.socket, memoryview(raw_reply(status, Draining())))
+            self._greenlet.kill(block=False)
+        elif self._stage != Stage.idle:
+            self.socket.settimeout(CUT_BODY_S)
+            self._greenlet.kill(StopLimit(), block=False)
+
+    def shut_down(self) -> None:
+        """Break the connection; the greenlet that reads sees its end."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def handle(self) -> None:
+        """Serve the connection until it has been idle for too long."""
+        self.socket.settimeout(self.server.idle_timeout_s)
+        # Head and body are sent by two writes. With Nagle's algorithm the
+        # second would wait up to 40 ms for the peer's delayed
+        # acknowledgement.
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
+        self.server.ends.open.add(self)
+        try:
+            super().handle()
+        finally:
+            self.server.ends.open.discard(self)
+
+    def read_requestline(self) -> str:
+        """Wait for a request and return its first line."""
+        self._stage = Stage.idle
+        self.wsgi_input = None
+        self.rfile.peek(1)
+        self._stage = Stage.reading
+        return super().read_requestline()
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment with this project's keys added.
+
+        They hold the socket, and the target and the headers of the request
+        in their original form.
+        """
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        environ[TARGET_KEY] = self.path
+        environ[HEADERS_KEY] = list(self.headers.items())
+        return environ
+
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Return the headers; raise ValueError for an ambiguous body length.
+
+        With both Transfer-Encoding and Content-Length the library would
+        ignore the length, while a proxy in front of this server may have
+        ignored the chunks.
+        """
+        message = super().MessageClass(*args)
+        if 'transfer-encoding' in message and 'content-length' in message:
+            raise ValueError(
+                'Transfer-Encoding and Content-Length are both set'
+            )
+        return message
+
+    def handle_one_request(self) -> Any:
+        """Serve one request; send a JSON error if it cannot be parsed."""
+        outcome = super().handle_one_request()
+        if isinstance(outcome, tuple):
+            status = HTTPStatus(int(outcome[0]))
+            return str(status.value), refusal(status)
+        return outcome
+
+    def handle_one_response(self) -> None:
+        """Serve one request and count it while it is in flight."""
+        self.server.active += 1
+        if self.server.rejects_requests:
+            self.application = self.server.late_application
+        else:
+            self._stage = Stage.waiting
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.active -= 1
+
+    def log_error(self, msg: str, *args: Any) -> None:
+        """Log an error of the library as an event of the catalogue."""
+        logs.emit(events.CONNECTION_BROKEN, error=msg % args)
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """Log the error without a traceback and end the connection."""
+        logs.emit(events.CONNECTION_BROKEN, error=repr(error))
+        if self.response_length:
+            self.close_connection = True
+        else:
+            self._send_error_response_if_possible(SERVER_FAULT)
+
+    def finalize_headers(self) -> None:
+        """Close the connection after this reply if the server is draining."""
+        if self.server.draining:
+            # The library has encoded the other headers at this point.
+            self.response_headers.append((b'Connection', b'close'))
+            self.close_connection = True
+        super().finalize_headers()
+
+    def _sendall(self, chunk: bytes) -> None:
+        """Send a part of a reply; the library calls this for every part."""
+        request = self.environ.get(REQUEST_KEY, '')
+        self.server.writes.send(self.socket, chunk, request)
+        self.response_length += len(chunk)
--- a/cactusridge/http/unreadable.py
+++ b/cactusridge/http/unreadable.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from cactusridge import wire
-from cactusridge.errors import BadRequest
+from cactusridge.errors import BadRequest, CactusridgeError
 
 HEAD = (
     'HTTP/1.1 {status.value} {status.phrase}\r\n'
@@ -27,5 +27,10 @@
         ' line is limited to 8,192 bytes, a header to 65,536 bytes, and a'
         ' request to 100 headers',
     )
+    return raw_reply(status, exc)
+
+
+def raw_reply(status: HTTPStatus, exc: CactusridgeError) -> bytes:
+    """Return the bytes of a reply with the body of ``exc``."""
     body = wire.encode({'error': exc.body()})
     return HEAD.format(status=status, size=len(body)).encode() + body
--- a/cactusridge/platform/__main__.py
+++ b/cactusridge/platform/__main__.py
@@ -54,7 +54,9 @@
     gevent.signal_handler(signal.SIGHUP, Reloader(path, cfg).reload)
     status = serve(cfg, DirectEntry(cfg), stop)
     stream.finish(LOG_FLUSH_TIMEOUT_S)
-    return status
+    # Everything is stored and every connection is closed. Freeing the memory
+    # of the process would take a second on a busy host.
+    os._exit(status)
 
 
 if __name__ == '__main__':
--- a/cactusridge/serving.py
+++ b/cactusridge/serving.py
@@ -8,6 +8,7 @@
 from cactusridge import events, logs
 from cactusridge.clock import BootClock
 from cactusridge.exits import ExitStatus
+from cactusridge.http.connection_ends import END_S
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.http.server import Server
 from cactusridge.start_trace import TRACE, StartStep
@@ -76,7 +77,9 @@
     """
     logs.emit(events.DRAIN_BEGUN, active=server.active)
     clock = BootClock()
-    end_at = clock.monotonic() + cfg.readiness_delay_s + cfg.drain_limit_s
+    limit_s = cfg.readiness_delay_s + cfg.drain_limit_s
+    # The connections are ended within the limit as well.
+    end_at = clock.monotonic() + limit_s - END_S
     role.begin_drain()
     # From now on each reply closes its connection.
     server.draining = True
@@ -84,9 +87,11 @@
     # The load balancer and the entries notice the drain after a delay;
     # until then requests are still accepted.
     gevent.sleep(cfg.readiness_delay_s)
-    ended = server.drain(end_at - clock.monotonic())
+    server.drain(end_at - clock.monotonic())
     finishing.join(max(0, end_at - clock.monotonic()))
+    cut = server.end()
     role.close()
-    logs.emit(events.DRAIN_ENDED, active=server.active)
-    clean = ended and finishing.ready()
+    active = cut.unanswered + cut.partial
+    logs.emit(events.DRAIN_ENDED, active=active)
+    clean = not active and finishing.ready()
     return ExitStatus.success if clean else ExitStatus.drain_timeout
--- a/cactusridge/sidecar_dispatch/dispatcher.py
+++ b/cactusridge/sidecar_dispatch/dispatcher.py
@@ -14,6 +14,7 @@
     CallerDisconnected,
     DeadlineExceeded,
     NoReplica,
+    StopLimit,
 )
 from cactusridge.identity import new_id
 from cactusridge.orders import RunOrder, WorkClass
@@ -223,7 +224,7 @@
         late = self._clock.monotonic() >= dispatch.deadline_at
         if late or not may_repeat or exc.code in NON_RETRYABLE_CODES:
             raise exc
-        if isinstance(exc, CallerDisconnected):
+        if isinstance(exc, CallerDisconnected | StopLimit):
             raise exc
         if not budget.allow(attempts):
             raise exc
