--- a/cactusridge/sidecar/run.py
+++ b/cactusridge/sidecar/run.py
@@ -12,6 +12,7 @@
     DeadlineExceeded,
     Draining,
     Overloaded,
+    StopLimit,
 )
 from cactusridge.http import frames
 from cactusridge.http.frames import FrameHead, FrameKind
@@ -56,6 +57,11 @@
         try:
             while not (self._done.is_set() and self._out.empty()):
                 yield self._next_frames(heartbeat_s)
+        except StopLimit as limit:
+            worker.kill()
+            limit.not_run = None if self._started else True
+            yield frames.encode(refusal_frame(limit))
+            yield frames.encode(end_frame(self.order.id, None))
         finally:
             # Either the reply is complete or the entry has disconnected.
             # In both cases no work on this order may continue.
