--- a/cactusridge/http/late_refusal.py
+++ b/cactusridge/http/late_refusal.py
@@ -3,13 +3,16 @@
 from http import HTTPStatus
 from typing import Any
 
+import gevent
+
 from cactusridge import events, logs
-from cactusridge.errors import Draining
+from cactusridge.errors import Draining, StopLimit
 from cactusridge.http.app import error_reply
-from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
+from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
 
 # The caller can retry at once: another process serves a new connection.
 RETRY_AT_ONCE = ('Retry-After', '0')
+CLOSE = ('Connection', 'close')
 # Seconds to wait for the rest of a body. Closing the connection with unread
 # bytes would reset it before the caller has read the reply, but a body that
 # does not arrive must not delay the stop.
@@ -29,14 +32,17 @@
         start_response: Any,
     ) -> list[bytes]:
         """Reject one request; the caller may retry it at once."""
+        whole = _drain_body(environ)
         logs.emit(
             events.REQUEST_TOO_LATE,
             request=self._request_id(environ),
             target=environ[TARGET_KEY],
-            whole=_drain_body(environ),
+            whole=whole,
         )
         reply = error_reply(Draining())
         reply.headers.append(RETRY_AT_ONCE)
+        if not whole:
+            reply.headers.append(CLOSE)
         phrase = HTTPStatus(reply.status).phrase
         start_response(f'{reply.status} {phrase}', reply.headers)
         return list(reply.body)
@@ -52,9 +58,13 @@
 
 def _drain_body(environ: dict[str, Any]) -> bool:
     """Read the body; return whether all of it was received in time."""
-    environ[SOCKET_KEY].settimeout(BODY_TIMEOUT_S)
+    source = environ['wsgi.input']
     try:
-        environ['wsgi.input'].read()
-    except OSError:
+        with gevent.Timeout(BODY_TIMEOUT_S, TimeoutError()):
+            source.read()
+    except (OSError, StopLimit):
+        # Otherwise the library would wait for the rest after the reply.
+        source.content_length = 0
+        source.chunked_input = False
         return False
     return True
