Stops: pipelined requests are answered, a backlog is served

A request that had arrived behind one in work was dropped with the connection that the stop closed after the answer: it was read, but neither answered nor refused. The connection now stays open for it.

Connections that the process had not accepted yet were reset when the listener was closed. They are accepted first.

--- a/cactusridge/http/handler.py
+++ b/cactusridge/http/handler.py
@@ -149,13 +149,27 @@
             self._send_error_response_if_possible(SERVER_FAULT)
 
     def finalize_headers(self) -> None:
-        """Close the connection after this reply if the server is draining."""
-        if self.server.draining:
+        """Close the connection after this reply if the server is draining.
+
+        It stays open if the next request has already arrived.
+        """
+        if self.server.draining and not self._has_input():
             # The library has encoded the other headers at this point.
             self.response_headers.append((b'Connection', b'close'))
             self.close_connection = True
         super().finalize_headers()
 
+    def _has_input(self) -> bool:
+        """Return, without waiting, whether bytes have arrived."""
+        limit_s = self.socket.gettimeout()
+        self.socket.settimeout(0)
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        finally:
+            self.socket.settimeout(limit_s)
+
     def _sendall(self, chunk: bytes) -> None:
         """Send a part of a reply; the library calls this for every part."""
         request = self.environ.get(REQUEST_KEY, '')
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -79,6 +79,8 @@
         process could interrupt them.
         """
         self.draining = True
+        # Closing the listener resets the connections that wait in its backlog.
+        self._do_read()
         self.close()
         started_at = self.clock.monotonic()
         last_busy_at = started_at
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -184,6 +184,40 @@
         drained.join()
         self.assertEqual(b'503', self.received(conn).split()[1])
 
+    def test_trickling_body_of_a_late_request(self):
+        """A body that arrives byte by byte does not delay the stop."""
+        self.limit_s = 4 * LIMIT_S
+        conn = self.connect()
+        self.server.active += 1
+        drained = gevent.spawn(self.drain)
+        wait_for('it is late', lambda: self.server.rejects_requests)
+        conn.sendall(POST.replace(b': 9', b': 999'))
+        wait_for('it is read', lambda: self.server.active == 2)
+        self.server.active -= 1
+        begun_at = self.server.clock.monotonic()
+        while not drained.ready():
+            with suppress(OSError):
+                conn.send(b'x')
+            gevent.sleep(0.02)
+        self.assertLess(self.server.clock.monotonic() - begun_at, 2 * LIMIT_S)
+
+    def test_pipelined_requests(self):
+        """A request behind one that is in work is answered too."""
+        conn = self.connect(b''.join((GET % b'/slow', QUICK)))
+        self.drain()
+        self.assertEqual(2, self.received(conn).count(b'HTTP/1.1 200'))
+
+    def test_backlog(self):
+        """A connection that was not accepted yet is served, not reset."""
+        conns = [BLOCKING_SOCKET() for _ in range(40)]
+        for conn in conns:
+            self.addCleanup(conn.close)
+            conn.connect(self.address)
+            conn.sendall(QUICK)
+        self.server.drain(BOUND_S)
+        heads = [conn.recv(65_536)[:12] for conn in conns]
+        self.assertEqual({b'HTTP/1.1 200'}, set(heads))
+
     def test_takes_its_time_at_most(self):
         """The end takes place within the limit of the drain."""
         conns = [self.connect(GET % b'/never') for _ in range(20)]
