Stops: the last request is taken by the clock, not when the drain looks

On a busy machine the sleep before the drain and its looks are late, so that requests were taken later than 3 s after SIGTERM, with less time left than the limit was made for. The time is now fixed when the stop begins. And a request that is cut while it is being sent counts as one that may have run: a replica may start before it has the whole of it.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -31,6 +31,7 @@
     NoReplica,
     OutcomeUnknown,
     Overloaded,
+    StopLimit,
 )
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica
@@ -114,7 +115,7 @@
                 # those to other replicas too, and attempts are limited.
                 new_connection=progress.may_have_run > 0,
             )
-        except OutcomeUnknown:
+        except (OutcomeUnknown, StopLimit):
             progress.may_have_run += 1
             raise
         call.caller.on_disconnect(run.abort)
--- a/cactusridge/http/handler.py
+++ b/cactusridge/http/handler.py
@@ -127,7 +127,7 @@
     def handle_one_response(self) -> None:
         """Serve one request and count it while it is in flight."""
         self.server.active += 1
-        if self.server.rejects_requests:
+        if self.server.is_late():
             self.application = self.server.late_application
         else:
             self._stage = Stage.waiting
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -1,5 +1,6 @@
 """gevent's WSGI server with read timeouts and graceful draining."""
 
+import math
 from typing import Any
 
 import gevent
@@ -59,6 +60,13 @@
         # Whether new requests are rejected, because the process may exit
         # before they end.
         self.rejects_requests = False
+        # The time from which they are, even if the drain is behind: later ones
+        # would have less time than the limit of the stop was made for.
+        self.late_at = math.inf
+
+    def is_late(self) -> bool:
+        """Return whether a request that has just arrived is rejected."""
+        return self.rejects_requests or self.clock.monotonic() >= self.late_at
 
     def update_environ(self) -> None:
         """Set the server's name to its address, without a name lookup.
--- a/cactusridge/serving.py
+++ b/cactusridge/serving.py
@@ -10,7 +10,7 @@
 from cactusridge.exits import ExitStatus
 from cactusridge.http.connection_ends import END_S
 from cactusridge.http.late_refusal import LateRefusal
-from cactusridge.http.server import Server
+from cactusridge.http.server import QUIET_S, Server
 from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.startup.models import CommonSettings
 
@@ -77,12 +77,13 @@
     """
     logs.emit(events.DRAIN_BEGUN, active=server.active)
     clock = BootClock()
-    limit_s = cfg.readiness_delay_s + cfg.drain_limit_s
+    delayed_at = clock.monotonic() + cfg.readiness_delay_s
     # The connections are ended within the limit as well.
-    end_at = clock.monotonic() + limit_s - END_S
+    end_at = delayed_at + cfg.drain_limit_s - END_S
     role.begin_drain()
     # From now on each reply closes its connection.
     server.draining = True
+    server.late_at = delayed_at + QUIET_S
     finishing = gevent.spawn(role.hand_over, cfg.drain_limit_s)
     # The load balancer and the entries notice the drain after a delay;
     # until then requests are still accepted.
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -7,6 +7,8 @@
 import socket
 import unittest
 from contextlib import suppress
+from types import SimpleNamespace
+from unittest import mock
 
 import gevent
 from gevent.monkey import get_original
@@ -15,7 +17,7 @@
 from cactusridge import events, serving
 from cactusridge.http.app import App, route
 from cactusridge.http.exchange import Reply, json_reply
-from cactusridge.http.server import Server
+from cactusridge.http.server import QUIET_S, Server
 from cactusridge.startup.models import CommonSettings
 from standins.ports import Ports
 from standins.waiting import wait_for
@@ -201,6 +203,19 @@
             gevent.sleep(0.02)
         self.assertLess(self.server.clock.monotonic() - begun_at, 2 * LIMIT_S)
 
+    def test_late_request_while_the_drain_is_behind(self):
+        """The time of the last request taken is kept on a busy machine."""
+        conn = self.connect()
+        slow = SimpleNamespace(
+            spawn=gevent.spawn, sleep=lambda seconds: gevent.sleep(seconds * 9)
+        )
+        with mock.patch.object(serving, 'gevent', slow):
+            drained = gevent.spawn(self.drain)
+            gevent.sleep(DELAY_S + QUIET_S + 0.05)
+            conn.sendall(QUICK)
+            self.assertEqual(b'503', self.received(conn).split()[1])
+        drained.join()
+
     def test_pipelined_requests(self):
         """A request behind one that is in work is answered too."""
         conn = self.connect(b''.join((GET % b'/slow', QUICK)))
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -7,13 +7,16 @@
 import contextlib
 import socket
 import unittest
+from unittest import mock
 
 import gevent
 from gevent.server import StreamServer
 from geventhttpclient.response import HTTPParseError
 
-from cactusridge.clock import SystemClock
+from cactusridge.clock import ManualClock, SystemClock
 from cactusridge.core import SidecarRole
+from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.online_call import Progress
 from cactusridge.errors import StopLimit
 from cactusridge.http import frames
 from cactusridge.http.frames import FrameKind
@@ -25,6 +28,7 @@
 from standins.waiting import wait_for
 from tests.rig_case import RigCase
 from tests.test_stop_serving import SECRET, SERVICE
+from tests.waiting_calls import call_of
 
 BOUND_S = 30
 FOREVER_S = 60
@@ -134,3 +138,29 @@
             [('stop_limit', None), ('stop_limit', True)],
             [(error['code'], error['not_run']) for error in errors],
         )
+
+
+class TestSentAtTheLimit(unittest.TestCase):
+    """An attempt whose request is being sent at the limit."""
+
+    def test_may_have_run(self):
+        """A replica may run it before it has received the whole of it."""
+        runner = mock.Mock()
+        runner.open.side_effect = StopLimit()
+        attempts = Attempts(
+            mock.Mock(),
+            mock.Mock(),
+            runner,
+            'z',
+            ManualClock(),
+            mock.Mock(),
+            mock.Mock(),
+        )
+        progress = Progress()
+        call = call_of('r', 5, mock.Mock())
+        with (
+            mock.patch.object(attempts, '_expect'),
+            self.assertRaises(StopLimit),
+        ):
+            attempts.open(call, mock.Mock(), progress, call.req)
+        self.assertEqual(1, progress.may_have_run)
