After a 408 the connection is closed

A caller whose body came too late got 408, the connection stayed open, and its next request got 400, or waited for nothing: a whole request without a true answer. It was found with an idle time-out that a configuration shortens.

The time-out interrupts the read of the body. What that read had taken is gone, but the count of what is still due does not know it, so the late rest and as many bytes of the next request are discarded.

The reply now bears Connection: close, in the server, so for the own interface as well.

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -106,8 +106,13 @@
             self._send_error_response_if_possible(SERVER_FAULT)
 
     def finalize_headers(self) -> None:
-        """Close the connection after this reply if the server is draining."""
-        if self.server.draining:
+        """Close the connection after some replies.
+
+        That is after each one while the server is draining, and after one to
+        a request whose body has not arrived in time: the late rest of it could
+        be mistaken for the next request.
+        """
+        if self.server.draining or self.code == HTTPStatus.REQUEST_TIMEOUT:
             # The library has encoded the other headers at this point.
             self.response_headers.append((b'Connection', b'close'))
             self.close_connection = True
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -33,6 +33,7 @@
         'max_attempts': 2,
     }
 )
+LIMITS = MappingProxyType({'max_body_bytes': 1 << 20, 'max_header_bytes': 8000})
 ROUTES = (
     {'name': 'on', 'path_prefix': '/on/', 'kind': 'streaming'},
     {
@@ -89,17 +90,20 @@
             self.register(replica, link.start())
         self.configure(ROUTES)
 
-    def configure(self, routes: Any, holders: Any = None) -> None:
+    def configure(
+        self, routes: Any, holders: Any = None, limits: Any = None
+    ) -> None:
         """Write a new version of the catalog with ``routes``.
 
-        ``holders`` are the organisations with their keys and limits.
+        ``holders`` are the organisations with their keys and limits;
+        ``limits`` replace some of LIMITS for the requests of callers.
         """
         self.version += 1
         message = {
             'version': self.version,
             'routes': [{**ROUTE_DEFAULTS, **route} for route in routes],
             'services': [],
-            'limits': {'max_body_bytes': 1 << 20, 'max_header_bytes': 8000},
+            'limits': {**LIMITS, **(limits or {})},
         }
         if holders is not None:
             message['tenants'] = list(holders)
