A route without any weight is refused with 503

A configuration that splits a route and sets all of its weights to 0 made entries answer its requests with 500 and an internal error: drawing from weights whose sum is 0 raises ValueError. Nor was the count against the organisation's limit undone. A split of one service with the weight 0 sent requests there, which the scheduler of batch items does not.

The draw is a function of its own now. It leaves out services without a weight and raises NoReplica if none is left, so the caller gets 503 with Retry-After.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping, Sequence, Set
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.catalog import Route
 from cactusridge.dispatch.expectation import Expectation
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
@@ -19,6 +18,7 @@
 from cactusridge.dispatch.retry_after import Refusal
 from cactusridge.dispatch.run import NotRun, Run, Runner
 from cactusridge.dispatch.spare_slots import has_spare_slot
+from cactusridge.dispatch.traffic_split import draw_service
 from cactusridge.dispatch.upstream import (
     UpstreamHead,
     UpstreamRequest,
@@ -71,7 +71,7 @@
         """
         if progress.origin is not None:
             return self._best_of_origin(progress.origin, progress.tried).replica
-        service = progress.service or self._service(call.route)
+        service = progress.service or draw_service(call.route, self._rng)
         best = self._best(service, progress.tried)
         self._check_wait(call, best)
         return best.replica
@@ -278,10 +278,3 @@
         slot_s = self._runner.capacity.queued_slot_s(choice.replica)
         wait_s = expected_wait_s(choice, slot_s)
         return Expectation(choice.queue, slot_s, wait_s, choice.speed)
-
-    def _service(self, route: Route) -> str:
-        """Return one of the route's services, drawn by their weights."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return self._rng.choices(route.shares, weights)[0].service
--- a/tests/config_case.py
+++ b/tests/config_case.py
@@ -78,6 +78,21 @@
     return '\r\n'.join((*lines, '', '')).encode() + body
 
 
+def each_route(**fields: Any) -> tuple[dict[str, Any], ...]:
+    """Return ROUTES with changed fields."""
+    return tuple({**route, **fields} for route in ROUTES)
+
+
+def split(first: float, second: float) -> tuple[dict[str, Any], ...]:
+    """Return ROUTES split between both services by these weights."""
+    return each_route(
+        traffic_split=[
+            {'service': 'model', 'weight': first},
+            {'service': OTHER_SERVICE, 'weight': second},
+        ]
+    )
+
+
 class ConfigCase(MachineCase):
     """A site with replicas of two services, and callers that send in pieces."""
 
