A waiting request goes on while some route serves its path

A request that waited for a slot got 404 when a configuration renamed its route, or when another route of the same host covered its path from then on. A caller doesn't try again after 404, and both configurations allow the request. With real entries: 404 in the states "route renamed" and "route covered" while the request waits; sent a moment later it is served.

The check looked for the name of the route. It looks now for the route of the host and path, as for a new request, and answers 404 only if there is none.

The new test was red in both cases before and is green; the 20 other tests of the queue are unchanged and green.

--- a/cactusridge/queueing/call_rules.py
+++ b/cactusridge/queueing/call_rules.py
@@ -26,8 +26,11 @@
         return call.route.priority
 
     def check(self, call: OnlineCall) -> None:
-        """Raise NotFound if the route is gone, else what the permit raises."""
+        """Raise NotFound if no route is left, else what the permit raises.
+
+        A route may come under another name, or another one may cover the path.
+        """
         call.permit.check()
-        names = {(each.host, each.name) for each in self._catalog().routes}
-        if (call.route.host, call.route.name) not in names:
+        path = call.req.target.partition('?')[0]
+        if self._catalog().match(call.route.host, path) is None:
             raise NotFound(f'the route {call.route.name} has been removed')
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -18,7 +18,7 @@
 from cactusridge.queueing.waiting_line import MAX_REQUESTS
 from tests.emitted import emitted
 from tests.queue_case import LEFT_S, SETTLE_S, QueueCase
-from tests.waiting_calls import CATALOG, TIMEOUT_S, call_of, refusal
+from tests.waiting_calls import CATALOG, ROUTE, TIMEOUT_S, call_of, refusal
 
 
 class RevocablePermit(OpenPermit):
@@ -150,6 +150,26 @@
         self.clock.advance(CHECK_INTERVAL_S)
         self.assertIsInstance(greenlet.get(timeout=1), UnknownKey)
 
+    @params(
+        (ROUTE._replace(name='renamed'),),
+        (
+            ROUTE._replace(name='longer', prefix='/longer/'),
+            ROUTE._replace(name='rest'),
+        ),
+    )
+    def test_other_route_of_the_path(self, *routes):
+        """A wait isn't ended while some route serves its path.
+
+        A caller doesn't try again after 404.
+        """
+        _, greenlet = self.enter()
+        self.catalog = self.catalog._replace(version=2, routes=routes)
+        self.clock.advance(CHECK_INTERVAL_S)
+        gevent.sleep(SETTLE_S)
+        self.assertEqual([], self.ended)
+        self.release()
+        self.assertIsNone(greenlet.get(timeout=1))
+
     def test_route_removed(self):
         """The wait ends when the route is no longer configured."""
         _, greenlet = self.enter()
