A changed limit voids the waits told by the limit before

When a configuration lowered an organisation's limit far and the next raised it again, refused callers were told to return 5 s later, though tokens were there after 0.05 s. The bucket keeps when the last refused caller was told to return, so that they return one after the other. That time came from the lower rate.

A change of the limit forgets it.

--- a/cactusridge/organisations/token_bucket.py
+++ b/cactusridge/organisations/token_bucket.py
@@ -61,8 +61,12 @@
         self.tokens -= requests
 
     def change(self, limit: RateLimit, now: float) -> None:
-        """Refill by ``limit`` from ``now`` on, and cap at its burst."""
+        """Refill by ``limit`` from ``now`` on, and cap at its burst.
+
+        What refused callers were told by the limit before no longer holds.
+        """
         self._fill(now)
+        self._promised_at = float('-inf')
         self.limit = limit
         self.tokens = min(self.tokens, limit.burst)
 
