A request whose key has moved gets 503 instead of 401

A configuration that renames an organisation, or gives its key to another one, made entries answer 401 "the key has been revoked" to requests whose body was still arriving, that waited for a slot or that were to be sent again. The key is valid in both configurations, and a caller doesn't try again after 401.

The check compares the organisation of the key with the one the request was authenticated for, and took any difference for a revocation. A key that belongs to another organisation now raises KeyMoved: 503 with Retry-After, or 502 if the request may have run. The caller is served under the new name when it returns. A request still never runs under an organisation that has lost the key.

--- a/cactusridge/organisations/errors.py
+++ b/cactusridge/organisations/errors.py
@@ -19,6 +19,13 @@
     default_retry_after_s = KEYS_RETRY_S
 
 
+class KeyMoved(Refused):
+    """The key belongs to another organisation than when the request came."""
+
+    code = 'key_moved'
+    default_retry_after_s = KEYS_RETRY_S
+
+
 class OverLimit(Overloaded):
     """The organisation has exceeded its rate limit."""
 
--- a/cactusridge/organisations/permit.py
+++ b/cactusridge/organisations/permit.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from cactusridge.organisations.directory import Directory
-from cactusridge.organisations.errors import UnknownKey
+from cactusridge.organisations.errors import KeyMoved, UnknownKey
 from cactusridge.organisations.key_check import KeyCheck, KeyHolder
 from cactusridge.organisations.limiter import Limiter
 
@@ -15,7 +15,10 @@
 
     @abc.abstractmethod
     def check(self) -> None:
-        """Raise UnknownKey or KeysUnconfirmed unless the request may go."""
+        """Return if the request may go.
+
+        Raises UnknownKey, KeyMoved or KeysUnconfirmed.
+        """
 
     @abc.abstractmethod
     def count(self) -> None:
@@ -72,23 +75,25 @@
         self._counted_by = ''
 
     def check(self) -> None:
-        """Raise UnknownKey or KeysUnconfirmed unless the key is still valid.
+        """Return if the key is valid for the request's organisation.
 
-        The key must still belong to the organisation that the request was
-        authenticated for.
+        Raises UnknownKey, KeysUnconfirmed, or KeyMoved if the key belongs to
+        another organisation by now: the caller may send the request again.
         """
         self._keys.check_lease()
         directory = self._directory()
         if directory is None:
             return
         found = directory.by_digest(self._digest)
-        if found is None or found.name != self._organisation.name:
+        if found is None:
             raise UnknownKey('the key has been revoked')
+        if found.name != self._organisation.name:
+            raise KeyMoved
 
     def count(self) -> None:
         """Count the request once, however many attempts are sent.
 
-        Raises OverLimit, LimitUnavailable, UnknownKey or KeysUnconfirmed.
+        Raises OverLimit, LimitUnavailable, and what ``check`` raises.
         """
         if self._counted:
             return
