--- a/cactusridge/dispatch/traffic_split.py
+++ b/cactusridge/dispatch/service_draw.py
@@ -1,4 +1,4 @@
-"""Draws the service of a request from the traffic split of its route."""
+"""Draws the service of a request by the weights of its route."""
 
 import random
 
--- a/tests/test_traffic_split.py
+++ b/tests/test_service_draw.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from cactusridge.dispatch.catalog import ServiceShare
-from cactusridge.dispatch.traffic_split import draw_service
+from cactusridge.dispatch.service_draw import draw_service
 from cactusridge.errors import NoReplica
 from tests.config_case import ConfigCase, each_route, request, split
 from tests.waiting_calls import ROUTE
