--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -17,8 +17,8 @@
 from cactusridge.dispatch.retries import NO_REPLICA_RETRY_S, may_retry
 from cactusridge.dispatch.retry_after import Refusal
 from cactusridge.dispatch.run import NotRun, Run, Runner
-from cactusridge.dispatch.spare_slots import has_spare_slot
 from cactusridge.dispatch.service_draw import draw_service
+from cactusridge.dispatch.spare_slots import has_spare_slot
 from cactusridge.dispatch.upstream import (
     UpstreamHead,
     UpstreamRequest,
