--- a/cactusridge/http/handler.py
+++ b/cactusridge/http/handler.py
@@ -149,11 +149,14 @@
             self._send_error_response_if_possible(SERVER_FAULT)
 
     def finalize_headers(self) -> None:
-        """Close the connection after this reply if the server is draining.
+        """Close the connection after some replies.
 
-        It stays open if the next request has already arrived.
+        That is after the last one while the server is draining, and after one
+        to a request whose body has not arrived in time: the late rest of it
+        could be mistaken for the next request.
         """
-        if self.server.draining and not self._has_input():
+        is_last = self.server.draining and not self._has_input()
+        if is_last or self.code == HTTPStatus.REQUEST_TIMEOUT:
             # The library has encoded the other headers at this point.
             self.response_headers.append((b'Connection', b'close'))
             self.close_connection = True
