A wait for the head of an answer does not limit the sending of the request

Seen: HttpExchange.head says that it may be called again after UpstreamSilent. With a request of more than 8 KB, the second call got nothing: the replica, silent for 0.5 s, never received the rest of the request.

Cause: the greenlet that sends a long request used the reader's socket object, so its sendall() ended with the first wait of the reader (the tolerated silence, 0.2 s and more) and marked the connection as broken.

Mend: it sends on a duplicate of the socket object without a time-out.

Evidence: tests.test_sound_silence red before (UpstreamSilent after 5.0 s), green after; test_connection_lost, test_unframed_streams, test_many_connections, test_life_ends and test_machine_links, 40 tests, green once.

--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -174,9 +174,15 @@
         )
 
     def _send_in_background(self, raw: bytes) -> None:
-        """Send a long request; the reader raises if the connection breaks."""
+        """Send a long request; the reader raises if the connection breaks.
+
+        It has its own socket object of the connection, because the time-outs
+        of the reader limit how long it waits, not how long sending takes.
+        """
         try:
-            self._sock.sendall(raw)
+            with self._sock.dup() as sock:
+                sock.settimeout(None)
+                sock.sendall(raw)
         except OSError:
             self._broken = True
 
--- /dev/null
+++ b/tests/test_sound_silence.py
@@ -0,0 +1,60 @@
+"""Bounds on waits outlast the silence of a sound server."""
+
+import unittest
+
+import gevent
+
+from cactusridge.clock import SystemClock
+from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
+from cactusridge.fleet.replica import Replica, ReplicaState
+from cactusridge.http.client import Address
+from cactusridge.platform.connections import Connections
+from cactusridge.platform.upstream import HttpExchange
+
+RECV_BYTES = 65_536
+# More than the buffers of a connection on the loopback take.
+LONG_BODY = bytes(8 << 20)
+REPLY = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n'
+    b'X-Response-Signature: s\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+def replica_at(address: Address) -> Replica:
+    """Return a replica that listens at ``address``."""
+    return Replica('i-1', 's', address, 'z', 8, ReplicaState.ready)
+
+
+class TestLongRequest(unittest.TestCase):
+    """A replica that reads a long request late."""
+
+    def setUp(self):
+        """Listen as a replica."""
+        self.listener = gevent.socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        self.replica = replica_at(Address(*self.listener.getsockname()))
+
+    def answer(self, silent_s: float) -> int:
+        """Read one request after a silence; return its length."""
+        sock, _ = self.listener.accept()
+        gevent.sleep(silent_s)
+        taken = 0
+        with sock:
+            while taken < len(LONG_BODY):
+                taken += len(sock.recv(RECV_BYTES))
+            sock.sendall(REPLY)
+        return taken
+
+    def test_sending_goes_on_after_a_wait_for_the_head_has_ended(self):
+        """The wait for the head may be repeated; it bounds no sending."""
+        answering = gevent.spawn(self.answer, 0.5)
+        self.addCleanup(answering.kill)
+        connections = Connections(SystemClock())
+        sock = connections.connect(self.replica.address)
+        req = UpstreamRequest('r1', 'POST', '/', [], b'', 'f')
+        exchange = HttpExchange(self.replica, req, sock, connections)
+        self.addCleanup(exchange.close)
+        exchange.start(LONG_BODY)
+        with self.assertRaises(UpstreamSilent):
+            exchange.head(0.1)
+        self.assertEqual(200, exchange.head(5).status)
