Connecting that times out is no crash of a replica

Seen: a request whose run was interrupted got a strike although its replica worked: the probe could not connect within 0.25 s. DEPLOY.md has it that a full queue of new connections drops the opening packet, and a silent replica accepts none for up to 2 s. Three such strikes quarantine a sound request for an hour; an answer of the replica withdraws a strike for 0.6 s only.

Cause: HttpUpstream.is_running took every failure to connect for an end.

Mend: the failure that a time-out causes is a type of its own, and the probe tries to connect for longer than a sound server is silent. A refused connection is an end at once, as before; a host that stays unreachable counts as crashed after 2.5 s instead of 0.25 s.

Evidence: tests.test_sound_silence.TestProbe red before in the three cases of 0.5, 1.4 and 2.0 s, green after; test_run_strikes, test_connection_lost (26 with these) and test_crashing_requests, test_crashing_parts (13), green once.

--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -55,6 +55,10 @@
     code = 'connect_failed'
 
 
+class ConnectTimedOut(ConnectFailed):
+    """The upstream has neither accepted nor refused a connection in time."""
+
+
 class UpstreamSilent(CactusridgeError):
     """The upstream sent nothing within the time limit."""
 
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from cactusridge.clock import Clock
-from cactusridge.dispatch.upstream import ConnectFailed
+from cactusridge.dispatch.upstream import ConnectFailed, ConnectTimedOut
 from cactusridge.fleet.incarnation_listener import IncarnationListener
 from cactusridge.http.client import Address
 from cactusridge.http.probe import is_quiet
@@ -90,7 +90,10 @@
         return self.connect(address)
 
     def connect(self, address: Address) -> socket.socket:
-        """Return a new connection; raise ConnectFailed."""
+        """Return a new connection; raise ConnectFailed.
+
+        ConnectTimedOut, a ConnectFailed, says nothing about the peer's process.
+        """
         try:
             sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
             detect_dead_peer(sock)
@@ -99,6 +102,8 @@
                 std_socket.SO_RCVBUF,
                 RECEIVE_BUFFER_BYTES,
             )
+        except TimeoutError as exc:
+            raise ConnectTimedOut(f'{address}: {exc!r}') from exc
         except OSError as exc:
             raise ConnectFailed(f'{address}: {exc!r}') from exc
         return sock
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -1,5 +1,7 @@
 """Sends requests to replicas over HTTP/1.1 with the platform's headers."""
 
+import math
+
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
@@ -7,6 +9,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.upstream import (
     ConnectFailed,
+    ConnectTimedOut,
     Exchange,
     HeaderList,
     Upstream,
@@ -17,7 +20,11 @@
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
 from cactusridge.fleet.replica import Replica
 from cactusridge.platform import names
-from cactusridge.platform.connections import Connections, idle_limit_s
+from cactusridge.platform.connections import (
+    CONNECT_TIMEOUT_S,
+    Connections,
+    idle_limit_s,
+)
 from cactusridge.platform.prompt_parts import shared_parts
 from cactusridge.platform.replica_probe import (
     MISDIRECTED,
@@ -26,6 +33,7 @@
 )
 from cactusridge.platform.reply_parser import ReplyParser
 from cactusridge.platform.request_writer import request_bytes
+from cactusridge.sound_silence import MAX_SOUND_SILENCE_S
 
 RECV_BYTES = 65_536
 
@@ -34,6 +42,9 @@
 # the replica may respond before it has read the whole body.
 MAX_INLINE_REQUEST_BYTES = 8_192
 SEND_TIMEOUT_S = 1
+# Attempts at a connection for a probe: the last two begin after the longest
+# silence of a sound replica.
+PROBE_CONNECTS = 2 + math.ceil(MAX_SOUND_SILENCE_S / CONNECT_TIMEOUT_S)
 
 
 class HttpExchange(Exchange):
@@ -223,13 +234,21 @@
         return exchange
 
     def is_running(self, replica: Replica) -> bool:
-        """Return whether ``replica`` is still running at its address."""
-        try:
-            sock = self.connections.connect(replica.address)
-        except ConnectFailed:
-            return False
-        with sock:
-            return is_running(sock, replica)
+        """Return whether ``replica`` is still running at its address.
+
+        The queue of new connections of a sound replica may be full while it is
+        silent. Connecting is therefore tried for longer than that.
+        """
+        for _ in range(PROBE_CONNECTS):
+            try:
+                sock = self.connections.connect(replica.address)
+            except ConnectTimedOut:
+                continue
+            except ConnectFailed:
+                return False
+            with sock:
+                return is_running(sock, replica)
+        return False
 
     def shared_parts(self, headers: HeaderList) -> tuple[str, ...]:
         """Return the keys of all parts of a prompt but the last, in order."""
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -1,15 +1,17 @@
 """Bounds on waits outlast the silence of a sound server."""
 
+import socket
 import unittest
 
 import gevent
+from nose2.tools import params
 
 from cactusridge.clock import SystemClock
 from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
 from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
 from cactusridge.platform.connections import Connections
-from cactusridge.platform.upstream import HttpExchange
+from cactusridge.platform.upstream import HttpExchange, HttpUpstream
 
 RECV_BYTES = 65_536
 # More than the buffers of a connection on the loopback take.
@@ -58,3 +60,37 @@
         with self.assertRaises(UpstreamSilent):
             exchange.head(0.1)
         self.assertEqual(200, exchange.head(5).status)
+
+
+class TestProbe(unittest.TestCase):
+    """The queue of new connections of a silent replica is full."""
+
+    def setUp(self):
+        """Listen with a full backlog."""
+        self.listener = gevent.socket.socket()
+        self.addCleanup(self.listener.close)
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(0)
+        self.address = Address(*self.listener.getsockname())
+        waiting = socket.create_connection(self.address)
+        self.addCleanup(waiting.close)
+
+    def accept_from(self, silent_s: float) -> None:
+        """Accept connections after a silence, and answer nothing."""
+        gevent.sleep(silent_s)
+        while True:
+            sock, _ = self.listener.accept()
+            self.addCleanup(sock.close)
+
+    @params(0.5, 1.4, 2.0)
+    def test_replica_that_accepts_late_has_not_crashed(self, silent_s):
+        """A connection that is not established in time is no crash."""
+        accepting = gevent.spawn(self.accept_from, silent_s)
+        self.addCleanup(accepting.kill)
+        upstream = HttpUpstream(SystemClock())
+        self.assertTrue(upstream.is_running(replica_at(self.address)))
+
+    def test_replica_that_accepts_nothing_has_crashed(self):
+        """A host that stays unreachable counts as crashed."""
+        upstream = HttpUpstream(SystemClock())
+        self.assertFalse(upstream.is_running(replica_at(self.address)))
