A sidecar that is silent for 2 s keeps its orders

Seen: with the default settings, a sidecar's reply failed after a silence of 2 s: a stream ended with an error event, an item used up an attempt.

Cause: the entry waits 2 s for bytes, as long as a sound server may be silent. The silence delays a heartbeat that is due 0.5 s after the last bytes, so the gap is up to 2.5 s.

Mend: the default of silence_timeout_s is the longest silence of a sound server and 1 s more, 3 s. A sidecar that is gone is noticed 1 s later.

Evidence: TestSidecar red before for 2.0 s (timed out after 2.0 s; 0.5 and 1.4 s were green), green after; test_paused, test_silence, test_pause, test_startup green (47 tests with test_sound_silence).

--- a/cactusridge/startup/models.py
+++ b/cactusridge/startup/models.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 from cactusridge.http.client import Address, parse_address
+from cactusridge.sound_silence import MAX_SOUND_SILENCE_S
 
 ADDRESS = r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z'
 AddressText = Annotated[str, Meta(pattern=ADDRESS)]
@@ -56,7 +57,10 @@
     body_timeout_s: PositiveSeconds = 20
     idle_timeout_s: PositiveSeconds = 75
     heartbeat_s: PositiveSeconds = 0.5
-    silence_timeout_s: PositiveSeconds = 2
+    # Seconds without a byte after which a connection to a sidecar or another
+    # entry fails: the longest silence of a sound server, which may delay a
+    # heartbeat that was due, and a reserve.
+    silence_timeout_s: PositiveSeconds = MAX_SOUND_SILENCE_S + 1
     connect_timeout_s: PositiveSeconds = 1
     readiness_delay_s: Annotated[float, Meta(ge=0, le=300)] = 0.5
     drain_timeout_s: PositiveSeconds = 30
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -9,9 +9,10 @@
 from cactusridge.clock import SystemClock
 from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
 from cactusridge.fleet.replica import Replica, ReplicaState
-from cactusridge.http.client import Address
+from cactusridge.http.client import Address, Clients
 from cactusridge.platform.connections import Connections
 from cactusridge.platform.upstream import HttpExchange, HttpUpstream
+from cactusridge.startup.models import SidecarSettings
 
 RECV_BYTES = 65_536
 # More than the buffers of a connection on the loopback take.
@@ -94,3 +95,37 @@
         """A host that stays unreachable counts as crashed."""
         upstream = HttpUpstream(SystemClock())
         self.assertFalse(upstream.is_running(replica_at(self.address)))
+
+
+class TestSidecar(unittest.TestCase):
+    """A sidecar falls silent while an order of an entry runs there."""
+
+    def setUp(self):
+        """Listen as a sidecar."""
+        self.listener = gevent.socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        self.address = Address(*self.listener.getsockname())
+
+    def answer(self, gap_s: float) -> None:
+        """Begin a reply, and go on after ``gap_s`` seconds."""
+        sock, _ = self.listener.accept()
+        with sock:
+            sock.recv(RECV_BYTES)
+            sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{')
+            gevent.sleep(gap_s)
+            sock.sendall(b'}')
+
+    @params(0.5, 1.4, 2.0)
+    def test_silence_between_two_heartbeats_ends_no_order(self, silent_s):
+        """A silence that begins just before a heartbeat delays it."""
+        cfg = SidecarSettings.from_values(
+            listen='127.0.0.1:1',
+            zone='a',
+            internal_secret='internal-secret-of-tests',
+            upstreams=[{'service': '/teams/a', 'address': '127.0.0.1:2'}],
+        )
+        answering = gevent.spawn(self.answer, cfg.heartbeat_s + silent_s)
+        self.addCleanup(answering.kill)
+        clients = Clients(cfg.connect_timeout_s, cfg.silence_timeout_s)
+        found = clients.get_json(self.address, '/')
+        self.assertEqual((200, {}), found)
