Connecting to an upstream that times out is no crash of it

Seen: on the own interface, a request whose connection broke was answered upstream_crashed, and got a strike, although the upstream ran: its queue of new connections was full. Three strikes quarantine a sound request.

Cause: the sidecar's check took a connection that was not established in time for a refused one. A time-out is no evidence, as its caller says.

--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -206,13 +206,18 @@
             raise UpstreamCrashed(f'the connection broke: {cause!r}') from cause
 
     def _accepts_connections(self) -> bool:
-        """Return whether the upstream accepts and keeps a connection."""
+        """Return whether the upstream accepts and keeps a connection.
+
+        While it is silent, its queue of new connections may be full.
+        """
         try:
             sock = unpaused_sockets.connect(
                 self.address,
                 self._host_cfg.connect_timeout_s,
                 self.cfg.read_timeout_s,
             )
+        except TimeoutError:
+            return True
         except OSError:
             return False
         with sock:
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -8,10 +8,13 @@
 
 from cactusridge.clock import SystemClock
 from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
+from cactusridge.errors import OutcomeUnknown
 from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address, Clients
+from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.platform.connections import Connections
 from cactusridge.platform.upstream import HttpExchange, HttpUpstream
+from cactusridge.sidecar.upstream import Upstream
 from cactusridge.startup.models import SidecarSettings
 
 RECV_BYTES = 65_536
@@ -129,3 +132,54 @@
         clients = Clients(cfg.connect_timeout_s, cfg.silence_timeout_s)
         found = clients.get_json(self.address, '/')
         self.assertEqual((200, {}), found)
+
+
+class TestEngine(unittest.TestCase):
+    """A connection of a sidecar to its upstream breaks."""
+
+    def setUp(self):
+        """Listen as an upstream with a short queue of new connections."""
+        self.listener = gevent.socket.socket()
+        self.addCleanup(self.listener.close)
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(0)
+        self.cfg = SidecarSettings.from_values(
+            listen='127.0.0.1:1',
+            zone='a',
+            internal_secret='internal-secret-of-tests',
+            connect_timeout_s=0.2,
+            upstreams=[
+                {
+                    'service': '/teams/a',
+                    'address': '127.0.0.1:%d' % self.listener.getsockname()[1],
+                }
+            ],
+        )
+
+    def break_off(self) -> None:
+        """Take a request, fill the queue and close the connection."""
+        sock, _ = self.listener.accept()
+        sock.recv(RECV_BYTES)
+        waiting = gevent.socket.create_connection(self.listener.getsockname())
+        self.addCleanup(waiting.close)
+        sock.close()
+
+    def test_upstream_that_accepts_late_has_not_crashed(self):
+        """A connection that is not established in time is no crash."""
+        breaking = gevent.spawn(self.break_off)
+        self.addCleanup(breaking.kill)
+        order = RunOrder(
+            id='r1',
+            incarnation='any',
+            service='/teams/a',
+            team='any',
+            work=WorkClass.online,
+            method='PUT',
+            path='/',
+            headers=(),
+            deadline_s=60,
+            repeatable=False,
+        )
+        upstream = Upstream(self.cfg.upstreams[0], self.cfg)
+        with self.assertRaises(OutcomeUnknown):
+            upstream.call(order, b'{}', resume=False)
