A failure answer clears no part of a prompt

Cause: Run.record_completion took any answer for output; the head of a failure answer calls it, and so does the end of its body.

Mend: only a success counts as output of the parts. The request's own strikes are withdrawn as before, since its run has ended without a crash.

--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -76,6 +76,7 @@
         self._fingerprint = req.fingerprint
         self._parts = req.parts
         self._has_head = False
+        self._succeeded = False
         self._output_recorded_at = float('-inf')
         self._opened_at = runner.clock.monotonic()
         self._stage = Stage.started
@@ -113,6 +114,7 @@
             raise CrossedReply(f'{self.replica.id} did not sign its answer')
         self._stage = Stage.started
         self._has_head = True
+        self._succeeded = is_success(head.status)
         self._received_at = self._runner.clock.monotonic()
         if head.signed:
             incarnation = self.replica.incarnation
@@ -144,10 +146,15 @@
             self._runner.suspects.record_output(self._parts)
 
     def record_completion(self) -> None:
-        """Record a completed run, which withdraws the request's strikes."""
+        """Record a completed run, which withdraws the request's strikes.
+
+        Only a success withdraws those of the parts of its prompt: a failure
+        answer may come before the replica has processed them.
+        """
         self._survived = True
         self._runner.suspects.record_completion(self._fingerprint)
-        self._runner.suspects.record_output(self._parts)
+        if self._succeeded:
+            self._runner.suspects.record_output(self._parts)
 
     def abort(self) -> None:
         """Cancel the request, from a greenlet other than the waiting one."""
