Dispatch: a silent replica is left only for one that takes the request

Callers saw a stream cut, or 502 and 504, although the replica went on a moment later. Seen at any time, beside stops and configurations too.

Cause: after STREAM_SILENCE_S in a stream, and after the tolerated silence before a head, the run was closed first and another replica was looked for afterwards. Where none might take the request (its version is nowhere else, no free slot, the key revoked, a refusal, no connection, attempts used up), the answer ended there.

Now the run stays open. Another replica is chosen (choose_other, which also checks the expected wait of streams bound to a version), the quarantine and the permit are asked, and the request is sent to it on a new connection. Both runs are read for up to 0.2 s: any bytes of the first keep it and close the second; a refusal or a failure of the second keeps the first; a head of the second, or 0.2 s without either, closes the first. With nobody to take it, the run is read on and the question is asked again every 0.2 s, as far as attempts and rejections go, until the deadline. The same replica, on a new connection, has no such bound, since no other one works on the request.

The replica is checked for a crash when its run is left or its deadline ends, not on a silence. Run.read and Run.head have `final` for that; batch items use the default and behave as before. Choosing moves to replica_choice.py.

Event 435 has each decision: replica, last event, seconds, reason.

The stand-in's silences move to a class of their own.

--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -3,7 +3,9 @@
 from cactusridge import metrics
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.awaited import AwaitedHead
 from cactusridge.dispatch.catalog import RouteKind
+from cactusridge.dispatch.hedging import Hedging
 from cactusridge.dispatch.online_call import Answer, OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.policies import DispatchPolicies
@@ -49,6 +51,7 @@
             self._log,
             policies,
         )
+        self._hedging = Hedging(self._attempts, clock, self._log)
         self._recorder = RunRecorder(runner.capacity, clock)
         self._resumption = Resumption(fleet, origins)
         self._streams = Streams(
@@ -114,8 +117,11 @@
         progress: Progress,
     ) -> Answer:
         run = self._attempts.open(call, replica, progress, call.req)
+        run, head = self._hedging.head(
+            AwaitedHead(call, run, progress, call.req)
+        )
         try:
-            return self._read_answer(call, run, progress)
+            return self._read_answer(call, run, head, progress)
         except BaseException:
             run.close()
             raise
@@ -124,9 +130,9 @@
         self,
         call: OnlineCall,
         run: Run,
+        head: UpstreamHead,
         progress: Progress,
     ) -> Answer:
-        head = self._attempts.head(call, run, progress)
         if self._should_retry(call, head, progress):
             raise UpstreamFailed(f'{run.replica.id} answered {head.status}')
         self._log.answered(call, run.replica)
--- a/cactusridge/dispatch/online_log.py
+++ b/cactusridge/dispatch/online_log.py
@@ -7,6 +7,7 @@
 from cactusridge.dispatch.event_splitter import EventSplitter
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.run import Run
+from cactusridge.dispatch.silence_decision import SilenceDecision
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.dispatch.wait_too_long import WaitEstimate, WaitTooLong
 from cactusridge.errors import CactusridgeError
@@ -82,6 +83,27 @@
             error=str(exc),
         )
 
+    def silence(
+        self,
+        call: OnlineCall,
+        run: Run,
+        decision: SilenceDecision,
+    ) -> None:
+        """Log whether the run of a silent replica was kept, and why."""
+        logs.emit(
+            events.SILENCE_DECIDED,
+            request=call.req.id,
+            replica=run.replica.id,
+            version=run.replica.version,
+            kept=decision.other is None,
+            other=decision.other or '',
+            reason=decision.reason,
+            error=decision.error,
+            after_event=decision.after_event,
+            silent_s=round(decision.silent_s, 3),
+            left_s=round(call.deadline_at - self._clock.monotonic(), 3),
+        )
+
     def failure(
         self,
         call: OnlineCall,
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -90,16 +90,17 @@
         """Return the seconds since the request was sent."""
         return self._runner.clock.monotonic() - self._opened_at
 
-    def head(self, wait_s: float) -> UpstreamHead:
+    def head(self, wait_s: float, final: bool = True) -> UpstreamHead:
         """Wait up to ``wait_s`` seconds for the head; check and return it.
 
-        Raises NotRun if the replica did not run the request, CrossedReply
-        if a success is not signed, and what ``Exchange.head`` raises.
+        If ``final``, a run that is silent for so long is abandoned. Raises
+        NotRun if the replica did not run the request, CrossedReply if a success
+        is not signed, and what ``Exchange.head`` raises.
         """
         try:
             head = self.exchange.head(wait_s)
         except UpstreamSilent:
-            self._check_abandoned()
+            self._check_silent(final)
             raise
         except CactusridgeError as exc:
             self._check_broken(exc)
@@ -122,12 +123,15 @@
         self._record_status(head.status)
         return head
 
-    def read(self, wait_s: float) -> bytes:
-        """Return the next bytes of the body; see ``Exchange.read``."""
+    def read(self, wait_s: float, final: bool = True) -> bytes:
+        """Return the next bytes of the body; see ``Exchange.read``.
+
+        If ``final``, a run that is silent for so long is abandoned.
+        """
         try:
             received = self.exchange.read(wait_s)
         except UpstreamSilent:
-            self._check_abandoned()
+            self._check_silent(final)
             raise
         except CactusridgeError as exc:
             self._check_broken(exc)
@@ -153,17 +157,25 @@
         """Cancel the request, from a greenlet other than the waiting one."""
         self._aborted = True
         if not self._survived and self._is_unresponsive():
-            self._check_abandoned()
+            self.check_abandoned()
         self.exchange.abort()
 
     def record_failure(self) -> None:
         """Record a failure of the replica that no request can have caused."""
         self._runner.health.failed(self.replica.incarnation, certain=True)
 
+    def check_abandoned(self) -> None:
+        """Schedule a check whether the replica of an abandoned run crashed."""
+        self._runner.crashes.run_abandoned(self.replica, self._interrupted())
+
     def close(self) -> None:
         """Stop counting the request as load; cancel it if it is unfinished."""
         self._stack.close()
 
+    def _check_silent(self, final: bool) -> None:
+        if final:
+            self.check_abandoned()
+
     def _check_broken(self, exc: CactusridgeError) -> None:
         """Record a broken answer and check whether the replica crashed."""
         self.record_failure()
@@ -188,10 +200,6 @@
         silent_s = self._runner.clock.monotonic() - self._received_at
         return silent_s >= STUCK_AFTER_S
 
-    def _check_abandoned(self) -> None:
-        """Schedule a check whether the replica of an abandoned run crashed."""
-        self._runner.crashes.run_abandoned(self.replica, self._interrupted())
-
     def _record_status(self, status: int) -> None:
         """Record a status as a success or a failure of the replica.
 
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -4,25 +4,18 @@
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
+from cactusridge.dispatch.awaited import AwaitedHead
 from cactusridge.dispatch.event_splitter import EventSplitter
+from cactusridge.dispatch.hedged_stream import HedgedStream
+from cactusridge.dispatch.hedging import Hedging
 from cactusridge.dispatch.online_call import OnlineCall, Progress
 from cactusridge.dispatch.online_log import OnlineLog
 from cactusridge.dispatch.resumption import Resumption
-from cactusridge.dispatch.retries import check_retry, may_retry
-from cactusridge.dispatch.run import Run, is_success
+from cactusridge.dispatch.retries import check_retry
+from cactusridge.dispatch.run import Run
 from cactusridge.dispatch.run_recorder import RunRecorder
-from cactusridge.dispatch.stream_output import StreamOutput
 from cactusridge.dispatch.upstream import UpstreamRequest
-from cactusridge.errors import (
-    CactusridgeError,
-    TruncatedReply,
-    UpstreamFailed,
-)
-
-# Silence in seconds after which a started stream is resumed at another
-# replica. It is many times the longest usual pause between events, and
-# below the two seconds after which callers abandon a stream.
-STREAM_SILENCE_S = 1.2
+from cactusridge.errors import CactusridgeError, TruncatedReply
 
 
 class Streams:
@@ -42,6 +35,7 @@
         self._attempts = attempts
         self._clock = clock
         self._log = log
+        self._hedging = Hedging(attempts, clock, log)
 
     def relay(
         self,
@@ -55,64 +49,58 @@
         allows it; otherwise the error is raised.
         """
         splitter = EventSplitter(call.req.resume_after)
+        stream = HedgedStream(
+            self._hedging, self._clock, call, progress, splitter
+        )
         failure: CactusridgeError | None = None
         while True:
             if failure is not None:
                 run = self._resume(call, progress, splitter, failure)
-            output = StreamOutput(self._clock)
+            stream.start(run)
             try:
-                yield from self._events(call, run, splitter, progress, output)
+                yield from self._events(call, stream, splitter, progress)
             except CactusridgeError as exc:
                 failure = exc
-                self._log.broken(call, run, splitter, exc)
+                self._log.broken(call, stream.run, splitter, exc)
             else:
-                run.record_completion()
-                self._recorder.stream(call, run, progress, output)
+                stream.run.record_completion()
+                self._recorder.stream(call, stream.run, progress, stream.output)
                 return
             finally:
-                run.close()
+                stream.run.close()
 
     def _events(
         self,
         call: OnlineCall,
-        run: Run,
+        stream: HedgedStream,
         splitter: EventSplitter,
         progress: Progress,
-        output: StreamOutput,
     ) -> Iterator[bytes]:
-        limit_s = None
-        if may_retry(call, progress):
-            limit_s = STREAM_SILENCE_S
-        begun = False
-        while events := self._read_events(call, run, splitter, output, limit_s):
-            if not begun:
-                begun = True
-                self._resumption.record_begin(call, run.replica)
-                progress.origin = run.replica.origin
+        begun_at: Run | None = None
+        while events := self._read_events(stream, splitter):
+            if begun_at is not stream.run:
+                begun_at = stream.run
+                self._resumption.record_begin(call, begun_at.replica)
+                progress.origin = begun_at.replica.origin
             yield events
-            output.record_taken()
+            stream.output.record_taken()
         if splitter.pending:
-            run.record_failure()
+            stream.run.record_failure()
             raise TruncatedReply('the stream ended within an event')
 
     def _read_events(
-        self,
-        call: OnlineCall,
-        run: Run,
-        splitter: EventSplitter,
-        output: StreamOutput,
-        limit_s: float | None,
+        self, stream: HedgedStream, splitter: EventSplitter
     ) -> bytes:
         """Return the next complete events, none at the end of the run.
 
         No other copy of them stays in memory while the caller, which may not
         read, takes them.
         """
-        while received := run.read(self._attempts.wait_s(call, limit_s)):
+        while received := stream.read():
             found = splitter.feed(received)
             if found:
-                run.record_output()
-                output.record_events(len(found))
+                stream.run.record_output()
+                stream.output.record_events(len(found))
                 return b''.join(event.raw for event in found)
         return b''
 
@@ -164,12 +152,6 @@
         """
         replica = self._attempts.choose(call, progress)
         run = self._attempts.open(call, replica, progress, req)
-        try:
-            head = self._attempts.head(call, run, progress)
-        except BaseException:
-            run.close()
-            raise
-        if not is_success(head.status):
-            run.close()
-            raise UpstreamFailed(f'{replica.id} answered {head.status}')
-        return run
+        return self._hedging.success(
+            AwaitedHead(call, run, progress, req, begun=True)
+        )
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -80,8 +80,9 @@
     def read(self, wait_s: float) -> bytes:
         """Return the next bytes of the body, or none when it is complete.
 
-        Raises UpstreamSilent if nothing arrives within ``wait_s`` seconds,
-        and TruncatedReply if the body breaks off.
+        Raises UpstreamSilent if nothing arrives within ``wait_s`` seconds;
+        the method may then be called again. Raises TruncatedReply if the
+        body breaks off.
         """
 
     @abc.abstractmethod
--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -1,5 +1,6 @@
 """A simulated replica with slots, event streams, resumption and faults."""
 
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -9,7 +10,8 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
+from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
+from standins.machines.silences import Silences
 
 STEP_S = 0.01
 CRASH = b'crash'
@@ -48,9 +50,13 @@
     UNMARKED_VERSION. The recorded counts include all incarnations.
 
     After ``fall_silent`` the replica accepts connections and requests, but
-    neither starts nor continues any work for some time.
+    neither starts nor continues any work for some time; see ``silences``. A
+    request whose caller has left by the end of the silence is not continued. If
+    ``full`` is set, the replica refuses every request.
     """
 
+    full = False
+
     def __init__(self, replica_id: str, slots: int) -> None:
         """Create the replica ``replica_id`` with ``slots`` slots."""
         self.id = replica_id
@@ -66,7 +72,8 @@
         self.max_running = 0
         self.incomplete_streams = 0
         self.crash_times_s: list[float] = []
-        self._silent_until_s = float(0)
+        self._silences = Silences()
+        self._work_times_s: dict[str, list[float]] = {}
         self._on_crash: Callable[[bool], None] | None = None
         self._slot_count = slots
         self._slots = BoundedSemaphore(slots)
@@ -79,8 +86,11 @@
             return self._refuse(start, '421 Misdirected Request')
         if not request_id:
             return self._refuse(start, '400 Bad Request')
+        if self.full:
+            return self._refuse(start, '503 Service Unavailable')
         body = environ['wsgi.input'].read()
-        self.wait_silent()
+        sock = environ[SOCKET_KEY]
+        self._work(0, request_id, sock)
         self.runs[request_id] += 1
         self.request_headers[request_id] = headers
         self.targets.append(environ[TARGET_KEY])
@@ -88,7 +98,16 @@
             ('X-Attempt-Id', request_id),
             ('X-Response-Signature', f'sig.{self.id}'),
         ]
-        return self._respond(body, headers, reply_headers, start)
+        return self._respond(body, headers, reply_headers, start, sock)
+
+    @property
+    def silences(self) -> Silences:
+        """The silences of this replica."""
+        return self._silences
+
+    def work_times_s(self, request_id: str) -> list[float]:
+        """Return when a request was started and its events were made."""
+        return self._work_times_s.get(request_id, [])
 
     def on_crash(self, listener: Callable[[bool], None]) -> None:
         """Call ``listener`` when a request has crashed the replica.
@@ -100,12 +119,7 @@
 
     def fall_silent(self, seconds: float) -> None:
         """Send nothing and work on nothing for ``seconds`` from now."""
-        self._silent_until_s = time.monotonic() + seconds
-
-    def wait_silent(self) -> None:
-        """Return when the replica is not silent any more."""
-        while time.monotonic() < self._silent_until_s:
-            gevent.sleep(STEP_S)
+        self._silences.begin(seconds)
 
     def restart(self) -> None:
         """Start a new incarnation; running streams break off."""
@@ -137,6 +151,7 @@
         headers: dict[str, str],
         reply_headers: list[tuple[str, str]],
         start: Start,
+        sock: socket.socket,
     ) -> Any:
         request_id = reply_headers[0][1]
         crashes = CRASH in body or self._has_crashing_part(headers)
@@ -159,7 +174,15 @@
         if crashes:
             write(b'')
             return self._crash(SILENT in body)
-        return self._events(request_id, body, last)
+        return self._events(request_id, body, last, sock)
+
+    def _work(self, number: int, request_id: str, sock: socket.socket) -> None:
+        """Wait while silent; raise ResponseCut if the caller left meanwhile."""
+        self._silences.begin_planned(number)
+        if self._silences.is_left_in(sock):
+            raise ResponseCut
+        times_s = self._work_times_s.setdefault(request_id, [])
+        times_s.append(time.monotonic())
 
     def _has_crashing_part(self, headers: dict[str, str]) -> bool:
         listed = headers.get('X-Prompt-Prefix', '').split(',')
@@ -188,6 +211,7 @@
         request_id: str,
         body: bytes,
         last: str,
+        sock: socket.socket,
     ) -> Iterator[bytes]:
         count, _, event_s = body.decode().partition(' ')
         close_after_events = (
@@ -201,7 +225,7 @@
         try:
             for number in range(int(last) + 1, int(count) + 1):
                 gevent.sleep(self.step_s(float(event_s or STEP_S)))
-                self.wait_silent()
+                self._work(number, request_id, sock)
                 if slots is not self._slots:
                     raise ResponseCut
                 if number == close_after_events:
