Upstream: the wait for a head does not end the send of a long request

Callers of repeatable requests over 8 KB saw them cut off at a replica that read nothing for longer than the tolerated silence.

Cause: a greenlet sends long requests, with the time limit that the reader has set on the same socket. When it ended, the request counted as broken.

Now a send that a read's time limit has ended is tried again until the connection breaks or is closed.

--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -34,6 +34,8 @@
 # the replica may respond before it has read the whole body.
 MAX_INLINE_REQUEST_BYTES = 8_192
 SEND_TIMEOUT_S = 1
+# Seconds until a send is tried again that the time limit of a read has ended.
+SEND_PAUSE_S = 0.01
 
 
 class HttpExchange(Exchange):
@@ -174,11 +176,25 @@
         )
 
     def _send_in_background(self, raw: bytes) -> None:
-        """Send a long request; the reader raises if the connection breaks."""
+        """Send a long request; the reader raises if the connection breaks.
+
+        The time limit of the socket is that of the reader. A replica that reads
+        nothing for as long may go on.
+        """
+        left = memoryview(raw)
+        while left and not self._broken:
+            left = left[self._send_part(left) :]
+
+    def _send_part(self, left: memoryview) -> int:
+        """Send the next bytes of a request; return their number."""
         try:
-            self._sock.sendall(raw)
-        except OSError:
-            self._broken = True
+            return self._sock.send(left)
+        except OSError as exc:
+            if is_read_timeout(exc):
+                gevent.sleep(SEND_PAUSE_S)
+            else:
+                self._broken = True
+        return 0
 
 
 class HttpUpstream(Upstream):
