--- a/soak/replica.py
+++ b/soak/replica.py
@@ -1,6 +1,7 @@
 """The replica of the soak; its output contains the request id."""
 
 import math
+import socket
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -10,7 +11,7 @@
 from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
 from soak.record import Record, RunEnd, RunStart, SilenceInterval
 from soak.versions import version_mark
-from standins.machines.replica import MachineReplica, ResponseCut
+from standins.machines.replica import CallerLeft, MachineReplica, ResponseCut
 
 HANG_S = 30
 # Prefix of the ids in list entries that no replica has written.
@@ -97,7 +98,7 @@
         Silences that overlap would otherwise last longer than any of them.
         """
         now = time.monotonic()
-        if now < self._silent_until_s + WORKS_S:
+        if now < self.silences.until_s + WORKS_S:
             return
         super().fall_silent(seconds)
         self._record.silences.append(
@@ -105,14 +106,18 @@
         )
 
     def _events(
-        self, request_id: str, body: bytes, last: str
+        self,
+        request_id: str,
+        body: bytes,
+        last: str,
+        sock: socket.socket,
     ) -> Iterator[bytes]:
         life = self.life
         broken_off = False
         try:
-            yield from super()._events(request_id, body, last)
-        except ResponseCut:
-            broken_off = True
+            yield from super()._events(request_id, body, last, sock)
+        except ResponseCut as exc:
+            broken_off = not isinstance(exc, CallerLeft)
             raise
         finally:
             self._record.run_ends[request_id, life] = RunEnd(
