Hedging: the end of a stop is no failure of a replica

Where a stop reaches its time limit, StopLimit is raised in each request, so that it still gets 502 or 503. A request with a second run took it for a failure of that run, went on, and was cut without an answer.

--- a/cactusridge/dispatch/hedge_race.py
+++ b/cactusridge/dispatch/hedge_race.py
@@ -5,7 +5,7 @@
 
 from cactusridge.dispatch.awaited import Awaited
 from cactusridge.dispatch.upstream import UpstreamHead, UpstreamSilent
-from cactusridge.errors import CactusridgeError, UpstreamFailed
+from cactusridge.errors import CactusridgeError, StopLimit, UpstreamFailed
 
 
 class Verdict(enum.StrEnum):
@@ -34,11 +34,16 @@
 
 
 def poll(awaited: Awaited, wait_s: float) -> Polled:
-    """Wait up to ``wait_s`` seconds for a run; return what it brought."""
+    """Wait up to ``wait_s`` seconds for a run; return what it brought.
+
+    Raises StopLimit, which is no failure of the run.
+    """
     try:
         received = awaited.receive(wait_s)
     except UpstreamSilent:
         return Polled()
+    except StopLimit:
+        raise
     except CactusridgeError as exc:
         return Polled(failure=exc)
     if awaited.is_usable(received):
--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -26,6 +26,7 @@
     CactusridgeError,
     CallerDisconnected,
     DeadlineExceeded,
+    StopLimit,
 )
 
 # Seconds from the second send until the first run is closed, unless the second
@@ -130,7 +131,7 @@
         before = self._progress.expected
         try:
             second = self._send()
-        except (CallerDisconnected, DeadlineExceeded):
+        except (CallerDisconnected, DeadlineExceeded, StopLimit):
             raise
         except CactusridgeError as exc:
             self._progress.rejections += isinstance(exc, ConnectFailed)
--- a/tests/test_hedged_heads.py
+++ b/tests/test_hedged_heads.py
@@ -9,6 +9,7 @@
     NoReplica,
     OutcomeUnknown,
     Quarantined,
+    StopLimit,
 )
 from tests.hedged_case import DEADLINE_S, FAILURE, SUCCESS, HedgedCase
 
@@ -41,6 +42,25 @@
         self.assertEqual(2 - is_refusal, self.progress.may_have_run)
         self.assertEqual(int(is_refusal), self.progress.rejections)
 
+    @params(
+        ([(1.4, SUCCESS)], [(0.35, StopLimit())]),
+        ([(0.35, StopLimit())], [(0.9, SUCCESS)]),
+    )
+    def test_stop_limit_is_taken_for_a_failure_of_a_replica(self, *steps):
+        """The request is answered before the process ends."""
+        self.runs(*steps)
+        with self.assertRaises(StopLimit):
+            self.head()
+        self.assertTrue(self.first.is_closed)
+        self.assertTrue(self.second.is_closed)
+
+    def test_stop_limit_while_a_second_run_is_sent(self):
+        """The request is answered before the process ends."""
+        self.runs([(1.4, SUCCESS)])
+        self.attempts.open.side_effect = StopLimit
+        with self.assertRaises(StopLimit):
+            self.head()
+
     def test_two_replicas_work_on_a_request_for_long(self):
         """The second run goes on alone though it has no head yet."""
         self.runs([(1.4, SUCCESS)], [(0.9, SUCCESS)])
