--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -94,6 +94,13 @@
         upstream = HttpUpstream(SystemClock())
         self.assertTrue(upstream.is_running(replica_at(self.address)))
 
+    def test_replica_that_accepts_and_sends_nothing_has_not_crashed(self):
+        """A probe without a response is no crash."""
+        accepting = gevent.spawn(self.accept_from, 0)
+        self.addCleanup(accepting.kill)
+        upstream = HttpUpstream(SystemClock())
+        self.assertTrue(upstream.is_running(replica_at(self.address)))
+
     def test_replica_that_accepts_nothing_has_crashed(self):
         """A host that stays unreachable counts as crashed."""
         upstream = HttpUpstream(SystemClock())
