--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -67,8 +67,9 @@
         self._clock = clock
         self._log = log
         self._since = clock.monotonic()
-        # The reason that was logged last.
+        # The reason that was logged last, and the attempts made by then.
         self._reason = ''
+        self._sent = 0
 
     def found(self) -> Found:
         """Return the run that goes on; see ``Hedging.wait``."""
@@ -209,10 +210,12 @@
             self._call.caller.on_disconnect(functools.partial(_abort, runs))
 
     def _record(self, other: str | None, reason: str, error: str = '') -> None:
-        """Log a decision, unless the one before had the same reason."""
-        if reason == self._reason:
+        """Log a decision, unless it repeats the one before without a send."""
+        sent = len(self._progress.tried)
+        if (reason, sent) == (self._reason, self._sent):
             return
         self._reason = reason
+        self._sent = sent
         decision = SilenceDecision(
             other,
             str(reason),
--- a/tests/hedged_case.py
+++ b/tests/hedged_case.py
@@ -91,6 +91,7 @@
         self.log = mock.Mock()
         self.hedging = Hedging(self.attempts, self.clock, self.log)
         self.sent = []
+        self.open_failure = None
 
     def runs(self, first, second=()):
         """Script both runs with steps; see ScriptedRun."""
@@ -119,6 +120,8 @@
 
     def _open(self, call, found, progress, req):
         progress.tried.append(found.incarnation)
+        if self.open_failure is not None:
+            raise self.open_failure
         progress.may_have_run += 1
         self.sent.append(req)
         return self.second
--- a/tests/test_hedged_heads.py
+++ b/tests/test_hedged_heads.py
@@ -10,7 +10,13 @@
     OutcomeUnknown,
     Quarantined,
 )
-from tests.hedged_case import DEADLINE_S, FAILURE, SUCCESS, HedgedCase
+from tests.hedged_case import (
+    DEADLINE_S,
+    FAILURE,
+    SUCCESS,
+    HedgedCase,
+    replica,
+)
 
 
 class TestHeads(HedgedCase):
@@ -51,10 +57,12 @@
     def test_refused_sends_go_on_without_end(self):
         """The number of rejections is limited; the run is still read."""
         self.runs([(3, SUCCESS)])
-        self.attempts.open.side_effect = ConnectFailed
+        self.attempts.choose_other.side_effect = map(replica, 'abcd')
+        self.open_failure = ConnectFailed()
         self.assertEqual((self.first, SUCCESS), self.head())
         self.assertEqual(3, self.attempts.open.call_count)
-        self.assertEqual('rejections_used', self.reasons()[-2])
+        reasons = ['connect_failed'] * 3 + ['rejections_used', 'went_on']
+        self.assertEqual(reasons, self.reasons())
 
     def test_run_is_kept_beyond_the_deadline(self):
         """The deadline ends the wait, and the replica is checked then."""
