--- a/tests/test_stop_table.py
+++ b/tests/test_stop_table.py
@@ -29,7 +29,10 @@
             raw.manner = manner
         outcomes = self.stop()
         self.check(outcomes)
-        self.assertIn(503, {outcome.status for _, outcome in outcomes})
+        statuses = {outcome.status for _, outcome in outcomes}
+        self.assertIn(503, statuses)
+        answers = manner not in {Manner.silent, Manner.hanging}
+        self.assertEqual(answers, 502 not in statuses)
 
     @params('draining', 'restarting')
     def test_replica_leaves(self, how):
