A sidecar whose connection fell silent stays known

Seen: requests refused with no_replica while both sidecars worked: each entry's probe was on a connection that had fallen silent.

Mend: 9 intervals, 4.5 s. A host that is gone is chosen up to 1.5 s longer; requests to it go elsewhere, and failures eject it.

--- a/cactusridge/routing/membership.py
+++ b/cactusridge/routing/membership.py
@@ -5,7 +5,10 @@
 
 from cactusridge.store.host_list import HostState
 
-SILENT_PROBES = 6
+# Probe intervals without a response after which a host counts as silent. A
+# probe whose connection has gone silent takes silence_timeout_s, 6 intervals,
+# and the next one up to 1.2 intervals before and after it.
+SILENT_PROBES = 9
 UNLISTED_GRACE_S = 30
 
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,9 +1,15 @@
 """Open connections stop transferring data while new connections work."""
 
+import gevent
+
 from standins.local_fleet import DEFTER, YAZMAN
 from standins.waiting import wait_for
 from tests.rig_case import RigCase
 
+TURN_S = 0.01
+# For two seconds, several times the silence time-out of the rig's entries.
+WATCHED_TURNS = 200
+
 
 class TestSilence(RigCase):
     """Each kind of link becomes silent in one test."""
@@ -22,6 +28,17 @@
         answers = [self.rig.chat(f'on {n}') for n in range(10)]
         self.assertEqual({200}, {answer.status for answer in answers})
 
+    def test_sidecars_with_silent_connections_stay_known(self):
+        """A probe on a new connection is answered before they count as gone."""
+        fleet = self.rig.entries[0].subject.parts.fleet
+        for served in self.rig.sidecars:
+            self.silence(served.address)
+        known = set()
+        for _ in range(WATCHED_TURNS):
+            gevent.sleep(TURN_S)
+            known.add(len(fleet.replicas(YAZMAN)))
+        self.assertEqual({2}, known)
+
     def test_entry_to_sidecar_in_the_middle_of_a_request(self):
         """A request in flight is retried when its connection becomes silent."""
         served = self.rig.sidecars
