--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -13,6 +13,7 @@
     DeadlineExceeded,
     OutcomeUnknown,
     Overloaded,
+    StopLimit,
 )
 from cactusridge.fleet.fleet_view import FleetView
 from cactusridge.fleet.replica import Replica
@@ -65,7 +66,7 @@
                 # those to other replicas too, and attempts are limited.
                 new_connection=progress.may_have_run > 0,
             )
-        except OutcomeUnknown:
+        except (OutcomeUnknown, StopLimit):
             progress.may_have_run += 1
             raise
         progress.may_have_run += 1
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -159,7 +159,7 @@
         progress = Progress()
         call = call_of('r', 5, mock.Mock())
         with (
-            mock.patch.object(attempts, '_expect'),
+            mock.patch.object(attempts, 'expect'),
             self.assertRaises(StopLimit),
         ):
             attempts.open(call, mock.Mock(), progress, call.req)
