Crash watch: an unreachable replica is judged 2.2 s after its last bytes

A probe that cannot connect was tried for 2.5 s from its own start, so that the crash of an unreachable replica was known up to 4.1 s after it happened (1.4 s of silence, 0.2 s of delay, 2.5 s). A request that crashes its replicas may be sent for 3 s after the third crash, so its strikes have to be there by then. The time now counts from the last bytes of the replica: a sound one that was silent for 2 s is not condemned, and a crash is known after 2.5 s at most.

--- a/cactusridge/dispatch/crash_watch.py
+++ b/cactusridge/dispatch/crash_watch.py
@@ -4,10 +4,12 @@
 
 import gevent
 
+from cactusridge.clock import Clock
 from cactusridge.dispatch.upstream import Upstream
 from cactusridge.fleet.replica import Replica
 from cactusridge.quarantine.crash_evidence import CrashEvidence
 from cactusridge.quarantine.strike import Stage
+from cactusridge.sound_silence import MAX_SOUND_SILENCE_S
 
 # Delay in seconds from a broken connection to the probe of its replica.
 # A process that ends closes its connections one by one, not all at once.
@@ -15,6 +17,10 @@
 # Delay in seconds from an abandoned run to the probe of its replica, which
 # may be about to crash at that time.
 ABANDONED_PROBE_DELAY_S = 0.2
+# Seconds since the last bytes of a replica after which a connection to it that
+# cannot be established is taken as a sign of its crash.
+RESERVE_S = 0.2
+UNREACHABLE_S = MAX_SOUND_SILENCE_S + RESERVE_S
 
 
 class InterruptedRun(NamedTuple):
@@ -22,12 +28,15 @@
 
     ``parts`` are the suspected parts of its prompt, none if it brought output.
     ``part_stage`` is Stage.started if the replica had begun to answer.
+    ``heard_at`` is the monotonic time in seconds at which the replica has sent
+    something, or at which the request was sent.
     """
 
     fingerprint: str
     stage: Stage
     parts: tuple[str, ...] = ()
     part_stage: Stage = Stage.queued
+    heard_at: float = 0
 
 
 class CrashWatch:
@@ -38,8 +47,11 @@
     address, it has not crashed.
     """
 
-    def __init__(self, upstream: Upstream, suspects: CrashEvidence) -> None:
+    def __init__(
+        self, upstream: Upstream, suspects: CrashEvidence, clock: Clock
+    ) -> None:
         """Probe through ``upstream`` and report crashes to ``suspects``."""
+        self._clock = clock
         self._upstream = upstream
         self._suspects = suspects
         self._broken: dict[str, list[InterruptedRun]] = {}
@@ -69,7 +81,9 @@
 
     def _probe(self, replica: Replica) -> None:
         broken = self._broken.pop(replica.incarnation)
-        if self._upstream.is_running(replica):
+        heard_at = max(run.heard_at for run in broken)
+        connect_s = heard_at + UNREACHABLE_S - self._clock.monotonic()
+        if self._upstream.is_running(replica, connect_s):
             return
         for run in broken:
             self._suspects.crashed(
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -198,6 +198,7 @@
             self._stage,
             () if self._stage == Stage.answering else self._parts,
             Stage.started if self._has_head else Stage.queued,
+            self._received_at,
         )
 
     def _is_unresponsive(self) -> bool:
@@ -234,7 +235,7 @@
     ) -> None:
         """Send requests through ``upstream`` and count them in ``loads``."""
         self.suspects = suspects
-        self.crashes = CrashWatch(upstream, suspects)
+        self.crashes = CrashWatch(upstream, suspects, clock)
         self.loads = loads
         self.health = health
         self.clock = clock
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -125,8 +125,11 @@
         """
 
     @abc.abstractmethod
-    def is_running(self, replica: Replica) -> bool:
-        """Return whether this incarnation still listens at its address."""
+    def is_running(self, replica: Replica, connect_s: float) -> bool:
+        """Return whether this incarnation still listens at its address.
+
+        Connecting is tried once at least, and for ``connect_s`` seconds.
+        """
 
     def shared_parts(self, headers: HeaderList) -> tuple[str, ...]:
         """Return the keys of the parts of a prompt that requests may share.
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -1,7 +1,5 @@
 """Sends requests to replicas over HTTP/1.1 with the platform's headers."""
 
-import math
-
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
@@ -20,11 +18,7 @@
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
 from cactusridge.fleet.replica import Replica
 from cactusridge.platform import names
-from cactusridge.platform.connections import (
-    CONNECT_TIMEOUT_S,
-    Connections,
-    idle_limit_s,
-)
+from cactusridge.platform.connections import Connections, idle_limit_s
 from cactusridge.platform.prompt_parts import shared_parts
 from cactusridge.platform.replica_probe import (
     MISDIRECTED,
@@ -33,7 +27,6 @@
 )
 from cactusridge.platform.reply_parser import ReplyParser
 from cactusridge.platform.request_writer import request_bytes
-from cactusridge.sound_silence import MAX_SOUND_SILENCE_S
 
 RECV_BYTES = 65_536
 
@@ -42,9 +35,6 @@
 # the replica may respond before it has read the whole body.
 MAX_INLINE_REQUEST_BYTES = 8_192
 SEND_TIMEOUT_S = 1
-# Attempts at a connection for a probe: the last two begin after the longest
-# silence of a sound replica.
-PROBE_CONNECTS = 2 + math.ceil(MAX_SOUND_SILENCE_S / CONNECT_TIMEOUT_S)
 
 
 class HttpExchange(Exchange):
@@ -203,6 +193,7 @@
 
     def __init__(self, clock: Clock) -> None:
         """Start with an empty pool."""
+        self._clock = clock
         self.connections = Connections(clock)
 
     def send(
@@ -233,22 +224,24 @@
             raise
         return exchange
 
-    def is_running(self, replica: Replica) -> bool:
+    def is_running(self, replica: Replica, connect_s: float) -> bool:
         """Return whether ``replica`` is still running at its address.
 
-        The queue of new connections of a sound replica may be full while it is
-        silent. Connecting is therefore tried for longer than that.
+        Connecting is tried once at least, and for ``connect_s`` seconds: the
+        queue of new connections of a silent replica may be full.
         """
-        for _ in range(PROBE_CONNECTS):
+        end_at = self._clock.monotonic() + connect_s
+        while True:
             try:
                 sock = self.connections.connect(replica.address)
             except ConnectTimedOut:
-                continue
+                if self._clock.monotonic() >= end_at:
+                    return False
             except ConnectFailed:
                 return False
-            with sock:
-                return is_running(sock, replica)
-        return False
+            else:
+                with sock:
+                    return is_running(sock, replica)
 
     def shared_parts(self, headers: HeaderList) -> tuple[str, ...]:
         """Return the keys of all parts of a prompt but the last, in order."""
--- a/tests/test_part_clearance.py
+++ b/tests/test_part_clearance.py
@@ -38,7 +38,7 @@
         """Accept the request."""
         return self
 
-    def is_running(self, replica):
+    def is_running(self, replica, connect_s):
         """Return that the replica is running."""
         return True
 
--- a/tests/test_run_strikes.py
+++ b/tests/test_run_strikes.py
@@ -52,7 +52,7 @@
         """Accept the request."""
         return self
 
-    def is_running(self, replica):
+    def is_running(self, replica, connect_s):
         """Return whether the replica is running."""
         return self._lives
 
--- a/tests/test_sound_silence.py
+++ b/tests/test_sound_silence.py
@@ -7,6 +7,7 @@
 from nose2.tools import params
 
 from cactusridge.clock import SystemClock
+from cactusridge.dispatch.crash_watch import UNREACHABLE_S
 from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
 from cactusridge.errors import OutcomeUnknown
 from cactusridge.fleet.replica import Replica, ReplicaState
@@ -92,19 +93,25 @@
         accepting = gevent.spawn(self.accept_from, silent_s)
         self.addCleanup(accepting.kill)
         upstream = HttpUpstream(SystemClock())
-        self.assertTrue(upstream.is_running(replica_at(self.address)))
+        self.assertTrue(
+            upstream.is_running(replica_at(self.address), UNREACHABLE_S)
+        )
 
     def test_replica_that_accepts_and_sends_nothing_has_not_crashed(self):
         """A probe without a response is no crash."""
         accepting = gevent.spawn(self.accept_from, 0)
         self.addCleanup(accepting.kill)
         upstream = HttpUpstream(SystemClock())
-        self.assertTrue(upstream.is_running(replica_at(self.address)))
+        self.assertTrue(
+            upstream.is_running(replica_at(self.address), UNREACHABLE_S)
+        )
 
     def test_replica_that_accepts_nothing_has_crashed(self):
         """A host that stays unreachable counts as crashed."""
         upstream = HttpUpstream(SystemClock())
-        self.assertFalse(upstream.is_running(replica_at(self.address)))
+        self.assertFalse(
+            upstream.is_running(replica_at(self.address), UNREACHABLE_S)
+        )
 
 
 class TestSidecar(unittest.TestCase):
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -37,7 +37,7 @@
         """Accept the request."""
         return self
 
-    def is_running(self, replica):
+    def is_running(self, replica, connect_s):
         """Return True: the replica is running."""
         return True
 
