Stops: a refusal says once that the caller may come back at once

A late request got two Retry-After headers, 1 and 0, so that a caller that took the first waited a second although other entries would have served it. A refusal of a request that had not arrived in full had none. test_late_while_others_work (now counts the header) and two cases of test_request_at_the_limit were red.

--- a/cactusridge/http/handler.py
+++ b/cactusridge/http/handler.py
@@ -27,6 +27,12 @@
 SEND_BUFFER_BYTES = 131_072
 # Seconds to wait for the rest of a body after its request was cut.
 CUT_BODY_S = 0.05
+# The reply to a request that has not arrived in full at the end of a stop.
+REFUSAL = raw_reply(
+    HTTPStatus(Draining.status),
+    Draining(retry_after_s=0),
+    'Retry-After: 0\r\n',
+)
 
 
 class Handler(pywsgi.WSGIHandler, Connection):
@@ -53,9 +59,8 @@
     def cut(self) -> None:
         """Fail the request in progress, with a reply if none has begun."""
         if self._stage == Stage.reading and self.wsgi_input is None:
-            status = HTTPStatus(Draining.status)
             with contextlib.suppress(OSError):
-                send_now(self.socket, memoryview(raw_reply(status, Draining())))
+                send_now(self.socket, memoryview(REFUSAL))
             self._greenlet.kill(block=False)
         elif self._stage != Stage.idle:
             self.socket.settimeout(CUT_BODY_S)
--- a/cactusridge/http/late_refusal.py
+++ b/cactusridge/http/late_refusal.py
@@ -7,8 +7,7 @@
 
 from cactusridge import events, logs
 from cactusridge.errors import Draining, StopLimit
-from cactusridge.http.app import error_reply
-from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY
+from cactusridge.http.exchange import HEADERS_KEY, TARGET_KEY, json_reply
 
 # The caller can retry at once: another process serves a new connection.
 RETRY_AT_ONCE = ('Retry-After', '0')
@@ -39,7 +38,8 @@
             target=environ[TARGET_KEY],
             whole=whole,
         )
-        reply = error_reply(Draining())
+        exc = Draining(retry_after_s=0)
+        reply = json_reply({'error': exc.body()}, exc.status)
         reply.headers.append(RETRY_AT_ONCE)
         if not whole:
             reply.headers.append(CLOSE)
--- a/cactusridge/http/unreadable.py
+++ b/cactusridge/http/unreadable.py
@@ -8,6 +8,7 @@
 HEAD = (
     'HTTP/1.1 {status.value} {status.phrase}\r\n'
     'Connection: close\r\n'
+    '{more}'
     'Content-Type: application/json\r\n'
     'Content-Length: {size}\r\n'
     '\r\n'
@@ -30,7 +31,13 @@
     return raw_reply(status, exc)
 
 
-def raw_reply(status: HTTPStatus, exc: CactusridgeError) -> bytes:
-    """Return the bytes of a reply with the body of ``exc``."""
+def raw_reply(
+    status: HTTPStatus, exc: CactusridgeError, more: str = ''
+) -> bytes:
+    """Return the bytes of a reply with the body of ``exc``.
+
+    ``more`` are further header lines.
+    """
     body = wire.encode({'error': exc.body()})
-    return HEAD.format(status=status, size=len(body)).encode() + body
+    head = HEAD.format(status=status, size=len(body), more=more)
+    return head.encode() + body
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -145,6 +145,7 @@
         draining.join()
         self.assertEqual(b'503', raw.split()[1])
         self.assertIn(b'Retry-After: 0\r\n', raw)
+        self.assertEqual(1, raw.count(b'Retry-After'))
 
     def ask(self, raw: bytes) -> socket.socket:
         """Send ``raw`` on a new connection and return the connection."""
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -155,6 +155,8 @@
         self.assertEqual(status, head.split()[1])
         wanted = b'"not_run":true' if not_run else b'"not_run":null'
         self.assertIn(wanted, body)
+        # A refusal has to say when the caller may come back.
+        self.assertTrue(not not_run or b'Retry-After: ' in head)
         self.assertIn(events.REQUESTS_CUT, found)
 
     def test_stream_at_the_limit(self):
