Stand-ins: a request with another replica's id is refused before its body is read

Which replica a request is meant for is decided when it comes, not after a silence, in which the replica may get another id.

--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -79,12 +79,13 @@
         """Serve one request, following the WSGI protocol."""
         headers = dict(environ[HEADERS_KEY])
         request_id = headers.get('X-Attempt-Id', '')
-        body = environ['wsgi.input'].read()
+        misdirected = headers.get('X-Expect-Instance') != self.id
         self.wait_silent()
-        if headers.get('X-Expect-Instance') != self.id:
+        if misdirected:
             return self._refuse(start, '421 Misdirected Request')
         if not request_id:
             return self._refuse(start, '400 Bad Request')
+        body = environ['wsgi.input'].read()
         self.runs[request_id] += 1
         self.request_headers[request_id] = headers
         self.targets.append(environ[TARGET_KEY])
