--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -89,15 +89,16 @@
         """Serve one request, following the WSGI protocol."""
         headers = dict(environ[HEADERS_KEY])
         request_id = headers.get('X-Attempt-Id', '')
-        body = environ['wsgi.input'].read()
+        misdirected = headers.get('X-Expect-Instance') != self.id
         sock = environ[SOCKET_KEY]
         self._wait_silent(sock)
-        if headers.get('X-Expect-Instance') != self.id:
+        if misdirected:
             return self._refuse(start, '421 Misdirected Request')
         if not request_id:
             return self._refuse(start, '400 Bad Request')
         if self.full:
             return self._refuse(start, '503 Service Unavailable')
+        body = environ['wsgi.input'].read()
         self._work(0, request_id, sock)
         self.runs[request_id] += 1
         self.request_headers[request_id] = headers
