Hedging: two runs at one replica are looked at every 50 ms

They may last until the deadline, since the connection may be the fault; a look each 10 ms for up to 5 s cost processor time for each request of a service whose only replica is silent. The first 0.2 s stay at 10 ms.

--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -32,8 +32,10 @@
 # Seconds from the second send until the first run is closed, unless the second
 # one has failed. Two replicas may work on a request for 0.4 s at most.
 HANDOVER_S = 0.2
-# Longest time in seconds between two looks at the first run meanwhile.
+# Longest time in seconds between two looks at the first run meanwhile, and
+# after HANDOVER_S, when both runs are at the same replica.
 POLL_S = 0.01
+LATE_POLL_S = 0.05
 # Seconds after which another replica is looked for again.
 REPEAT_S = 0.2
 
@@ -173,15 +175,19 @@
         """Wait until it is decided which of two runs goes on."""
         first = self._awaited
         self._on_disconnect(first.run, second.run)
+        handover_at = self._clock.monotonic() + HANDOVER_S
         overdue_at = self._call.deadline_at
         if second.run.replica.incarnation != first.run.replica.incarnation:
-            overdue_at = self._clock.monotonic() + HANDOVER_S
+            overdue_at = handover_at
+        poll_s = POLL_S
         verdict = None
         while verdict is None:
-            new = poll(second, POLL_S)
+            new = poll(second, poll_s)
             old = poll(first, 0)
-            is_overdue = self._clock.monotonic() >= overdue_at
-            verdict = decide(old, new, is_overdue)
+            now = self._clock.monotonic()
+            if now >= handover_at:
+                poll_s = LATE_POLL_S
+            verdict = decide(old, new, now >= overdue_at)
         return self._settle(verdict, second, old, new)
 
     def _settle(
