A trial of a quarantined part is not lost by a wait for a slot

Cause: each check of the request takes a trial, and a request is checked again after a wait.

Mend: the request, by its id, stays the trial until it is sent. A retry after that, and a repeat by the caller, is held back as before.

Evidence: test_part_clearance.TestTrial red before (Quarantined after the wait), green after; with test_run_strikes, test_verdicts, test_guilty_parts, test_quarantine and test_peer_strikes 96 tests green once.

--- a/cactusridge/dispatch/attempts.py
+++ b/cactusridge/dispatch/attempts.py
@@ -94,7 +94,9 @@
         """
         if call.caller.disconnected:
             raise CallerDisconnected
-        self._runner.suspects.check(call.req.fingerprint, call.req.parts)
+        self._runner.suspects.check(
+            call.req.fingerprint, call.req.parts, call.req.id
+        )
         call.permit.check()
         if self._clock.monotonic() < call.deadline_at:
             return
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -268,6 +268,7 @@
             stack.enter_context(
                 self.loads.count_request(replica.incarnation, kind)
             )
+            self.suspects.record_sent(req.id, req.parts)
             try:
                 exchange = self._upstream.send(
                     replica, req, left_s, new_connection
--- a/cactusridge/quarantine/crash_evidence.py
+++ b/cactusridge/quarantine/crash_evidence.py
@@ -34,19 +34,30 @@
         """Notify ``listener`` of strikes and withdrawals of this entry."""
         self._listeners.append(listener)
 
-    def check(self, fingerprint: str, parts: Sequence[str] = ()) -> None:
+    def check(
+        self,
+        fingerprint: str,
+        parts: Sequence[str] = (),
+        request_id: str = '',
+    ) -> None:
         """Return if a request may run; raises Quarantined otherwise.
 
         ``parts`` are the keys of the parts of its prompt. A quarantined part
-        may be due for a trial, which this request then is.
+        may be due for a trial, which the request with this id then is until it
+        is sent. Without an id it has to be sent at once.
         """
         quarantined = self._book.quarantined()
         if fingerprint in quarantined:
             self._raise_quarantined(fingerprint)
         for part in quarantined.intersection(parts):
-            if not self._trials.take(part, self._book.strikes(part)):
+            strikes = self._book.strikes(part)
+            if not self._trials.take(part, strikes, request_id):
                 self._raise_quarantined(part)
 
+    def record_sent(self, request_id: str, parts: Sequence[str]) -> None:
+        """Record that a request is sent to a replica; see ``check``."""
+        self._trials.record_sent(request_id, parts)
+
     def is_quarantined(
         self, fingerprint: str, parts: Sequence[str] = ()
     ) -> bool:
--- a/tests/test_part_clearance.py
+++ b/tests/test_part_clearance.py
@@ -12,6 +12,7 @@
     UpstreamHead,
     UpstreamRequest,
 )
+from cactusridge.errors import Quarantined
 from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.http.client import Address
 from cactusridge.peers.load import WorkKind
@@ -20,6 +21,7 @@
 from cactusridge.quarantine.fingerprint import prompt_part_key
 from cactusridge.quarantine.rules import ByCrashes
 from cactusridge.quarantine.strike import Stage
+from cactusridge.quarantine.trials import FIRST_TRIAL_S
 from cactusridge.routing.outliers import NoEjection
 
 PART = prompt_part_key('m', 'bad0')
@@ -98,3 +100,39 @@
         run.head(1)
         run.record_completion()
         self.assertEqual(held, self.is_held())
+
+
+class TestTrial(PartCase):
+    """One request with a quarantined part is due to be tried."""
+
+    def setUp(self):
+        """Let the time until the trial pass."""
+        super().setUp()
+        self.clock.advance(FIRST_TRIAL_S * 2)
+
+    def check(self, request_id: str = REQUEST.id) -> None:
+        """Check whether a request with the part may run."""
+        self.suspects.check('f', (PART,), request_id)
+
+    def test_trial_that_waits_for_a_slot_is_not_lost(self):
+        """The request is checked again after its wait."""
+        self.check()
+        self.clock.advance(1)
+        self.check()
+
+    def test_trial_is_sent_once(self):
+        """A retry of the request, and a repeat of it, is held back."""
+        self.check()
+        with self.assertRaises(Quarantined):
+            self.check('repeat')
+        self.open(200)
+        with self.assertRaises(Quarantined):
+            self.check()
+
+    def test_trial_that_is_never_sent_is_followed_by_another(self):
+        """Its caller may leave while it waits."""
+        self.check()
+        self.clock.advance(FIRST_TRIAL_S * 2)
+        self.check('another')
+        with self.assertRaises(Quarantined):
+            self.check()
