--- a/cactusridge/dispatch/awaited.py
+++ b/cactusridge/dispatch/awaited.py
@@ -9,8 +9,9 @@
 from cactusridge.dispatch.upstream import UpstreamHead, UpstreamRequest
 
 # Silence in seconds after which a started stream is offered to another
-# replica. It is many times the longest usual pause between events, and
-# below the two seconds after which callers abandon a stream.
+# replica. A shorter one spends attempts on replicas that go on by themselves.
+# A longer one leaves no time for a second offer after a refusal before callers
+# abandon the stream, two seconds after its last event.
 STREAM_SILENCE_S = 1.2
 
 
