Upstream: an ended request does not shut down its pooled connection

A caller that leaves while its request is sent to a second replica aborts the run before, which has ended. Its connection may be in the pool, or in use by another request, whose answer would then break off. Found by reading; the new test was red before (the pooled connection was shut down).

--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -118,7 +118,12 @@
         self._connections.release(self._replica.incarnation, self._sock, keep_s)
 
     def abort(self) -> None:
-        """Shut the connection down; a greenlet that reads it sees its end."""
+        """Shut the connection down; a greenlet that reads it sees its end.
+
+        After ``close`` the connection may belong to another request.
+        """
+        if self._closed:
+            return
         self._broken = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
--- a/tests/test_connection_lost.py
+++ b/tests/test_connection_lost.py
@@ -34,6 +34,10 @@
         self._script = list(script)
         self.closed = False
 
+    def shutdown(self, how):
+        """Record that the connection was shut down."""
+        self.closed = True
+
     def settimeout(self, timeout_s):
         """Ignore the timeout."""
 
@@ -81,3 +85,15 @@
         exchange.head(WAIT_S)
         with self.assertRaises(expected):
             exchange.read(WAIT_S)
+
+    def test_connection_of_another_request_is_shut_down(self):
+        """A caller that leaves late aborts a request that has ended."""
+        keep_alive = b'Keep-Alive: timeout=9\r\n\r\n'
+        exchange = _exchange(HEAD[:-2], keep_alive, b'0\r\n\r\n')
+        exchange.head(WAIT_S)
+        self.assertEqual(b'', exchange.read(WAIT_S))
+        exchange.close()
+        sock = exchange._sock
+        self.assertFalse(sock.closed)
+        exchange.abort()
+        self.assertFalse(sock.closed)
