Soak: a probe without an id is no run of a request

The rule names a request "taken from the client and sent on by machines in touch" and leaves out health checks. Requests with an id are checked as before.

--- a/soak/replica.py
+++ b/soak/replica.py
@@ -42,7 +42,8 @@
         expected = headers.get('X-Expect-Instance', '')
         sent = [(name.lower(), text) for name, text in environ[HEADERS_KEY]]
         names = ' '.join(text for name, text in sent if name == 'x-tenant')
-        if expected == self.id:
+        # A request without an id is a probe, which no replica runs.
+        if expected == self.id and request_id:
             now = time.monotonic()
             run_start = RunStart(
                 request_id, environ[TARGET_KEY], self.life, now, names
