--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -16,6 +16,7 @@
 LONGEST = (
     'test_crashing_requests',
     'test_silent_replicas',
+    'test_silent_refusals',
     'test_limits',
     'test_stream_versions',
     'test_keys_on_machines',
--- a/tests/silent_case.py
+++ b/tests/silent_case.py
@@ -122,6 +122,11 @@
             lambda: self._decisions(entry) == list(wanted),
         )
 
+    def check_decided_once(self, *either: str) -> None:
+        """Check that entry one has taken one decision, one of ``either``."""
+        wait_for('a decision', lambda: self._decisions('one'))
+        self.assertIn(self._decisions('one'), [[each] for each in either])
+
     def check_overlap(self, request_id: str) -> None:
         """Check that no two replicas worked on a request for too long."""
         spans = [
