Runs: a closed run is left alone when its caller disconnects

What callers saw: a request of another caller broke off (502, or a stream resumed elsewhere) when a caller left while its own rejected or failed attempt was about to be repeated.

Cause: the disconnect action of an attempt stays set until the next attempt has been sent, which takes up to the connect time-out. By then the run is closed and its connection may be back in the pool or carry another request; abort() shut it down nevertheless. It also had the replica probed, so that one that had rejected the request as not run and then ended (a drain) brought it a strike.

--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -84,6 +84,7 @@
             # The head of a batch item arrives when the item starts to run.
             self._stage = Stage.queued
         self._aborted = False
+        self._closed = False
         self._survived = False
         self._received_at = self._opened_at
 
@@ -161,7 +162,12 @@
             self._runner.suspects.record_output(self._parts)
 
     def abort(self) -> None:
-        """Cancel the request, from a greenlet other than the waiting one."""
+        """Cancel the request, from a greenlet other than the waiting one.
+
+        A closed run is left alone: another request may use its connection.
+        """
+        if self._closed:
+            return
         self._aborted = True
         if not self._survived and self._is_unresponsive():
             self.check_abandoned()
@@ -177,6 +183,7 @@
 
     def close(self) -> None:
         """Stop counting the request as load; cancel it if it is unfinished."""
+        self._closed = True
         self._stack.close()
 
     def _check_silent(self, final: bool) -> None:
