Hedging: nothing is sent in the last 0.2 s before a deadline

What callers saw: a request whose replica stayed silent could be held beyond its deadline, by the time of a connect and 0.2 s of the race (0.45 s at most), and a replica got a run that could not end in time.

Cause: the only bound of an offer was a deadline that had not passed, and two replicas raced for HANDOVER_S whatever was left.

Evidence: test_second_run_holds_the_request_beyond_its_deadline, red before (one send 0.1 s before the deadline), green after.

--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -114,7 +114,8 @@
     def _may_offer(self) -> bool:
         """Return whether the request may be sent once more.
 
-        One rejection is left for the case that the run breaks.
+        One rejection is left for the case that the run breaks. A second run
+        that began in the last HANDOVER_S could not answer in time.
         """
         if not may_retry(self._call, self._progress):
             self._record(None, 'attempts_used')
@@ -122,6 +123,10 @@
         if self._progress.rejections + 1 >= MAX_REJECTIONS:
             self._record(None, 'rejections_used')
             return False
+        left_s = self._call.deadline_at - self._clock.monotonic()
+        if left_s <= HANDOVER_S:
+            self._record(None, 'no_time_left')
+            return False
         return True
 
     def _offer(self) -> Found | None:
@@ -178,7 +183,7 @@
         handover_at = self._clock.monotonic() + HANDOVER_S
         overdue_at = self._call.deadline_at
         if second.run.replica.incarnation != first.run.replica.incarnation:
-            overdue_at = handover_at
+            overdue_at = min(overdue_at, handover_at)
         poll_s = POLL_S
         verdict = None
         while verdict is None:
--- a/tests/test_hedged_heads.py
+++ b/tests/test_hedged_heads.py
@@ -2,6 +2,7 @@
 
 from nose2.tools import params
 
+from cactusridge.dispatch.hedged_wait import HANDOVER_S
 from cactusridge.dispatch.run import NotRun
 from cactusridge.dispatch.upstream import ConnectFailed, UpstreamSilent
 from cactusridge.errors import (
@@ -94,6 +95,16 @@
         self.assertTrue(self.first.is_closed)
         self.assertEqual(1, self.first.checks)
 
+    def test_second_run_holds_the_request_beyond_its_deadline(self):
+        """A replica found so late cannot answer in time."""
+        self.runs([(9, SUCCESS)], [(9, SUCCESS)])
+        found_at = DEADLINE_S - HANDOVER_S / 2
+        self.attempts.choose_other.side_effect = self._choose_from(found_at)
+        with self.assertRaises(UpstreamSilent):
+            self.head()
+        self.assertAlmostEqual(DEADLINE_S, self.clock.monotonic())
+        self.assertEqual([], self.sent)
+
     def test_request_is_sent_after_its_caller_has_left(self):
         """The caller's leaving ends the wait."""
         self.runs([(3, SUCCESS)])
@@ -135,6 +146,14 @@
         self.assertEqual((self.second, SUCCESS), self.head())
         self.assertTrue(self.first.is_closed)
 
+    def _choose_from(self, ready_at):
+        def choose(*_):
+            if self.clock.monotonic() < ready_at:
+                raise NoReplica
+            return replica('two')
+
+        return choose
+
     def _leave(self, head, at_s):
         def leaving(wait_s, final=True):
             if self.clock.monotonic() >= at_s:
