Upstream: a long request that cannot be sent goes to another replica

What callers saw, with all descriptors in use: no answer to a request over 8 KB until its deadline, though no replica had got any of it.

Cause: the background send takes a descriptor of its own since it was freed of the reader's time-outs. If there was none, the error only marked the connection as broken, and the reader went on to wait. It is taken before the send now.

--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -54,6 +54,20 @@
     sock.setsockopt(tcp, std_socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
 
 
+def sending_socket(sock: socket.socket) -> socket.socket:
+    """Return another socket object of the same connection, for sending.
+
+    The time-outs of the one that is read limit how long a read waits, not how
+    long sending takes. Raises ConnectFailed if there is no descriptor for it.
+    """
+    try:
+        own = sock.dup()
+    except OSError as exc:
+        raise ConnectFailed(f'no descriptor to send with: {exc!r}') from exc
+    own.settimeout(None)
+    return own
+
+
 def idle_limit_s(stated: str) -> float:
     """Return for how many seconds a connection may stay idle.
 
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -18,7 +18,11 @@
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
 from cactusridge.fleet.replica import Replica
 from cactusridge.platform import names
-from cactusridge.platform.connections import Connections, idle_limit_s
+from cactusridge.platform.connections import (
+    Connections,
+    idle_limit_s,
+    sending_socket,
+)
 from cactusridge.platform.prompt_parts import shared_parts
 from cactusridge.platform.replica_probe import (
     MISDIRECTED,
@@ -58,9 +62,11 @@
         self._closed = False
 
     def start(self, raw: bytes) -> None:
-        """Send ``raw``; raise OutcomeUnknown if the connection breaks."""
+        """Send ``raw``; raise OutcomeUnknown, or ConnectFailed if unsent."""
         if len(raw) > MAX_INLINE_REQUEST_BYTES:
-            self._sender = gevent.spawn(self._send_in_background, raw)
+            self._sender = gevent.spawn(
+                self._send_in_background, sending_socket(self._sock), raw
+            )
             return
         self._sock.settimeout(SEND_TIMEOUT_S)
         try:
@@ -174,15 +180,10 @@
             is_own and names.SIGNATURE.lower() in by_name,
         )
 
-    def _send_in_background(self, raw: bytes) -> None:
-        """Send a long request; the reader raises if the connection breaks.
-
-        It has its own socket object of the connection, because the time-outs
-        of the reader limit how long it waits, not how long sending takes.
-        """
+    def _send_in_background(self, sock: socket.socket, raw: bytes) -> None:
+        """Send a long request; the reader raises if the connection breaks."""
         try:
-            with self._sock.dup() as sock:
-                sock.settimeout(None)
+            with sock:
                 sock.sendall(raw)
         except OSError:
             self._broken = True
