Drain: all connections in the backlog are accepted, not only 100

What callers saw: their connection reset right after a request was sent to an entry that stops, if more than 100 connections waited there (a loop that was held up, up to 129 fit).

Cause: the library's accept takes at most max_accept = 100 connections at once, the backlog has 128, and the listener is closed after one call.

Evidence: test_backlog with 120 connections instead of 40, red before (reset), green after.

--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -88,6 +88,8 @@
         """
         self.draining = True
         # Closing the listener resets the connections that wait in its backlog.
+        # The library accepts fewer at once than may wait there.
+        self.max_accept = self.backlog + 1
         self._do_read()
         self.close()
         started_at = self.clock.monotonic()
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -226,7 +226,7 @@
 
     def test_backlog(self):
         """A connection that was not accepted yet is served, not reset."""
-        conns = [BLOCKING_SOCKET() for _ in range(40)]
+        conns = [BLOCKING_SOCKET() for _ in range(120)]
         for conn in conns:
             self.addCleanup(conn.close)
             conn.connect(self.address)
