Stops: a query about a lost order does not swallow the end of a stop

What callers saw, on the own interface: a closed connection instead of a failure, if an order was lost and its sidecar was being asked about it at the limit of a stop.

Cause: the resolver took StopLimit for an unanswered query, and a request that may be repeated went on with another attempt, which nothing would end.

Evidence: test_request_goes_on_after_the_limit, red before, green after.

--- a/cactusridge/sidecar_dispatch/outcome_resolver.py
+++ b/cactusridge/sidecar_dispatch/outcome_resolver.py
@@ -8,6 +8,7 @@
     CactusridgeError,
     DeadlineExceeded,
     OutcomeUnknown,
+    StopLimit,
 )
 from cactusridge.orders import RunOrder, TombstoneOrder, Verdict, WorkClass
 from cactusridge.sidecar_dispatch.dispatch import Dispatch
@@ -38,7 +39,8 @@
         The value is True if the order never ran and never will, False if
         it ran, and None if that is unknown. The tombstone also prevents
         an order that is still in transit from running later. ``sent_at``
-        is the monotonic time in seconds when the order was sent.
+        is the monotonic time in seconds when the order was sent. Raises
+        StopLimit, after which nothing may be sent.
         """
         if exc.not_run or not _should_query(dispatch, exc):
             return
@@ -49,6 +51,8 @@
         )
         try:
             verdict = self._client.tombstone(replica.address, order_query)
+        except StopLimit:
+            raise
         except CactusridgeError:
             verdict = Verdict.unknown
         logs.emit(
--- a/tests/test_stop_limit.py
+++ b/tests/test_stop_limit.py
@@ -17,11 +17,12 @@
 from cactusridge.core import SidecarRole
 from cactusridge.dispatch.attempts import Attempts
 from cactusridge.dispatch.online_call import Progress
-from cactusridge.errors import StopLimit
+from cactusridge.errors import OutcomeUnknown, StopLimit
 from cactusridge.http import frames
 from cactusridge.http.frames import FrameKind
 from cactusridge.http.server import Server
 from cactusridge.orders import RunOrder, WorkClass
+from cactusridge.sidecar_dispatch.outcome_resolver import OutcomeResolver
 from cactusridge.sidecar_dispatch.sidecar_client import SidecarClient
 from cactusridge.startup.models import SidecarSettings
 from standins.ports import Ports
@@ -164,3 +165,18 @@
         ):
             attempts.open(call, mock.Mock(), progress, call.req)
         self.assertEqual(1, progress.may_have_run)
+
+
+class TestQueriedAtTheLimit(unittest.TestCase):
+    """A sidecar is asked whether a lost order has run at the limit."""
+
+    def test_request_goes_on_after_the_limit(self):
+        """No other attempt follows, which the end would cut off."""
+        client = mock.Mock()
+        client.tombstone.side_effect = StopLimit()
+        resolver = OutcomeResolver(client, ManualClock())
+        order = mock.Mock(id='r', incarnation='i')
+        with self.assertRaises(StopLimit):
+            resolver.resolve(
+                order, mock.Mock(), mock.Mock(), OutcomeUnknown(), 0
+            )
