Hedging: the first of two runs at one replica is kept when it goes on

Cause: the race waits on the second run and only looks at the first. When a silent replica goes on, it answers both within a few milliseconds, and the one that is waited on often won. At one replica the race waits on the first now; the second is looked at every 10 or 50 ms, as the first was.

--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -181,17 +181,19 @@
         first = self._awaited
         self._on_disconnect(first.run, second.run)
         handover_at = self._clock.monotonic() + HANDOVER_S
-        overdue_at = self._call.deadline_at
-        if second.run.replica.incarnation != first.run.replica.incarnation:
-            overdue_at = min(overdue_at, handover_at)
-        poll_s = POLL_S
+        overdue_at = min(self._call.deadline_at, handover_at)
+        waits = (0, POLL_S)
+        if second.run.replica.incarnation == first.run.replica.incarnation:
+            # If the replica goes on, both answer at once: the first is kept.
+            overdue_at = self._call.deadline_at
+            waits = (POLL_S, 0)
         verdict = None
         while verdict is None:
-            new = poll(second, poll_s)
-            old = poll(first, 0)
+            new = poll(second, waits[1])
+            old = poll(first, waits[0])
             now = self._clock.monotonic()
-            if now >= handover_at:
-                poll_s = LATE_POLL_S
+            if waits[0] and now >= handover_at:
+                waits = (LATE_POLL_S, 0)
             verdict = decide(old, new, now >= overdue_at)
         return self._settle(verdict, second, old, new)
 
--- a/tests/test_hedged_heads.py
+++ b/tests/test_hedged_heads.py
@@ -146,6 +146,13 @@
         self.assertEqual((self.second, SUCCESS), self.head())
         self.assertTrue(self.first.is_closed)
 
+    def test_first_run_is_closed_though_its_replica_goes_on(self):
+        """The first answers just after the second, at the same replica."""
+        self.runs([(1.405, SUCCESS)], [(1.4, SUCCESS)])
+        self.second.replica = self.first.replica
+        self.assertEqual((self.first, SUCCESS), self.head())
+        self.assertEqual(['went_on'], self.reasons())
+
     def _choose_from(self, ready_at):
         def choose(*_):
             if self.clock.monotonic() < ready_at:
