Hedging: a replica that was left before may take the request again

A request that had left one silent replica for another waited until its deadline when that one fell silent too, though the first was idle again: tried replicas were left out for good. Before silent replicas were hedged it went back there. Streams bound to a version and requests that a replica has rejected still do not.

--- a/cactusridge/dispatch/replica_choice.py
+++ b/cactusridge/dispatch/replica_choice.py
@@ -67,11 +67,14 @@
         current: Replica,
         may_stay: bool,
     ) -> Replica:
-        """Return a replica to which no attempt has been sent yet.
-
-        If there is none and ``may_stay`` is set, ``current`` is returned while
-        it is ready. Raises NoReplica if no replica may be chosen, and
-        Overloaded if the expected wait at the best one is too long.
+        """Return a replica other than ``current``, untried if possible.
+
+        A tried one may have restarted at another version under its id, so a
+        stream bound to a version does not return there, nor does a request
+        that a replica has rejected. If there is no other one and ``may_stay``
+        is set, ``current`` is returned while it is ready. Raises NoReplica if
+        no replica may be chosen, and Overloaded if the expected wait at the
+        best one is too long.
         """
         service = progress.service
         if progress.origin is not None:
@@ -79,6 +82,9 @@
         service = service or draw_service(call.route, self._rng)
         ready = self._ready(service, progress.origin)
         fresh = set(ready) - set(progress.tried)
+        is_bound = progress.origin is not None and progress.origin.version
+        if not (is_bound or progress.rejections):
+            fresh = fresh or set(ready) - {current.incarnation}
         if may_stay and not fresh:
             fresh = {current.incarnation} & set(ready)
         best = self._best_among(service, ready, fresh)
