--- a/cactusridge/dispatch/awaited.py
+++ b/cactusridge/dispatch/awaited.py
@@ -16,7 +16,13 @@
 
 
 class Awaited(abc.ABC):
-    """The next part of the answer of a run, which may be silent."""
+    """The next part of the answer of a run, which may be silent.
+
+    ``repeat_growth`` is the factor by which the time grows after which another
+    replica is looked for again. Each look compares the replicas of the service.
+    """
+
+    repeat_growth = 2
 
     def __init__(self, call: OnlineCall, run: Run, progress: Progress) -> None:
         """Await the part from ``run``, an attempt for ``call``."""
@@ -119,6 +125,9 @@
 class AwaitedEvents(Awaited):
     """The next bytes of a stream, after whole and partial events."""
 
+    # Callers leave within the second after STREAM_SILENCE_S.
+    repeat_growth = 1
+
     def __init__(
         self,
         call: OnlineCall,
--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -36,7 +36,7 @@
 # after HANDOVER_S, when both runs are at the same replica.
 POLL_S = 0.01
 LATE_POLL_S = 0.05
-# Seconds after which another replica is looked for again.
+# Seconds after which another replica is looked for again, the first time.
 REPEAT_S = 0.2
 
 
@@ -79,6 +79,7 @@
         limit_s = None
         if self._call.route.repeatable:
             limit_s = self._awaited.tolerated_s(self._attempts)
+        repeat_s = REPEAT_S
         while True:
             received = self._receive(limit_s)
             if received is not None:
@@ -86,7 +87,8 @@
             found = self._offer() if self._may_offer() else None
             if found is not None:
                 return found
-            limit_s = REPEAT_S if self._may_offer() else None
+            limit_s = repeat_s if self._may_offer() else None
+            repeat_s *= self._awaited.repeat_growth
 
     def _receive(self, limit_s: float | None) -> bytes | UpstreamHead | None:
         """Return what the run brings, None after ``limit_s`` of silence.
