--- a/cactusridge/dispatch/awaited.py
+++ b/cactusridge/dispatch/awaited.py
@@ -61,7 +61,7 @@
         """Return the request to send to another replica now."""
 
     @abc.abstractmethod
-    def at(self, run: Run) -> 'AwaitedHead':
+    def head_at(self, run: Run) -> 'AwaitedHead':
         """Return what is awaited of another run of the same request."""
 
     def record_silence(self) -> None:
@@ -111,7 +111,7 @@
         """Return the request as sent before."""
         return self._req
 
-    def at(self, run: Run) -> 'AwaitedHead':
+    def head_at(self, run: Run) -> 'AwaitedHead':
         """Return the head that is awaited of another run."""
         return AwaitedHead(
             self.call, run, self.progress, self._req, self._begun
@@ -155,7 +155,7 @@
         """Return a request that resumes after the last complete event."""
         return self.call.req._replace(resume_after=self._splitter.last_id)
 
-    def at(self, run: Run) -> AwaitedHead:
+    def head_at(self, run: Run) -> AwaitedHead:
         """Return the head of a run that resumes the stream."""
         return AwaitedHead(
             self.call, run, self.progress, self.request(), begun=True
--- a/cactusridge/dispatch/hedged_stream.py
+++ b/cactusridge/dispatch/hedged_stream.py
@@ -49,7 +49,7 @@
 
     def _replace(self, found: Found) -> None:
         """Go on with another run, after its head."""
-        awaited = self._awaited.at(found.run)
+        awaited = self._awaited.head_at(found.run)
         self._splitter.discard_partial()
         self.run = found.run
         if found.head is None:
--- a/cactusridge/dispatch/hedging.py
+++ b/cactusridge/dispatch/hedging.py
@@ -1,4 +1,8 @@
-"""Hedges requests whose replica is silent by a second run elsewhere."""
+"""Hedges requests whose replica is silent by a second run elsewhere.
+
+OnlineDispatcher and Streams wait here for replicas. Each wait is a HedgedWait,
+which asks hedge_race.decide which of two runs goes on.
+"""
 
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
@@ -35,7 +39,7 @@
             head = found.head or found.received
             if isinstance(head, UpstreamHead):
                 return found.run, head
-            awaited = awaited.at(found.run)
+            awaited = awaited.head_at(found.run)
 
     def success(self, awaited: AwaitedHead) -> Run:
         """Return a run that answers with a success, after its head.
