--- a/cactusridge/dispatch/hedge_race.py
+++ b/cactusridge/dispatch/hedge_race.py
@@ -9,7 +9,10 @@
 
 
 class Verdict(enum.StrEnum):
-    """Why the first run goes on (the first two), or else the second one."""
+    """Why the first run goes on (the first two), or else the second one.
+
+    ``refused`` is any failure of the second run, ``broken`` one of the first.
+    """
 
     refused = 'refused'
     went_on = 'went_on'
--- a/cactusridge/dispatch/hedged_wait.py
+++ b/cactusridge/dispatch/hedged_wait.py
@@ -43,8 +43,9 @@
 class Found(NamedTuple):
     """The run that goes on.
 
-    ``received`` is what the awaited run brought, None if another run has taken
-    its place; ``head`` is that of the other run, if it has arrived.
+    If that is the awaited run, ``received`` is what it brought. If another run
+    has taken its place, ``received`` is None, and ``head`` is that of the other
+    run, if it has arrived.
     """
 
     run: Run
@@ -176,7 +177,7 @@
             self._call, replica, self._progress, self._awaited.request()
         )
         metrics.RETRIES.inc({'service': replica.service})
-        return self._awaited.at(run)
+        return self._awaited.head_at(run)
 
     def _race(self, second: AwaitedHead) -> Found | None:
         """Wait until it is decided which of two runs goes on."""
