--- a/review/2/case.py
+++ b/review/2/case.py
@@ -81,10 +81,9 @@
     async def _play(self, number: int) -> None:
         """Slow the store, restart an entry and submit jobs to it."""
         entry = self._fleet.entries[number % ENTRIES]
-        begun_at = time.monotonic()
+        end_at = time.monotonic() + SLOW_S
         if TROUBLE:
-            self._record.add(f'the store is {SLOW_X:.0f} times slower')
-            self._store.slow = SLOW_X
+            self._slow_down()
             await asyncio.sleep(KILL_AFTER_S)
             self._record.add(f'{entry.name} is killed and started again')
             entry.kill()
@@ -93,10 +92,17 @@
         self._record.add(f'{entry.name} takes connections')
         clients = (self._submit(number, each) for each in range(CLIENTS))
         await asyncio.gather(*clients)
-        await asyncio.sleep(max(0, begun_at + SLOW_S - time.monotonic()))
+        await asyncio.sleep(max(0, end_at - time.monotonic()) + CALM_S)
+
+    def _slow_down(self) -> None:
+        """Slow the store for SLOW_S, however long an entry takes to start."""
+        self._record.add(f'the store is {SLOW_X:.0f} times slower')
+        self._store.slow = SLOW_X
+        asyncio.get_running_loop().call_later(SLOW_S, self._speed_up)
+
+    def _speed_up(self) -> None:
         self._store.slow = 1.0
         self._record.add('the store is as fast as usual')
-        await asyncio.sleep(CALM_S)
 
     async def _submit(self, number: int, each: int) -> None:
         """Submit a job; after a refusal once more, at another entry."""
