--- a/review/2/case.py
+++ b/review/2/case.py
@@ -70,6 +70,7 @@
         for number in range(ROUNDS):
             await self._play(number)  # noqa: WPS476
         await asyncio.gather(*map(self._check, self.accepted))
+        self._record.add_runs(self._replicas)
 
     def close(self) -> None:
         """End everything that was started."""
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -80,6 +80,7 @@
         await asyncio.gather(*map(self._submit, JOBS))
         changes = (self._change(),) if TROUBLE else ()
         await asyncio.gather(*map(self._read, self.accepted), *changes)
+        self._record.add_runs((self._other, *self._replicas))
         ran = len(self._other.runs)
         self._record.add(f'{ran} runs of items at {OTHER_SERVICE}')
 
--- a/review/bed/record.py
+++ b/review/bed/record.py
@@ -1,8 +1,11 @@
 """Writes what was sent, answered and run to a text file."""
 
 import time
+from collections.abc import Iterable
 from pathlib import Path
 
+from bed.replica import Replica
+
 
 class Record:
     """Lines with the seconds since the start of the case."""
@@ -18,9 +21,15 @@
         self._file.write(f'{elapsed_s:8.3f} {text}\n')
         self._file.flush()
 
-    def at(self, moment: float) -> str:
-        """Return a monotonic time as it stands in the record."""
-        return f'{moment - self._begun_at:.3f}'
+    def add_runs(self, replicas: Iterable[Replica]) -> None:
+        """Write one line for each run at a replica, with its own time."""
+        for replica in replicas:
+            for run in replica.runs:
+                at_s = run.at - self._begun_at
+                self.add(
+                    f'{replica.id} began to run {run.request_id} at {at_s:.3f}'
+                    f' after event {run.after}'
+                )
 
     def close(self) -> None:
         """Close the file."""
