Jobs: log lines tell why an item is given up, and by which clock

The lines of a job could not tell a wrong clock from a missing route, nor either from an item that had failed: item_failed now has the reason, the age of the item, the prefix under which the job was accepted and the configuration; job_accepted the submission by the store's clock; job_removed the age of the job. No change of behaviour.

--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -99,13 +99,6 @@
         )
         self._wake.set()
         metrics.ITEMS.inc({'service': self.head.path, 'outcome': state})
-        if state == ItemState.given_up:
-            logs.emit(
-                events.ITEM_FAILED,
-                job=self.head.id,
-                item=task.item.id,
-                failures=task.failures,
-            )
 
     def stop(self) -> None:
         """Stop committing; a commit that is in progress may still complete."""
--- a/cactusridge/jobs/item_queue.py
+++ b/cactusridge/jobs/item_queue.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.dispatch.catalog import Catalog, Route
 from cactusridge.dispatch.route_cache import RouteCache
 from cactusridge.dispatch.upstream import HeaderList
 from cactusridge.jobs.held_job import HeldJob
 from cactusridge.jobs.item_run import ItemTask
-from cactusridge.jobs.model import ItemState
+from cactusridge.jobs.model import GiveUpReason, ItemState
 from cactusridge.jobs.run_times import RunTimeEstimator
 from cactusridge.jobs.urgency import ItemTimes, Urgency, UrgencyClass
 from cactusridge.quarantine.crash_evidence import CrashEvidence
@@ -81,11 +82,25 @@
         now = self._clock.monotonic()
         self._not_before[task.item.id] = now + INTERRUPTED_PAUSE_S
 
-    def finish(self, job: HeldJob, task: ItemTask, state: ItemState) -> None:
-        """Record the final state of an item and remove it from its job."""
-        job.pending.pop(task.index, None)
-        self._not_before.pop(task.item.id, None)
-        job.record_end(task, state)
+    def complete(self, job: HeldJob, task: ItemTask) -> None:
+        """Record the output of an item and remove it from its job."""
+        self._finish(job, task, ItemState.completed)
+
+    def give_up(
+        self, job: HeldJob, task: ItemTask, reason: GiveUpReason
+    ) -> None:
+        """Give up an item for ``reason`` and remove it from its job."""
+        logs.emit(
+            events.ITEM_FAILED,
+            job=job.head.id,
+            item=task.item.id,
+            reason=reason,
+            failures=task.failures,
+            age_s=round(self._age_s(job), 3),
+            route=job.head.path,
+            catalog=self._catalog().version,
+        )
+        self._finish(job, task, ItemState.given_up)
 
     def _waiting_items(self, jobs: list[HeldJob]) -> list[WaitingItem]:
         now = self._clock.monotonic()
@@ -111,12 +126,12 @@
             return None
         path = task.item.path.partition('?')[0]
         route = self._routes.match(catalog, job.head.host, path)
-        age_s = (self._store_clock.now_ms() - job.head.created_ms) / MS
+        age_s = self._age_s(job)
         if route is None:
-            self.finish(job, task, ItemState.given_up)
+            self.give_up(job, task, GiveUpReason.no_route)
             return None
         if age_s > route.abandon_after_s + GIVE_UP_MARGIN_S:
-            self.finish(job, task, ItemState.given_up)
+            self.give_up(job, task, GiveUpReason.expired)
             return None
         if task.parts is None:
             task.parts = self._shared_parts(list(task.item.headers.items()))
@@ -132,6 +147,16 @@
         rank = self._urgency.rank(times)
         return WaitingItem(rank, task.index, job, task, route)
 
+    def _age_s(self, job: HeldJob) -> float:
+        """Return the seconds since the submission of a job."""
+        return (self._store_clock.now_ms() - job.head.created_ms) / MS
+
+    def _finish(self, job: HeldJob, task: ItemTask, state: ItemState) -> None:
+        """Record the final state of an item and remove it from its job."""
+        job.pending.pop(task.index, None)
+        self._not_before.pop(task.item.id, None)
+        job.record_end(task, state)
+
 
 def _sort_key(waiting: WaitingItem) -> tuple[tuple[UrgencyClass, float], int]:
     return waiting.rank, waiting.index
--- a/cactusridge/jobs/janitor.py
+++ b/cactusridge/jobs/janitor.py
@@ -49,8 +49,11 @@
     def _should_remove(self, head: JobHead) -> bool:
         if head.state == JobState.open or self._orphans.rank(head):
             return False
-        age_s = (self._store_clock.now_ms() - head.created_ms) / MS
-        return age_s > self._keep_s
+        return self._age_s(head) > self._keep_s
+
+    def _age_s(self, head: JobHead) -> float:
+        """Return the seconds since the submission of a job."""
+        return (self._store_clock.now_ms() - head.created_ms) / MS
 
     def _remove(self, head: JobHead) -> None:
         try:
@@ -58,4 +61,9 @@
         except CactusridgeError as exc:
             logs.emit(events.TAKE_FAILED, job=head.id, error=str(exc))
             return
-        logs.emit(events.JOB_REMOVED, job=head.id, version=head.version)
+        logs.emit(
+            events.JOB_REMOVED,
+            job=head.id,
+            version=head.version,
+            age_s=round(self._age_s(head), 3),
+        )
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -101,6 +101,8 @@
             job=head.id,
             items=len(items),
             holder=stored.holder,
+            route=stored.path,
+            created_ms=stored.created_ms,
         )
         self._heads.update(stored)
         runs_here = stored.state == JobState.open and self._orphans.is_mine(
--- a/cactusridge/jobs/model.py
+++ b/cactusridge/jobs/model.py
@@ -30,6 +30,20 @@
     given_up = 'given_up'
 
 
+class GiveUpReason(enum.StrEnum):
+    """Why an item is given up.
+
+    ``expired``: it is older than its route allows. ``no_route``: the route of
+    its job has ended. ``impossible``: an upstream answered 422. ``failed``: it
+    failed as often as its route allows.
+    """
+
+    expired = 'expired'
+    no_route = 'no_route'
+    impossible = 'impossible'
+    failed = 'failed'
+
+
 class JobItem(NamedTuple):
     """One request of a job; ``body`` is base64, as submitted."""
 
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -18,7 +18,7 @@
 from cactusridge.jobs.item_placement import ItemPlacement
 from cactusridge.jobs.item_queue import ItemQueue, WaitingItem
 from cactusridge.jobs.item_run import ItemRun, ItemTask, RunOutcome
-from cactusridge.jobs.model import ItemState
+from cactusridge.jobs.model import GiveUpReason
 from cactusridge.jobs.pass_pacer import PassPacer
 from cactusridge.jobs.running_item import RunningItem
 from cactusridge.peers.batch_sharing import BatchSharing
@@ -235,9 +235,9 @@
         )
         self._record_run_time(running, route)
         if run_outcome == RunOutcome.completed:
-            self._queue.finish(job, task, ItemState.completed)
+            self._queue.complete(job, task)
         elif run_outcome == RunOutcome.impossible:
-            self._queue.finish(job, task, ItemState.given_up)
+            self._queue.give_up(job, task, GiveUpReason.impossible)
         elif run_outcome == RunOutcome.failed:
             self._failed(job, task, route)
         else:
@@ -257,7 +257,7 @@
     def _failed(self, job: HeldJob, task: ItemTask, route: Route) -> None:
         job.record_failure(task)
         if task.failures >= route.attempts:
-            self._queue.finish(job, task, ItemState.given_up)
+            self._queue.give_up(job, task, GiveUpReason.failed)
             return
         self._queue.delay(task)
         job.pending[task.index] = task
