Store clock: its time is known from the first reply of the store on

Hypotheses: (1) the entry stamps the job with another clock than the store's; (2) the write of the job is lost or overwritten; (3) another entry gives it up by an old configuration.

Cause: StoreClock started with the offset 0, so that until the first reply of the store it showed the clock of the host. An entry that has its configuration from a peer accepts jobs in that time.

Items wait, nothing is given up or removed. The same clock dates announcements, handovers and outage reports of the limits: none is made or taken before. A report that a restarted entry had dated by a host that runs longer than the store never expired at its peers. Members' stamps follow a read already.

The stand-in store and the hosts of the simulated fleet now have clocks with different starts; test_idle_cost keeps the calls that it counts (its clock costs one, as before).

--- a/cactusridge/jobs/item_queue.py
+++ b/cactusridge/jobs/item_queue.py
@@ -103,6 +103,9 @@
         self._finish(job, task, ItemState.given_up)
 
     def _waiting_items(self, jobs: list[HeldJob]) -> list[WaitingItem]:
+        if not self._store_clock.is_known:
+            # Nothing is started or given up by a guessed age.
+            return []
         now = self._clock.monotonic()
         found = []
         for job in jobs:
--- a/cactusridge/jobs/janitor.py
+++ b/cactusridge/jobs/janitor.py
@@ -37,7 +37,9 @@
         self._keep_s = keep_s + RETENTION_MARGIN_S
 
     def remove_expired(self) -> None:
-        """Remove a limited number of expired jobs."""
+        """Remove a limited number of expired jobs, by the store's time."""
+        if not self._store_clock.is_known:
+            return
         expired = [
             head
             for head in self._heads.all_heads()
--- a/cactusridge/organisations/join_confirmations.py
+++ b/cactusridge/organisations/join_confirmations.py
@@ -64,7 +64,9 @@
             return
         if not self._has_joined:
             self._has_joined = True
-            self._owners.right.from_ms = self._owners.now_ms() + COUNT_MS
+            self._owners.right.from_ms = (
+                self._owners.store_clock.now_ms() + COUNT_MS
+            )
             self._owners.update()
         if not self._must_announce(own):
             self._joining = None
@@ -112,13 +114,16 @@
         This entry no longer counts what the other one owns: it hands that over
         once the other one counts.
         """
-        if joining.name == self._owners.own_name:
+        if (
+            joining.name == self._owners.own_name
+            or not self._owners.store_clock.is_known
+        ):
             return
         if not self._owners.announced.has(joining):
             # An earlier process at its address has confirmed, if any.
             self._confirmed_by.discard(joining.name)
             self._awaited.add(joining.name)
-        now_ms = self._owners.now_ms()
+        now_ms = self._owners.store_clock.now_ms()
         self._owners.announced.note(joining, now_ms, counts=counts)
         self._update_for(joining)
         if counts:
@@ -135,8 +140,10 @@
         If that entry was confirmed itself, it is the member ``counting``. By
         its age this entry may not expect that it counts.
         """
+        if not self._owners.store_clock.is_known:
+            return
         if counting is not None:
-            now_ms = self._owners.now_ms()
+            now_ms = self._owners.store_clock.now_ms()
             self._owners.announced.note(counting, now_ms, counts=True)
             self._update_for(counting)
         self._note_known(joining, [name])
@@ -176,7 +183,7 @@
         """Let this entry count, since all others know it."""
         own = self._owners.own
         if own is not None:
-            now_ms = self._owners.now_ms()
+            now_ms = self._owners.store_clock.now_ms()
             self._owners.announced.note(own, now_ms, counts=True)
             self._owners.update()
 
@@ -187,7 +194,7 @@
         counts handed over when it has been a member for some seconds. Those
         that are stopping count nothing any more.
         """
-        now_ms = self._owners.now_ms()
+        now_ms = self._owners.store_clock.now_ms()
         if now_ms >= own.since_ms + COUNT_MS:
             return now_ms < self._owners.right.from_ms
         staying = self._owners.listed - self._owners.stopping
--- a/cactusridge/organisations/limit_handover.py
+++ b/cactusridge/organisations/limit_handover.py
@@ -101,7 +101,9 @@
 
     def receive(self, handover: Handover) -> None:
         """Take over counts, unless the message is old or not for this entry."""
-        now_ms = self._owners.now_ms()
+        if not self._owners.store_clock.is_known:
+            return
+        now_ms = self._owners.store_clock.now_ms()
         sender = handover.sender
         if handover.receiver != self._owners.own or now_ms > handover.until_ms:
             return
@@ -198,7 +200,7 @@
         hold = self._holds.get(name)
         if own is None or hold is None:
             return None
-        ceders = hold.ceders_at(self._owners.now_ms())
+        ceders = hold.ceders_at(self._owners.store_clock.now_ms())
         receiver = self._owners.receiver(name, ceders)
         return None if receiver == own else receiver
 
@@ -208,7 +210,7 @@
         if own is None:
             return
         now = self._clock.monotonic()
-        until_ms = int(self._owners.now_ms()) + CESSION_MS
+        until_ms = int(self._owners.store_clock.now_ms()) + CESSION_MS
         counts = []
         for name in names:
             hold = self._holds.get(name)
@@ -235,7 +237,7 @@
         the receiver may have admitted requests with them.
         """
         is_listed = self._owners.is_possible_owner(handover.receiver)
-        if is_listed and self._owners.now_ms() <= handover.until_ms:
+        if is_listed and self._owners.store_clock.now_ms() <= handover.until_ms:
             return
         self.outbox.give_up(handover)
         if not self.has_stopped:
--- a/cactusridge/organisations/limit_holds.py
+++ b/cactusridge/organisations/limit_holds.py
@@ -64,7 +64,7 @@
         own = self._owners.own
         if hold is None or own is None or hold.since_ms != own.since_ms:
             return None
-        ceders = hold.ceders_at(self._owners.now_ms())
+        ceders = hold.ceders_at(self._owners.store_clock.now_ms())
         may_count = self._owners.may_continue(name, ceders)
         return hold.count if may_count else None
 
@@ -108,7 +108,10 @@
         cession = self._cessions.get(name)
         if cession is None:
             return None
-        is_over = self._owners.now_ms() > cession.until_ms + CLOCK_MARGIN_MS
+        is_over = (
+            self._owners.store_clock.now_ms()
+            > cession.until_ms + CLOCK_MARGIN_MS
+        )
         receiver_left = not self._owners.is_possible_owner(cession.receiver)
         if is_over or (cession.upward and receiver_left):
             self._cessions.pop(name)
--- a/cactusridge/organisations/limit_owners.py
+++ b/cactusridge/organisations/limit_owners.py
@@ -16,6 +16,7 @@
 from cactusridge.organisations.member_ages import MemberAges, SettledMembers
 from cactusridge.organisations.own_right import OwnRight
 from cactusridge.organisations.ranking import Ranking
+from cactusridge.store.store_clock import StoreClock
 
 # Seconds between two updates of the set of entries that may be owners.
 UPDATE_INTERVAL_S = 0.5
@@ -35,21 +36,22 @@
         self,
         own_name: str,
         listed: Callable[[], Sequence[Candidate]],
-        now_ms: Callable[[], float],
+        store_clock: StoreClock,
         is_current: Callable[[], bool],
         clock: Clock,
     ) -> None:
         """Rank the entries that ``listed`` returns.
 
-        ``now_ms`` returns the store time in milliseconds. ``is_current``
-        returns whether this entry has recently read the membership list
-        and renewed its own row, or may count without.
+        ``is_current`` returns whether this entry has recently read the
+        membership list and renewed its own row, or may count without.
         """
         self.changes = 0
         self.revision = 0
         self.own: Candidate | None = None
         self.listed: frozenset[Candidate] = frozenset()
-        self.now_ms = now_ms
+        # Until the store's time is known, nothing is decided here, and no
+        # message is accepted whose validity depends on it.
+        self.store_clock = store_clock
         self.is_current = is_current
         self.own_name = own_name
         self._read_listed = listed
@@ -192,8 +194,10 @@
 
     def update(self) -> None:
         """Update the possible owners and whether this entry may count."""
+        if not self.store_clock.is_known:
+            return
         before = (self.own, self._eligible, self.counting, self._receivers)
-        now_ms = self.now_ms()
+        now_ms = self.store_clock.now_ms()
         self._update_listed(now_ms)
         self._next_change_ms = min(
             self.ages.next_change_ms(now_ms), self.right.next_change_ms(now_ms)
@@ -210,7 +214,8 @@
 
     def update_if_due(self) -> None:
         """Update if a member has been listed for long enough by now."""
-        if self.now_ms() >= self._next_change_ms:
+        clock = self.store_clock
+        if clock.is_known and clock.now_ms() >= self._next_change_ms:
             self.update()
 
     def _update_listed(self, now_ms: float) -> None:
--- a/cactusridge/organisations/limit_receipts.py
+++ b/cactusridge/organisations/limit_receipts.py
@@ -88,7 +88,7 @@
 
     def _needed_ceders(self, held: HeldCount) -> tuple[Ceder, ...]:
         """Return the ceders that would otherwise count before this entry."""
-        now_ms = self._owners.now_ms()
+        now_ms = self._owners.store_clock.now_ms()
         return tuple(
             each
             for each in held.ceders
@@ -98,7 +98,7 @@
         )
 
     def _drop_old(self) -> None:
-        now_ms = self._owners.now_ms()
+        now_ms = self._owners.store_clock.now_ms()
         for key, receipt in tuple(self._receipts.items()):
             if receipt.until_ms < now_ms:
                 self._receipts.pop(key)
--- a/cactusridge/organisations/outage_watch.py
+++ b/cactusridge/organisations/outage_watch.py
@@ -11,6 +11,7 @@
 
 from cactusridge.organisations.common_outage import CommonOutage, StoreReport
 from cactusridge.organisations.lease_state import StoreLease
+from cactusridge.store.store_clock import StoreClock
 
 # Seconds between two steps, and the number of entries that get the reports.
 WATCH_INTERVAL_S = 0.2
@@ -37,7 +38,7 @@
         outage: CommonOutage,
         lease: StoreLease,
         members: Callable[[], Sequence[str]],
-        now_ms: Callable[[], float],
+        store_clock: StoreClock,
         send: Callable[[str, Sequence[StoreReport]], None],
     ) -> None:
         """Send reports to ``members`` with ``send``."""
@@ -45,15 +46,18 @@
         self._outage = outage
         self._lease = lease
         self._members = members
-        self._now_ms = now_ms
+        self._store_clock = store_clock
         self._send = send
         self._rng = random.Random(own_name)  # noqa: S311
 
     def step(self) -> None:
         """Send reports and evaluate those received.
 
-        This is to be called every WATCH_INTERVAL_S.
+        This is to be called every WATCH_INTERVAL_S. Reports are compared by
+        the store's time, so there are none until it is known.
         """
+        if not self._store_clock.is_known:
+            return
         members = self._members()
         self._suspect_if_overdue()
         if self._lacks_store():
@@ -74,6 +78,8 @@
 
     def receive(self, sender: str, reports: Iterable[StoreReport]) -> None:
         """Record reports; respond if this entry has the store."""
+        if not self._store_clock.is_known:
+            return
         lacks_store = False
         for report in reports:
             self._outage.note(report)
@@ -84,7 +90,8 @@
 
     def receive_status(self, sender: str, *, has_store: bool) -> None:
         """Record the status of an entry, which other messages carry."""
-        self._outage.note_status(sender, has_store=has_store)
+        if self._store_clock.is_known:
+            self._outage.note_status(sender, has_store=has_store)
 
     def _send_to_some(
         self, entries: Sequence[str], reports: Sequence[StoreReport]
@@ -95,7 +102,9 @@
             self._send(entry, reports)
 
     def _own_report(self, *, has_store: bool) -> StoreReport:
-        return StoreReport(self._own_name, int(self._now_ms()), has_store)
+        return StoreReport(
+            self._own_name, self._store_clock.now_ms(), has_store
+        )
 
     def _has_store(self) -> bool:
         """Return whether the last renewal and read are recent successes.
--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -27,7 +27,6 @@
     CallerRequest,
     without_authorization,
 )
-from cactusridge.store.store_clock import StoreClock
 
 MAX_ITEMS = 200
 JOB_PATH = re.compile('/api/lots/([^/]+)')
@@ -56,13 +55,11 @@
         self,
         manager: JobManager,
         heads: JobHeads,
-        store_clock: StoreClock,
         intake: JobAdmission,
     ) -> None:
         """Run new jobs with ``manager`` if ``intake`` admits them."""
         self._manager = manager
         self._heads = heads
-        self._store_clock = store_clock
         self._intake = intake
 
     def handles(self, call: CallerRequest) -> bool:
@@ -110,12 +107,13 @@
         if catalog.organisations is not None:
             items = [_without_authorization(item) for item in items]
         self._intake.check(job_id)
+        created_ms = self._intake.submission_ms(job_id)
         head = JobHead(
             job_id,
             call.host,
             route.prefix,
             len(items),
-            self._store_clock.now_ms(),
+            created_ms,
             catalog_version=catalog.version,
             organisation=organisation,
         )
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -106,13 +106,8 @@
             cfg.keep_jobs_s,
         )
         self.connect_reads()
-        self.intake = JobAdmission(lambda: store.lost, clock)
-        self.calls = JobCalls(
-            self.manager,
-            self.heads,
-            store.clock,
-            self.intake,
-        )
+        self.intake = JobAdmission(lambda: store.lost, store.clock, clock)
+        self.calls = JobCalls(self.manager, self.heads, self.intake)
 
     def connect_reads(self) -> None:
         """Poll for orphaned jobs after each read of all heads."""
--- a/cactusridge/platform/limit_parts.py
+++ b/cactusridge/platform/limit_parts.py
@@ -70,7 +70,7 @@
         self.owners = LimitOwners(
             own_name,
             self._candidates,
-            store_clock.now_ms,
+            store_clock,
             lease_state.is_current,
             clock,
         )
@@ -89,7 +89,7 @@
             outage,
             lease,
             self._member_names,
-            store_clock.now_ms,
+            store_clock,
             reports.send,
         )
         if self._has_handover:
--- a/tests/limits_entry.py
+++ b/tests/limits_entry.py
@@ -2,12 +2,32 @@
 
 import typing
 
+from cactusridge.clock import Clock
 from tests.limits_process import EntryProcess
 
 if typing.TYPE_CHECKING:
     from tests.limits_fleet import Fleet, Roll
 
 READ_S = 1.0
+# Difference between the clocks of two hosts, in seconds.
+UPTIME_S = 2_592_000
+
+
+class HostClock(Clock):
+    """The clock of a host, which started before or after the store's."""
+
+    def __init__(self, clock: Clock, ahead_s: float) -> None:
+        """Show ``ahead_s`` seconds more than ``clock``."""
+        self._clock = clock
+        self._ahead_s = ahead_s
+
+    def monotonic(self):
+        """Return the seconds since the start of the host."""
+        return self._clock.monotonic() + self._ahead_s
+
+    def wall(self):
+        """Return the time of day, which does not depend on the start."""
+        return self._clock.wall()
 
 
 class Entry:
@@ -30,6 +50,8 @@
         # empty name also reach the store.
         self.partition = ''
         self.renew_at = fleet.rng.uniform(0, READ_S)
+        # The clocks of the hosts and of the store have other starts.
+        self._ahead_s = (number % 3 - 1) * UPTIME_S
         self.start()
 
     def start(self) -> None:
@@ -37,6 +59,11 @@
         self.process = EntryProcess(self)
         self.limiter = self.fleet.make(self)
 
+    @property
+    def host_clock(self) -> HostClock:
+        """The clock of the entry's host."""
+        return HostClock(self.fleet.clock, self._ahead_s)
+
     @property
     def partitioned(self) -> bool:
         """Whether the entry cannot reach the store."""
--- a/tests/limits_membership.py
+++ b/tests/limits_membership.py
@@ -120,7 +120,7 @@
             return
         is_renewal_lost = self._is_renewal_lost
         self._is_renewal_lost = False
-        if self._lacks_store():
+        if not self.reaches_store():
             self._is_read = False
             return
         rows = self._entry.fleet.rows
@@ -154,11 +154,12 @@
     def leave(self) -> None:
         """Remove the row if the store responds, and renew it no longer."""
         self.has_left = True
-        if not self._lacks_store():
+        if self.reaches_store():
             self._entry.fleet.rows.pop(self._entry.name, None)
 
-    def _lacks_store(self) -> bool:
-        return (
+    def reaches_store(self) -> bool:
+        """Return whether the store replies to this entry."""
+        return not (
             self._entry.partitioned
             or self._entry.store_lost
             or self._entry.store_silent
--- a/tests/limits_process.py
+++ b/tests/limits_process.py
@@ -17,6 +17,7 @@
     WATCH_INTERVAL_S,
     OutageWatch,
 )
+from cactusridge.store.store_clock import StoreClock
 from tests.limits_links import FleetLink
 from tests.limits_membership import FleetMembership
 
@@ -34,13 +35,15 @@
         self._entry = entry
         self._fleet = entry.fleet
         clock = self._fleet.clock
+        # Unknown until the first reply of the store, which the process notes.
+        self.store_clock = StoreClock(entry.host_clock)
         self.members = FleetMembership(entry)
-        self.outage = CommonOutage(self._now_ms, clock)
+        self.outage = CommonOutage(self.store_clock.now_ms, clock)
         lease = LeaseState(self.members, self.outage)
         self.owners = LimitOwners(
             entry.name,
             self.members.listed,
-            self._now_ms,
+            self.store_clock,
             lease.is_current,
             clock,
         )
@@ -58,7 +61,7 @@
             self.outage,
             self.members,
             self.members.names,
-            self._now_ms,
+            self.store_clock,
             self.link.send_reports,
         )
         self._due = dict.fromkeys(('update', 'watch', 'handover'), clock.now)
@@ -78,6 +81,8 @@
     def renew(self) -> None:
         """Renew the row of this process and read the others."""
         has_handover = self._fleet.has_handover
+        if self.members.reaches_store():
+            self.store_clock.note(self._fleet.clock.monotonic() * MS_PER_S)
         self.members.step(has_handover and self.outage.holds())
         self.owners.update()
         if not self.members.unread_s():
@@ -90,10 +95,6 @@
         self._due[work] = now + interval_s
         return True
 
-    def _now_ms(self) -> float:
-        """Return the store's time in milliseconds."""
-        return self._fleet.clock.monotonic() * MS_PER_S
-
     def _send_copies(self, copy: LimitCopy) -> None:
         """Send the remaining tokens to the other ranked entries."""
         for name in self.owners.ranked_entries(copy.name):
--- a/tests/test_idle_cost.py
+++ b/tests/test_idle_cost.py
@@ -4,6 +4,7 @@
 """
 
 import unittest
+from types import SimpleNamespace
 
 from nose2.tools import params
 
@@ -46,7 +47,7 @@
         return LimitOwners(
             listed[0].name,
             lambda: listed,
-            lambda: clock.now * MS_PER_S,
+            SimpleNamespace(is_known=True, now_ms=lambda: clock.now * MS_PER_S),
             lambda: True,
             clock,
         )
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -12,6 +12,7 @@
     PEER_RETRY_S,
     JobAdmission,
 )
+from tests.store_time import store_clock_at
 
 
 class TestIntake(unittest.TestCase):
@@ -21,7 +22,9 @@
         """Start with an unreachable store and no report of a peer."""
         self.lost = True
         self.clock = ManualClock()
-        self.intake = JobAdmission(lambda: self.lost, self.clock)
+        self.intake = JobAdmission(
+            lambda: self.lost, store_clock_at(self.clock), self.clock
+        )
 
     def test_open_while_the_store_answers(self):
         """No job is rejected while the store responds."""
--- a/tests/test_limit_messages.py
+++ b/tests/test_limit_messages.py
@@ -30,6 +30,7 @@
 )
 from cactusridge.peers.outage_reports import OutageReports
 from tests.sent_wire import Wire
+from tests.store_time import store_clock_at
 
 MOST_BYTES = 60_000
 SENDER = Candidate('127.0.0.1:8', 5)
@@ -167,7 +168,7 @@
         clock = ManualClock()
         self.wire = JsonWire()
         owners = LimitOwners(
-            SENDER.name, list, clock.monotonic, lambda: True, clock
+            SENDER.name, list, store_clock_at(clock), lambda: True, clock
         )
         counter = MovedCounter(owners, clock)
         self.requests = LimitRequests(self.wire, counter, owners)
--- a/tests/test_limit_owners.py
+++ b/tests/test_limit_owners.py
@@ -11,6 +11,7 @@
 from cactusridge.organisations.limit_owners import LimitOwners
 from cactusridge.organisations.member_ages import PEER_READ_MS, SETTLE_MS
 from cactusridge.organisations.organisation import RateLimit
+from tests.store_time import store_clock_at
 
 LIMIT = RateLimit(10, 10)
 REQUEST = LimitRequest('o', LIMIT, 1)
@@ -30,7 +31,7 @@
         found = LimitOwners(
             own_name,
             lambda: self.listed,
-            lambda: self.clock.now * MS_PER_S,
+            store_clock_at(self.clock),
             lambda: self.is_current,
             self.clock,
         )
@@ -72,7 +73,9 @@
         owners = self.owners(own_name)
         for entry in announced:
             is_own = entry.name == own_name
-            owners.announced.note(entry, owners.now_ms(), counts=is_own)
+            owners.announced.note(
+                entry, owners.store_clock.now_ms(), counts=is_own
+            )
         owners.update()
         names = [f'o{number}' for number in range(40)]
         return {each for each in names if owners.owned_s(each) is not None}
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,6 @@
 from nose2.tools import params
 
 from cactusridge.clock import ManualClock
-from cactusridge.jobs.membership_start import MS_PER_S
 from cactusridge.organisations.errors import OverLimit
 from cactusridge.organisations.limit_counter import LimitCounter
 from cactusridge.organisations.limit_messages import Candidate, LimitRequest
@@ -21,6 +20,7 @@
 from tests.limits_limiters import BroadcastCounts, by_owners, by_shares
 from tests.limits_play import play
 from tests.sent_wire import Wire
+from tests.store_time import store_clock_at
 
 SEEDS = (1,)
 LOSSES = (
@@ -130,7 +130,7 @@
             LimitOwners(
                 own_name,
                 lambda: listed,
-                lambda: self.clock.now * MS_PER_S,
+                store_clock_at(self.clock),
                 lambda: True,
                 self.clock,
             )
--- a/tests/test_limits_charged.py
+++ b/tests/test_limits_charged.py
@@ -19,6 +19,7 @@
 from cactusridge.peers.limit_requests import LimitRequests
 from tests.limits_chaos import NAMES
 from tests.sent_wire import Wire
+from tests.store_time import store_clock_at
 
 OWNER, BACKUP = '127.0.0.1:9', '127.0.0.1:8'
 MEMBERS = (Candidate(OWNER, 0), Candidate(BACKUP, 0))
@@ -50,7 +51,7 @@
         owners = LimitOwners(
             name,
             lambda: self.listed,
-            lambda: self.clock.now * 1000,
+            store_clock_at(self.clock),
             lambda: True,
             self.clock,
         )
--- a/tests/test_member_cost.py
+++ b/tests/test_member_cost.py
@@ -18,11 +18,11 @@
 from cactusridge.jobs.orphans import RANK_DELAY_S, Orphans
 from cactusridge.platform.derived_members import DerivedMembers
 from cactusridge.platform.row_codec import key_fields, pack, parse_rows
-from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table import Priority, Write
 from standins.memory_table import MemoryTable
 from tests.call_counts import calls_of
 from tests.cells_play import spread
+from tests.store_time import store_clock_at
 
 MANY = 300
 ZONES = 4
@@ -51,7 +51,7 @@
                 each.name,
                 parse_address(each.name),
                 each.zone,
-                MembershipStart(StoreClock(self.clock)),
+                MembershipStart(store_clock_at(self.clock)),
             )
             for each in spread(MANY, ZONES)
         ]
--- a/tests/test_outage_watch.py
+++ b/tests/test_outage_watch.py
@@ -11,6 +11,7 @@
     WATCH_INTERVAL_S,
     OutageWatch,
 )
+from tests.store_time import store_clock_at
 
 NAME = 'e0'
 MEMBERS = tuple(f'e{number}' for number in range(6))
@@ -71,7 +72,7 @@
             self.outage,
             LostLease(self.clock),
             lambda: MEMBERS,
-            self.now_ms,
+            store_clock_at(self.clock),
             lambda entry, reports: None,
         )
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -9,8 +9,8 @@
 from cactusridge.jobs.member_records import FORGOTTEN_S
 from cactusridge.jobs.membership import RENEW_INTERVAL_S, Membership
 from cactusridge.jobs.membership_start import MembershipStart
-from cactusridge.store.store_clock import StoreClock
 from standins.memory_table import MemoryTable
+from tests.store_time import store_clock_at
 
 
 class TestSession(unittest.TestCase):
@@ -28,7 +28,7 @@
     def session(self, name):
         """Return the session of the entry ``name``."""
         address = ('127.0.0.1', 1)
-        membership_start = MembershipStart(StoreClock(self.clock))
+        membership_start = MembershipStart(store_clock_at(self.clock))
         return Membership(
             self.table, self.clock, name, address, 'z', membership_start
         )
--- a/tests/test_spoilt_members.py
+++ b/tests/test_spoilt_members.py
@@ -17,11 +17,11 @@
 from cactusridge.jobs.membership_start import MembershipStart
 from cactusridge.jobs.model import JobHead, JobItem
 from cactusridge.jobs.orphans import UNREADABLE_PAUSE_S, Orphans
-from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table import Priority
 from tests.emitted import emitted
 from tests.memory_objects import MemoryObjects
 from tests.spoilt_table import SpoiltTable, corruptions
+from tests.store_time import store_clock_at
 
 MEMBER = {'name': 'two', 'life': 'x', 'host': 'h', 'port': 1, 'zone': 'z'}
 OUT_OF_RANGE = (
@@ -47,7 +47,7 @@
     def session(self, name):
         """Return the session of the entry ``name``."""
         address = ('127.0.0.1', 1)
-        membership_start = MembershipStart(StoreClock(self.clock))
+        membership_start = MembershipStart(store_clock_at(self.clock))
         return Membership(
             self.table, self.clock, name, address, 'z', membership_start
         )
--- a/tests/test_stop_races.py
+++ b/tests/test_stop_races.py
@@ -30,10 +30,10 @@
     BatchSettings,
     EntryPolicy,
 )
-from cactusridge.store.store_clock import StoreClock
 from cactusridge.store.table import Priority, Write
 from standins.memory_table import MemoryTable
 from tests.memory_objects import MemoryObjects
+from tests.store_time import store_clock_at
 
 ADDRESS = '127.0.0.1:1'
 BOUND_S = 5
@@ -74,7 +74,7 @@
 
 def session_on(table, clock) -> Membership:
     """Return the session of an entry named ``one``."""
-    membership_start = MembershipStart(StoreClock(clock))
+    membership_start = MembershipStart(store_clock_at(clock))
     return Membership(
         table, clock, 'one', ('127.0.0.1', 1), 'z', membership_start
     )
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -1,7 +1,6 @@
 """Tests of which items wait, start or are given up under a catalog."""
 
 import unittest
-from types import SimpleNamespace
 
 from nose2.tools import params
 
@@ -19,6 +18,7 @@
 from cactusridge.jobs.urgency import OnTimeFirst
 from cactusridge.quarantine.crash_evidence import CrashEvidence
 from cactusridge.quarantine.rules import ByCrashes
+from cactusridge.store.store_clock import StoreClock
 
 ACCEPTED_UNDER = 5
 NOW_MS = 1000
@@ -97,7 +97,8 @@
         """An item is given up only if a current catalog lacks its route."""
         routes = (ROUTE,) if listed else ()
         catalog = Catalog(version, routes, CallerLimits())
-        store_clock = SimpleNamespace(now_ms=lambda: NOW_MS + age_s * 1000)
+        store_clock = StoreClock(ManualClock())
+        store_clock.note(NOW_MS + age_s * 1000)
         line = ItemQueue(
             ManualClock(),
             store_clock,
