Job routes: an item has the route of its job, not the one of its path

Hypotheses: (1) the items are matched with the new route by their paths; (2) their age is wrong; (3) the new configuration removes the route of the job for a moment.

Cause: ItemQueue looked each item's route up by the item's path, as if it were a new request. A route of another kind has no max_wait_s, read as 0: with the margin of 3 s every item was too old. PROTOCOL: an item is sent to its path "at a replica of the route's service", the route being the job's, of kind batch.

Change: accepted work stays with the route that accepted it, known by host and prefix (the job's head has both), since name, services and times may change. Only if that one was removed or split does the path decide, among batch routes alone, so that no item of a split route is lost. Run times are kept by host and prefix too, full services by the services: both went by the name.

Tests: test_job_routes, 12 of 26 red on, among them the two with real processes ('dead_letter' != 'completed', for a route added after and before the job).

--- a/cactusridge/dispatch/catalog.py
+++ b/cactusridge/dispatch/catalog.py
@@ -49,6 +49,10 @@
     abandon_after_s: float = 0
     public: bool = False
 
+    def covers(self, host: str, path: str) -> bool:
+        """Return whether the prefix of the route begins a path of a host."""
+        return self.host == host and path.startswith(self.prefix)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -57,6 +61,19 @@
         return self.kind == RouteKind.idempotent
 
 
+class AcceptedWork(NamedTuple):
+    """A request or an item of a batch job, and the route that accepted it.
+
+    The route is identified by its host and its ``prefix``, since its name,
+    services and times may change. ``path`` is that of the request or item.
+    """
+
+    host: str
+    prefix: str
+    path: str
+    is_batch: bool
+
+
 class CallerLimits(NamedTuple):
     """Limits on the requests of callers, in bytes and seconds."""
 
@@ -78,19 +95,42 @@
     organisations: Directory | None = None
 
     def match(self, host: str, path: str) -> Route | None:
-        """Return the route of ``host`` with the longest prefix of ``path``."""
-        found = [
-            route
-            for route in self.routes
-            if route.host == host and path.startswith(route.prefix)
+        """Return the route of a new request to ``host``.
+
+        It is the one with the longest prefix of ``path``.
+        """
+        return _longest(each for each in self.routes if each.covers(host, path))
+
+    def route_of(self, work: AcceptedWork) -> Route | None:
+        """Return the route of work that was accepted earlier.
+
+        While the route that accepted it exists, work stays with it: one that
+        covers part of its paths is for new requests. After it was removed or
+        split, the work belongs to the route of its kind, batch or not, with
+        the longest prefix of its path.
+        """
+        routes = [
+            each
+            for each in self.routes
+            if (each.kind == RouteKind.batch) == work.is_batch
         ]
-        return max(found, key=_prefix_length, default=None)
+        for route in routes:
+            if (route.host, route.prefix) == (work.host, work.prefix):
+                return route
+        return _longest(
+            each for each in routes if each.covers(work.host, work.path)
+        )
 
     def hosts(self) -> Iterable[str]:
         """Return the host names that have routes."""
         return {route.host for route in self.routes}
 
 
+def _longest(routes: Iterable[Route]) -> Route | None:
+    """Return the route with the longest prefix, None if there is none."""
+    return max(routes, key=_prefix_length, default=None)
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
 
--- a/cactusridge/dispatch/route_cache.py
+++ b/cactusridge/dispatch/route_cache.py
@@ -1,13 +1,18 @@
-"""Caches the routes found for hosts and paths."""
+"""Caches the routes of accepted work."""
 
-from cactusridge.dispatch.catalog import EMPTY_CATALOG, Catalog, Route
+from cactusridge.dispatch.catalog import (
+    EMPTY_CATALOG,
+    AcceptedWork,
+    Catalog,
+    Route,
+)
 
 # Enough for the items of a few hundred jobs.
-MAX_MATCHES = 4096
+MAX_ROUTES = 4096
 
 
 class RouteCache:
-    """Caches matches until the configuration changes.
+    """Caches the routes found until the configuration changes.
 
     The batch scheduler looks up the route of every waiting item in each
     pass. Without the cache this took 16% of an entry's processor time
@@ -17,14 +22,13 @@
     def __init__(self) -> None:
         """Start with an empty cache."""
         self._catalog = EMPTY_CATALOG
-        self._found: dict[tuple[str, str], Route | None] = {}
+        self._found: dict[AcceptedWork, Route | None] = {}
 
-    def match(self, catalog: Catalog, host: str, path: str) -> Route | None:
-        """Return the route that ``catalog`` has for a host and path."""
-        if catalog is not self._catalog or len(self._found) >= MAX_MATCHES:
+    def route_of(self, catalog: Catalog, work: AcceptedWork) -> Route | None:
+        """Return the route that ``catalog`` has for accepted work."""
+        if catalog is not self._catalog or len(self._found) >= MAX_ROUTES:
             self._catalog = catalog
             self._found.clear()
-        key = (host, path)
-        if key not in self._found:
-            self._found[key] = catalog.match(host, path)
-        return self._found[key]
+        if work not in self._found:
+            self._found[work] = catalog.route_of(work)
+        return self._found[work]
--- a/cactusridge/jobs/item_queue.py
+++ b/cactusridge/jobs/item_queue.py
@@ -5,7 +5,7 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
-from cactusridge.dispatch.catalog import Catalog, Route
+from cactusridge.dispatch.catalog import AcceptedWork, Catalog, Route
 from cactusridge.dispatch.route_cache import RouteCache
 from cactusridge.dispatch.upstream import HeaderList
 from cactusridge.jobs.held_job import HeldJob
@@ -61,7 +61,8 @@
         self._store_clock = store_clock
         self._catalog = catalog
         self._urgency = urgency
-        self._run_times: dict[str, RunTimeEstimator] = {}
+        # By host and prefix, since a route may come under another name.
+        self._run_times: dict[tuple[str, str], RunTimeEstimator] = {}
         self._not_before: dict[str, float] = {}
         self._routes = RouteCache()
 
@@ -71,10 +72,11 @@
 
     def run_times(self, route: Route) -> RunTimeEstimator:
         """Return the run time estimator of a route's items."""
-        found = self._run_times.get(route.name)
+        place = (route.host, route.prefix)
+        found = self._run_times.get(place)
         if found is None:
             found = RunTimeEstimator()
-            self._run_times[route.name] = found
+            self._run_times[place] = found
         return found
 
     def delay(self, task: ItemTask) -> None:
@@ -127,8 +129,15 @@
             # This entry has no catalog, or one older than the job: a route
             # that is missing here may be in a newer catalog.
             return None
-        path = task.item.path.partition('?')[0]
-        route = self._routes.match(catalog, job.head.host, path)
+        route = self._routes.route_of(
+            catalog,
+            AcceptedWork(
+                job.head.host,
+                job.head.path,
+                task.item.path.partition('?')[0],
+                is_batch=True,
+            ),
+        )
         age_s = self._age_s(job)
         if route is None:
             self.give_up(job, task, GiveUpReason.no_route)
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -103,11 +103,12 @@
         """Claim free slots for the waiting items, the most urgent first."""
         full = set()
         for waiting in self._queue.urgent_first(self.jobs.values()):
-            if waiting.route.name in full:
+            services = waiting.route.shares
+            if services in full:
                 continue
             replica = self._placement.choose(waiting.route, waiting.task)
             if replica is None and waiting.task.last_id is None:
-                full.add(waiting.route.name)
+                full.add(services)
             elif replica is not None:
                 self._claim(waiting, replica)
 
--- a/standins/machines/site.py
+++ b/standins/machines/site.py
@@ -75,6 +75,8 @@
         self.version = 0
         # The ``policy`` part of the entries' start settings.
         self.policy: dict[str, str] = {}
+        # Path of the job items, with a place for the number of each.
+        self.item_path = '/lots/{}'
         # Additional headers of every job item.
         self.item_headers: dict[str, str] = {}
         # Additional start settings of the entries.
@@ -158,7 +160,7 @@
         items = [
             {
                 'id': f'{job_id}-{number}',
-                'path': f'/lots/{number}',
+                'path': self.item_path.format(number),
                 'headers': {'X-Model': 'm', **self.item_headers},
                 'body': base64.b64encode(body.encode()).decode(),
                 'tokens': 1,
