Waiting calls: a route of batch jobs serves no request that waits

What callers would see: a request that waits while its route is replaced by one of batch jobs over the same path went on, and was sent to the service of the removed route.

Cause: the same question as for items, answered by the path alone: CallRules asked whether any route matches. Now accepted work is looked up in one place (Catalog.route_of): the route that accepted the call, or another one that is not of batch jobs.

Test: test_route_removed:2 was red (the wait did not end within 1 s), green with this.

--- a/cactusridge/queueing/call_rules.py
+++ b/cactusridge/queueing/call_rules.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from cactusridge.dispatch.catalog import Catalog
+from cactusridge.dispatch.catalog import AcceptedWork, Catalog
 from cactusridge.dispatch.online_call import OnlineCall
 from cactusridge.errors import NotFound
 
@@ -28,9 +28,15 @@
     def check(self, call: OnlineCall) -> None:
         """Raise NotFound if no route is left, else what the permit raises.
 
-        A route may come under another name, or another one may cover the path.
+        A route may come under another name, or another one that is not of
+        batch jobs may cover the path.
         """
         call.permit.check()
-        path = call.req.target.partition('?')[0]
-        if self._catalog().match(call.route.host, path) is None:
+        work = AcceptedWork(
+            call.route.host,
+            call.route.prefix,
+            call.req.target.partition('?')[0],
+            is_batch=False,
+        )
+        if self._catalog().route_of(work) is None:
             raise NotFound(f'the route {call.route.name} has been removed')
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -4,6 +4,7 @@
 from nose2.tools import params
 
 from cactusridge import events
+from cactusridge.dispatch.catalog import RouteKind
 from cactusridge.dispatch.queueing import NoQueueing
 from cactusridge.dispatch.wait_too_long import WaitTooLong
 from cactusridge.errors import (
@@ -170,10 +171,14 @@
         self.release()
         self.assertIsNone(greenlet.get(timeout=1))
 
-    def test_route_removed(self):
-        """The wait ends when the route is no longer configured."""
+    @params((), (ROUTE._replace(name='jobs', kind=RouteKind.batch),))
+    def test_route_removed(self, *routes):
+        """The wait ends when the route is no longer configured.
+
+        A route of batch jobs that covers the path does not serve the request.
+        """
         _, greenlet = self.enter()
-        self.catalog = CATALOG._replace(routes=())
+        self.catalog = CATALOG._replace(routes=routes)
         self.clock.advance(CHECK_INTERVAL_S)
         self.assertIsInstance(greenlet.get(timeout=1), NotFound)
 
