Job routes: a batch route without max_wait_s gives up no item for its age

What callers would see: every waiting item dead_letter after 3 s, if an operator leaves the field out.

Cause: a missing value was read as 0, which is the strictest one. Missing now means that items are kept.

Test: TestNoTimeToGiveUp was red ('model' != None), green with this.

--- a/cactusridge/dispatch/catalog.py
+++ b/cactusridge/dispatch/catalog.py
@@ -1,6 +1,7 @@
 """The route configuration written by operators."""
 
 import enum
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -31,8 +32,8 @@
     that starts within it is on time. ``attempts`` is the number of replicas
     on which one request may run. ``due_s`` and ``abandon_after_s`` count from
     the submission of a batch job: the results are due after ``due_s``, and an
-    unfinished item may be abandoned after ``abandon_after_s``. Callers of a
-    ``public`` route need no API key.
+    unfinished item may be abandoned after ``abandon_after_s``, by default
+    never. Callers of a ``public`` route need no API key.
     """
 
     name: str
@@ -46,7 +47,7 @@
     priority: int
     resumable: bool
     due_s: float = 0
-    abandon_after_s: float = 0
+    abandon_after_s: float = math.inf
     public: bool = False
 
     def covers(self, host: str, path: str) -> bool:
--- a/cactusridge/platform/catalog_holder.py
+++ b/cactusridge/platform/catalog_holder.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration row into a catalog."""
 
+import math
 from typing import Any
 
 from cactusridge import events, logs, metrics
@@ -195,7 +196,7 @@
         priority=fields.integer('priority', 0),
         resumable=fields.flag('resumable', False),  # noqa: WPS425
         due_s=fields.number('result_due_ms', 0) / MS_PER_S,
-        abandon_after_s=fields.number('max_wait_s', 0),
+        abandon_after_s=fields.number('max_wait_s', math.inf),
         public=fields.flag('public', False),  # noqa: WPS425
     )
 
--- a/tests/test_job_routes.py
+++ b/tests/test_job_routes.py
@@ -20,10 +20,11 @@
 from cactusridge.jobs.item_queue import GIVE_UP_MARGIN_S, ItemQueue
 from cactusridge.jobs.model import ItemState
 from cactusridge.jobs.urgency import OnTimeFirst
+from cactusridge.platform.catalog_holder import decode
 from cactusridge.quarantine.crash_evidence import CrashEvidence
 from cactusridge.quarantine.rules import ByCrashes
 from cactusridge.store.store_clock import StoreClock
-from standins.machines.site import ROUTES
+from standins.machines.site import ROUTE_DEFAULTS, ROUTES
 from tests.machine_case import MachineCase
 from tests.test_waiting_line import ACCEPTED_UNDER, NOW_MS, ROUTE, FakeJob
 
@@ -151,6 +152,18 @@
         self.assertEqual(slower, self.line.urgent_first([self.job])[0].route)
 
 
+class TestNoTimeToGiveUp(QueueOfOne):
+    """A batch route that names no ``max_wait_s`` keeps its items."""
+
+    def test_waits(self):
+        """The item is not given up, however old it is."""
+        route = {**ROUTE_DEFAULTS, **ROUTES[-1], 'host': 'h'}
+        route.pop('max_wait_s')
+        self.routes = decode({'version': 1, 'routes': [route]}).routes
+        self.assertEqual('model', self.service())
+        self.assertEqual([], self.job.ends)
+
+
 class TestRouteAdded(MachineCase):
     """Entries with open jobs get a route below the prefix of the jobs."""
 
