Job routes: a merged route hands its items to the one that covers it whole

What callers would see: items dead_letter after 3 s when their job's route was merged into one above, beside a batch route with a shorter max_wait_s over some item paths.

Now the parts of a split route come first, then the route that covers the whole prefix of the job's route, and the path alone decides last.

--- a/cactusridge/dispatch/catalog.py
+++ b/cactusridge/dispatch/catalog.py
@@ -50,10 +50,6 @@
     abandon_after_s: float = math.inf
     public: bool = False
 
-    def covers(self, host: str, path: str) -> bool:
-        """Return whether the prefix of the route begins a path of a host."""
-        return self.host == host and path.startswith(self.prefix)
-
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -100,27 +96,37 @@
 
         It is the one with the longest prefix of ``path``.
         """
-        return _longest(each for each in self.routes if each.covers(host, path))
+        return _longest(
+            each
+            for each in self.routes
+            if each.host == host and path.startswith(each.prefix)
+        )
 
     def route_of(self, work: AcceptedWork) -> Route | None:
         """Return the route of work that was accepted earlier.
 
         While the route that accepted it exists, work stays with it: one that
-        covers part of its paths is for new requests. After it was removed or
-        split, the work belongs to the route of its kind, batch or not, with
-        the longest prefix of its path.
+        covers part of its paths is for new requests. If that route was split,
+        the work belongs to the part that covers its path, and if it was
+        merged, to the route that covers the whole of it. Only routes of the
+        same kind, batch or not, are considered.
         """
         routes = [
             each
             for each in self.routes
-            if (each.kind == RouteKind.batch) == work.is_batch
+            if each.host == work.host
+            and (each.kind == RouteKind.batch) == work.is_batch
         ]
-        for route in routes:
-            if (route.host, route.prefix) == (work.host, work.prefix):
-                return route
-        return _longest(
-            each for each in routes if each.covers(work.host, work.path)
+        covering = [
+            each for each in routes if work.path.startswith(each.prefix)
+        ]
+        choices = (
+            [each for each in routes if each.prefix == work.prefix],
+            [each for each in covering if each.prefix.startswith(work.prefix)],
+            [each for each in routes if work.prefix.startswith(each.prefix)],
+            covering,
         )
+        return _longest(next(filter(None, choices), ()))
 
     def hosts(self) -> Iterable[str]:
         """Return the host names that have routes."""
--- a/tests/test_job_routes.py
+++ b/tests/test_job_routes.py
@@ -113,6 +113,16 @@
         self.assertEqual(service, self.service(), what)
         self.assertEqual([], self.job.ends, what)
 
+    def test_merged(self):
+        """The route that covers that of the job takes its items over.
+
+        One that covers only some of their paths does not.
+        """
+        self.job.head = self.job.head._replace(path='/lots/in/')
+        self.routes = (ROUTE, SHORT)
+        self.assertEqual('model', self.service())
+        self.assertEqual([], self.job.ends)
+
     @params(
         ('no route', ()),
         ('only a stream', (stream_at('/lots/'), stream_at('/lots/a/'))),
