Soak and simulation: starts in a slow store, clocks of other starts, nested routes

Seeds from 900 on restart entries in a slow store and submit jobs to them at once (two in three draw much else besides), start the store's clock a month ahead or at 1 s, and each configuration leaves the route of the jobs alone, renames it, nests a streaming or a shorter batch route below it, or splits it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 monkey.patch_all()
 
 import json
+import random
 import shutil
 import subprocess  # noqa: S404
 import sys
@@ -17,9 +18,12 @@
 from cactusridge import logs
 from cactusridge.descriptors import allow_many
 from soak.run import Size, run
+from soak.schedule import FIRST_SEED_OF_SHAPES
 
 REPORT = 'report.json'
 LOGS = Path('.run/soak')
+# What new seeds are drawn from.
+NEW_SEEDS = range(FIRST_SEED_OF_SHAPES + 100, sys.maxsize)
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
@@ -30,10 +34,16 @@
     seconds: Annotated[float, typer.Option(help='Faults begin.')] = 20,
     entries: Annotated[int, typer.Option(help='Entries.')] = 3,
     folder: Annotated[Path, typer.Option(help='For logs.')] = LOGS,
+    drawn: Annotated[int, typer.Option(help='New seeds, in their place.')] = 0,
 ) -> None:
-    """Run seeds, each in a process of its own; keep logs of what failed."""
+    """Run seeds, each in a process of its own; keep logs of what failed.
+
+    Drawn seeds are of the newest kind; the report of each names it.
+    """
     first, _, last = seeds.partition('-')
     wanted = range(int(first), int(last or first) + 1)
+    if drawn:
+        wanted = random.SystemRandom().sample(NEW_SEEDS, drawn)
     shown = [str(seconds), str(entries), str(folder)]
     if len(wanted) == 1:
         sys.exit(run_one(wanted[0], Size(seconds, entries), folder))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,7 @@
 from soak.loss_checks import QUIET_S, check_losses
 from soak.record import Call, CallEnd, Job, Record, RunStart
 from soak.versions import versions_in, without_marks
+from standins.machines.replica import MAIN_SERVICE
 
 # Statuses of requests that have not run and never will.
 REFUSALS = frozenset((408, 421, 429, 503))
@@ -103,6 +104,11 @@
     bodies = dict(zip(ids, job.bodies, strict=True))
     for found in list(job.listed_results):
         _check_result(record, job, found, bodies.get(found['id'], ''))
+    for run_start in itertools.chain(*(runs.get(each, ()) for each in ids)):
+        if run_start.service != MAIN_SERVICE:
+            record.add_violation(
+                'service of the job', f'{run_start.id} at {run_start.service}'
+            )
     if job.refused and any(item_id in runs for item_id in ids):
         record.add_violation(
             'refused is not run', f'{job.id} {job.statuses} ran'
--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -1,9 +1,11 @@
 """What successive configurations of a soak change besides routes and keys."""
 
+import itertools
 import random
 from collections.abc import Mapping
 from typing import Any
 
+from soak.job_routes import JobRoutes
 from soak.organisations import Organisations
 from standins.machines.replica import MAIN_SERVICE
 from standins.machines.site import ROUTE_DEFAULTS
@@ -21,30 +23,40 @@
     """Draws time-outs, weights and quotas, or leaves all as it was."""
 
     def __init__(
-        self, rng: random.Random | None = None, split: bool = False
+        self,
+        rng: random.Random | None = None,
+        split: bool = False,
+        job_routes: JobRoutes | None = None,
     ) -> None:
         """Draw with ``rng``; without it nothing changes.
 
         If ``split``, the requests are divided between two services.
+        ``job_routes`` draws what becomes of the route of the jobs.
         """
         self._rng = rng
         self._split = split
+        self._job_routes = job_routes
         self.timeout_s = ROUTE_DEFAULTS['timeout_ms'] / MS_PER_S
 
     def routes(self, routes: list[Mapping[str, Any]]) -> list[dict[str, Any]]:
         """Return the routes of the next configuration."""
         changes = self._changes()
-        unchanged: dict[str, Any] = {}
-        return [
-            {**route, **(unchanged if route['kind'] == BATCH else changes)}
-            for route in routes
+        online = [
+            {**route, **changes} for route in routes if route['kind'] != BATCH
         ]
+        batch = [route for route in routes if route['kind'] == BATCH]
+        return [*online, *itertools.chain(*map(self._of_jobs, batch))]
 
     def change_quota(self, organisations: Organisations) -> None:
         """Change the limit of an organisation that has one."""
         if self._rng is not None and organisations.limits:
             organisations.change_quota(self._rng)
 
+    def _of_jobs(self, batch: Mapping[str, Any]) -> list[dict[str, Any]]:
+        if self._job_routes is None:
+            return [dict(batch)]
+        return self._job_routes.routes(batch)
+
     def _changes(self) -> dict[str, Any]:
         if self._rng is None:
             return {}
--- a/soak/job_callers.py
+++ b/soak/job_callers.py
@@ -4,11 +4,13 @@
 import json
 import random
 import time
+from collections.abc import Sequence
 from http.client import HTTPConnection, HTTPException
 from typing import Any
 
 import gevent
 
+from soak.job_routes import SUBMIT_PREFIX
 from soak.organisations import key_headers
 from soak.record import Job
 from soak.world import World
@@ -56,6 +58,15 @@
                 gevent.spawn(self.follow, job)
             gevent.sleep(self._rng.uniform(*BETWEEN_JOBS_S))
 
+    def submit_to(self, entry: str, bodies: Sequence[str]) -> None:
+        """Submit a job once to an entry, and follow it if it is accepted."""
+        self._count += 1
+        job = Job(f'{self._name}-{self._count}', list(bodies))
+        self._world.record.jobs[job.id] = job
+        self._send(job, entry)
+        if job.accepted_at is not None:
+            self.follow(job)
+
     def stop(self) -> None:
         """Stop submitting jobs, but continue to read results."""
         self._stopped = True
@@ -135,7 +146,7 @@
         items = [
             {
                 'id': item_id,
-                'path': f'/lots/{item_id}',
+                'path': self._world.path_of(item_id),
                 'headers': {'X-Model': 'm'},
                 'body': base64.b64encode(body.encode()).decode(),
                 'tokens': 1,
@@ -147,7 +158,7 @@
         # None marks an unknown outcome for checks that run during the call.
         number = len(job.statuses)
         job.statuses.append(None)
-        status, _ = self._call(entry, 'POST', '/lots/x', raw, headers)
+        status, _ = self._call(entry, 'POST', f'{SUBMIT_PREFIX}x', raw, headers)
         job.statuses[number] = status or None
         if status == 202 and job.accepted_at is None:
             job.accepted_at = time.monotonic()
--- a/soak/record.py
+++ b/soak/record.py
@@ -7,6 +7,7 @@
 
 from soak.organisations import Organisations
 from soak.planned_work import PlannedWorks
+from standins.machines.replica import MAIN_SERVICE
 
 
 class CallEnd(enum.StrEnum):
@@ -48,13 +49,17 @@
 
 
 class RunStart(NamedTuple):
-    """The start of a request or an item at an incarnation of a replica."""
+    """The start of a request or an item at an incarnation of a replica.
+
+    ``service`` is the one that the replica belongs to.
+    """
 
     id: str
     target: str
     life: str
     at: float
     organisation: str = ''
+    service: str = MAIN_SERVICE
 
 
 class RunEnd(NamedTuple):
--- a/soak/replica.py
+++ b/soak/replica.py
@@ -46,7 +46,12 @@
         if expected == self.id and request_id:
             now = time.monotonic()
             run_start = RunStart(
-                request_id, environ[TARGET_KEY], self.life, now, names
+                request_id,
+                environ[TARGET_KEY],
+                self.life,
+                now,
+                names,
+                self.service,
             )
             self._record.run_starts.append(run_start)
         if any(key in str(sent) for key in self._record.organisations.owners):
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 from soak.configurations import SECOND_SERVICE, Configurations
 from soak.faults import Fault
 from soak.job_callers import JobCaller, complete
+from soak.job_routes import JobRoutes
 from soak.organisation_callers import KINDS
 from soak.organisation_checks import REVOKED_BOUND_S, check_organisations
 from soak.organisations import LIMITS, Organisations
@@ -22,6 +23,7 @@
 from soak.record import Job, Record
 from soak.resuming_caller import ResumingCaller
 from soak.schedule import (
+    FIRST_SEED_OF_SHAPES,
     FIRST_SEED_OF_SILENCES,
     FIRST_SEED_OF_VERSIONS,
     schedule,
@@ -51,6 +53,9 @@
 # Seconds without data after which callers leave a stream: the longest of 2 s,
 # four times the latency objective and eight times the longest pause.
 GAP_S = 2.0
+# What the store's clock shows at the start of a run: that of a store which has
+# just started, and of one that runs for a month.
+CLOCK_STARTS_S = (1.0, 2_592_000.0)
 # What the machines have: entries take requests for 3 s after SIGTERM.
 STOP_SETTINGS = MappingProxyType(
     {'readiness_delay_s': 2.7, 'drain_timeout_s': 4.5}
@@ -94,7 +99,12 @@
     """Vary what lower seeds have the same in every run."""
     split = seed % FLEETS == SPLIT_FLEET
     rng = random.Random(seed)  # noqa: S311
-    world.configurations = Configurations(rng, split)
+    shapes = random.Random(f'shapes {seed}')  # noqa: S311
+    job_routes = None
+    if seed >= FIRST_SEED_OF_SHAPES:
+        job_routes = JobRoutes(shapes, SECOND_SERVICE)
+        world.store.clock.start_at(shapes.choice(CLOCK_STARTS_S))
+    world.configurations = Configurations(rng, split, job_routes)
     if split:
         world.replicas[-1].service = SECOND_SERVICE
     world.extra_settings.update(STOP_SETTINGS)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from soak.early_jobs import EarlyJobs
 from soak.faults import Fault
 from soak.link_faults import (
     AnswersLost,
@@ -93,6 +94,12 @@
 # Every such seed that this number divides has silences and planned operations
 # only.
 SILENCES_ONLY_EVERY = 2
+# From this seed on entries restart in a slow store and get jobs at once, the
+# store's clock is ahead or behind, and configurations change the route of jobs.
+FIRST_SEED_OF_SHAPES = 900
+EARLY_JOBS = (EarlyJobs, EarlyJobs)
+# Every such seed that this number divides has little else.
+SHAPES_ONLY_EVERY = 3
 GAPS_S = (0.1, 2.0)
 LASTS_S = (0.3, 5.0)
 
@@ -121,6 +128,8 @@
 
 
 def _kinds(seed: int) -> tuple[type[Fault], ...]:
+    if seed >= FIRST_SEED_OF_SHAPES and seed % SHAPES_ONLY_EVERY == 0:
+        return (*EARLY_JOBS, Reconfigure)
     if seed >= FIRST_SEED_OF_SILENCES and seed % SILENCES_ONLY_EVERY == 0:
         return (*PLANNED, *SILENCES)
     lists = LISTS if seed >= FIRST_SEED_OF_LISTS else ()
@@ -136,4 +145,6 @@
         newer += PARTS
     if seed >= FIRST_SEED_OF_SILENCES:
         newer += SILENCES
+    if seed >= FIRST_SEED_OF_SHAPES:
+        newer += EARLY_JOBS
     return (*FAULTS, *PAUSES, *lists, *restarts, *newer)
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 import gevent
 
 from soak.configurations import Configurations
+from soak.job_routes import GROUP_PREFIXES
 from soak.planned_work import (
     CONFIGURATION,
     GRACE_S,
@@ -59,6 +60,11 @@
         """Return a replica that records its runs."""
         return SoakReplica(replica_id, slots, self.record)
 
+    def path_of(self, item_id: str) -> str:
+        """Return the path of a job item, in one of the groups of paths."""
+        group = GROUP_PREFIXES[len(item_id) % len(GROUP_PREFIXES)]
+        return f'{group}{item_id}'
+
     def mix_versions(self) -> None:
         """Give the replicas two software versions in turn."""
         versions = itertools.cycle(VERSIONS)
--- a/standins/machines/store.py
+++ b/standins/machines/store.py
@@ -11,12 +11,10 @@
 from cactusridge.http.app import App, Route, route
 from cactusridge.http.exchange import Reply, Req, json_reply
 from standins.close_connection import close_connection
+from standins.machines.steady_clock import SteadyClock
 
 MAX_BODY = 4 << 20
 MS_PER_S = 1000
-# What the store's clock shows more than that of the entries' host, in seconds:
-# the two have different starts.
-CLOCK_AHEAD_S = 2_592_000
 # Seconds after which a ``late`` write is applied.
 LATE_S = 1.5
 Place = tuple[str, str, str]
@@ -46,14 +44,10 @@
         # Delay of each response, in seconds.
         self.response_delay_s = float(0)
         self.faults: list[str] = []
-        self.clock_ahead_s = float(CLOCK_AHEAD_S)
+        self.clock = SteadyClock()
         self._changed = Event()
         self.app = App(self._routes(), MAX_BODY, 5)
 
-    def now_ms(self) -> int:
-        """Return the store's clock in milliseconds."""
-        return int((time.monotonic() + self.clock_ahead_s) * MS_PER_S)
-
     def put(self, place: Place, message: Any) -> None:
         """Write a row, as the operator or a replica does."""
         self.put_bytes(place, wire.encode(message))
@@ -198,7 +192,7 @@
         return {**encoded, 'value': stored.packed}
 
     def _stamp(self) -> dict[str, int]:
-        return {'ver': self.ver, 'now_ms': self.now_ms()}
+        return {'ver': self.ver, 'now_ms': self.clock.now_ms()}
 
 
 def _place(raw: dict[str, Any]) -> Place:
--- a/tests/limits_chaos.py
+++ b/tests/limits_chaos.py
@@ -1,7 +1,7 @@
 """Random stops, freezes, outages and lost messages in a simulated fleet."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from cactusridge.organisations.errors import LimitUnavailable
@@ -17,6 +17,8 @@
 EVENT_SHARE = 0.03
 OUTAGE_SHARE = 0.15
 STOP = Roll(0)
+EARLY = 'early'
+KINDS = ('frozen', 'store_lost', 'killed', 'stop')
 WAITS_S = (0.3, 1.0, 2.0, 2.8, 3.1, 4.0, 7.0)
 
 
@@ -30,8 +32,18 @@
 class Chaos:
     """Lets random things happen to a fleet and counts double holders."""
 
-    def __init__(self, entries: int, seed: int, lost_share: float) -> None:
-        """Start a fleet; all random choices depend on ``seed``."""
+    def __init__(
+        self,
+        entries: int,
+        seed: int,
+        lost_share: float,
+        kinds: Sequence[str] = KINDS,
+    ) -> None:
+        """Start a fleet; all random choices depend on ``seed``.
+
+        Of ``kinds`` is what befalls single entries.
+        """
+        self._kinds = kinds
         self.doubles: list[tuple[float, str]] = []
         self.admitted: list[tuple[float, str]] = []
         self._rng = random.Random(seed)
@@ -101,7 +113,7 @@
                 self._befall(each, now + wait_s, 'store_lost')
         elif free:
             entry = self._rng.choice(free)
-            kind = self._rng.choice(('frozen', 'store_lost', 'killed', 'stop'))
+            kind = self._rng.choice(self._kinds)
             if kind == 'stop':
                 self._stops[entry] = now
             else:
@@ -110,6 +122,12 @@
     def _befall(self, entry: Entry, until: float, kind: str) -> None:
         if entry in self._endings or entry in self._stops:
             return
+        if kind == EARLY:
+            # The process starts again before the store replies to it.
+            entry.set_lost(lost=True, powered_off=False)
+            entry.store_lost = True
+            entry.set_lost(lost=False, powered_off=False)
+            kind = 'store_lost'
         if kind == 'killed':
             entry.set_lost(lost=True, powered_off=False)
             self._endings[entry] = Ending(
--- a/tests/test_early_jobs.py
+++ b/tests/test_early_jobs.py
@@ -7,12 +7,10 @@
 
 import base64
 import json
-import time
 
 import gevent
 from nose2.tools import params
 
-from standins.machines.store import CLOCK_AHEAD_S
 from standins.waiting import wait_for
 from tests.machine_case import MachineCase
 
@@ -49,7 +47,7 @@
     def submit(self, number):
         """Submit a job; return its id, when it was sent, and the status."""
         gevent.sleep(number * GAP_S)
-        sent_ms = self.site.store.now_ms()
+        sent_ms = self.site.store.clock.now_ms()
         job = f'early{number}'
         return job, sent_ms, self.site.submit('two', job, ['2', '2'])
 
@@ -65,9 +63,8 @@
     @params('ahead', 'behind')
     def test_stamped_by_the_store(self, clock):
         """Each job is accepted at the store's time and runs, or is refused."""
-        uptime_s = time.monotonic()
-        ahead_s = CLOCK_AHEAD_S if clock == 'ahead' else BEHIND_S - uptime_s
-        self.site.store.clock_ahead_s = ahead_s
+        if clock == 'behind':
+            self.site.store.clock.start_at(BEHIND_S)
         self.restart_all_entries()
         wait_for('it is a member', self.is_member)
         before = self.log('two').count(APPLIED)
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -10,17 +10,24 @@
 from nose2.tools import params
 
 from cactusridge.http.client import Address
-from soak.checks import DRAIN_BOUND_S, check_at_end
-from soak.configurations import TIMEOUTS_MS, Configurations
+from soak.checks import DRAIN_BOUND_S, check_always, check_at_end
+from soak.configurations import (
+    SECOND_SERVICE,
+    TIMEOUTS_MS,
+    Configurations,
+)
+from soak.early_jobs import EarlyJobs
+from soak.job_routes import SUBMIT_PREFIX, JobRoutes
 from soak.list_faults import EntrySpoiled, StrayEntry
 from soak.organisations import LIMITS, QUOTAS, Limit, Organisations
-from soak.record import Call, CallEnd, ExclusionInterval, Record, RunStart
+from soak.record import Call, CallEnd, ExclusionInterval, Job, Record, RunStart
 from soak.replica import WORKS_S, SoakReplica
-from soak.replica_faults import Leaving, Restart
+from soak.replica_faults import Leaving, Reconfigure, Restart
 from soak.schedule import FAULTS, PLANNED, schedule
 from soak.silence_faults import Silent
 from soak.world import World
 from standins.forwarder import Forwarder
+from standins.machines.replica import MAIN_SERVICE
 from standins.machines.site import ROUTES
 
 SECONDS = 20
@@ -60,6 +67,44 @@
         self.assertEqual({*PLANNED, Silent}, drawn_kinds(range(800, 820, 2)))
         self.assertLess({*FAULTS, Silent}, drawn_kinds(range(801, 841, 2)))
 
+    def test_early_jobs(self):
+        """Seeds from 900 on restart entries in a slow store; lower ones not."""
+        self.assertNotIn(EarlyJobs, drawn_kinds(range(1, 900)))
+        self.assertEqual(
+            {EarlyJobs, Reconfigure}, drawn_kinds(range(900, 930, 3))
+        )
+        self.assertLess({*FAULTS, EarlyJobs}, drawn_kinds(range(901, 961, 6)))
+
+
+class TestJobRoutes(unittest.TestCase):
+    """Configurations nest, split and rename the route of the jobs."""
+
+    def test_drawn(self):
+        """Jobs can be submitted under each, and most have other routes too."""
+        routes = JobRoutes(random.Random(1), SECOND_SERVICE)
+        drawn = [routes.routes(ROUTES[-1]) for _ in range(60)]
+        for found in drawn:
+            batch = [each for each in found if each['kind'] == 'batch']
+            prefixes = [each['path_prefix'] for each in batch]
+            self.assertTrue(any(map(SUBMIT_PREFIX.startswith, prefixes)))
+        kinds = {each['kind'] for found in drawn for each in found}
+        self.assertEqual({'batch', 'streaming'}, kinds)
+        self.assertEqual({1, 2, 3}, set(map(len, drawn)))
+        shown = {each['name'] for found in drawn for each in found}
+        self.assertLess({'lots', 'below', 'short', 'part0'}, shown)
+
+    @params((MAIN_SERVICE, []), (SECOND_SERVICE, ['service of the job']))
+    def test_found(self, service, broken):
+        """An item that runs at the service of another route is found."""
+        record = Record()
+        job = Job('j', ['2'])
+        job.accepted_at = time.monotonic()
+        record.jobs[job.id] = job
+        started = RunStart('j-0', '/lots/0/j-0', 'life', 1, service=service)
+        record.run_starts.append(started)
+        check_always(record)
+        self.assertEqual(broken, [each.promise for each in record.violations])
+
 
 class TestSilent(unittest.TestCase):
     """Silences are short and leave the replica time to work between them."""
