Commits: results are split to what a call of the store holds

Hypothesis of the report, confirmed by its stand-in store: up to 20 results went into one transaction, here of 122 entries; the store refused it (413), rows.py reported that as an outage, and the holder sent the same transaction again every 0.3 s.

Change: commit_size counts the entries and an upper bound of the bytes of what a commit writes, and takes as many results, then checkpoints, as fit. Payloads that do not fit into rows go to the object store. A write that the store refuses for what it holds is CallRefused, no outage: fewer results are sent then, and one that cannot be smaller is sent again after 5 s, with event 312. A checkpoint that no row holds is left out; a handover that has only such ones repeated them without a pause, and now ends.

Left: one result that is larger than a call alone (over some 700 KB) is refused for good.

--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -44,6 +44,7 @@
 ROW_UNREADABLE: Final = Event(309, 'row_unreadable', 'warning')
 ROW_KEY_UNREADABLE: Final = Event(310, 'row_key_unreadable', 'warning')
 LISTENER_FAILED: Final = Event(311, 'listener_failed', 'error')
+COMMIT_REFUSED: Final = Event(312, 'commit_refused', 'error')
 
 REPLICA_FOUND: Final = Event(401, 'replica_found')
 REPLICA_GONE: Final = Event(402, 'replica_gone')
--- a/cactusridge/jobs/held_job.py
+++ b/cactusridge/jobs/held_job.py
@@ -10,6 +10,7 @@
 from cactusridge import events, logs, metrics
 from cactusridge.clock import Clock
 from cactusridge.errors import OutcomeUnknown, StoreUnavailable
+from cactusridge.jobs.commit_size import fitting_changes
 from cactusridge.jobs.item_run import ItemTask
 from cactusridge.jobs.job_changes import FinishedItem, JobChanges
 from cactusridge.jobs.ledger import (
@@ -25,10 +26,13 @@
     Progress,
     Result,
 )
+from cactusridge.store.table import CallRefused
 from cactusridge.store.unreadable import UnreadableRecord
 
 # Pause in seconds before a failed commit is retried.
 COMMIT_RETRY_S = 0.3
+# Pause in seconds after the store has refused a commit that cannot be smaller.
+REFUSED_PAUSE_S = 5.0
 # Interval between two checkpoints in seconds. If a holder is lost, the output
 # since its last checkpoint has to be produced again; a shorter interval costs
 # more writes to the store, of some kilobytes for each item in flight.
@@ -64,6 +68,8 @@
         self.held_at = clock.monotonic()
         self._checkpoint_at = clock.monotonic() + CHECKPOINT_S
         self._finished_items: list[FinishedItem] = []
+        # Most results of the next commit; fewer after the store refused more.
+        self._max_results = MAX_COMMIT_RESULTS
         self._failures = dict(progress.failures)
         self._wake = Event()
         self._committing = RLock()
@@ -139,22 +145,29 @@
         A commit that fails because of the store is logged and left to the
         next call. Raises HoldLost.
         """
-        ended = self._finished_items[:MAX_COMMIT_RESULTS]
+        ended = self._finished_items[: self._max_results]
         failures_changed = self._failures != self._progress.failures
-        if not (ended or checkpoints or failures_changed):
+        changes = fitting_changes(
+            self.head.id,
+            self._progress,
+            JobChanges(ended, dict(self._failures), checkpoints),
+        )
+        if not (changes.ended or changes.checkpoints or failures_changed):
             return False
-        changes = JobChanges(ended, dict(self._failures), checkpoints)
         try:
             self._progress = self._ledger.commit(
                 self.head.id,
                 self._progress,
                 changes,
             )
+        except CallRefused as refusal:
+            self._note_refused(changes, refusal)
+            return True
         except (StoreUnavailable, OutcomeUnknown) as exc:
             logs.emit(
                 events.COMMIT_DELAYED,
                 job=self.head.id,
-                results=len(ended),
+                results=len(changes.ended),
                 error=str(exc),
             )
             gevent.sleep(COMMIT_RETRY_S)
@@ -162,7 +175,22 @@
         self._note_committed(changes)
         return True
 
+    def _note_refused(self, changes: JobChanges, exc: CallRefused) -> None:
+        """Commit fewer results at a time; pause if there is only one."""
+        count = len(changes.ended)
+        logs.emit(
+            events.COMMIT_REFUSED,
+            job=self.head.id,
+            items=[end.result.id for end in changes.ended],
+            checkpoints=len(changes.checkpoints),
+            error=str(exc),
+        )
+        if self._max_results == 1 or not count:
+            gevent.sleep(REFUSED_PAUSE_S)
+        self._max_results = max(1, count // 2)
+
     def _note_committed(self, changes: JobChanges) -> None:
+        self._max_results = MAX_COMMIT_RESULTS
         self._finished_items = self._finished_items[len(changes.ended) :]
         for part in changes.checkpoints:
             task = self._tasks.get(part.index)
--- a/cactusridge/jobs/job_changes.py
+++ b/cactusridge/jobs/job_changes.py
@@ -96,13 +96,25 @@
     """
     yield Write(progress_key(job_id), progress_value(updated))
     for position, end in enumerate(changes.ended, len(progress.listed)):
-        yield from result_writes(job_id, position, end.result)
-        if end.checkpointed:
-            yield Write(checkpoint_key(job_id, end.index), None)
+        yield from item_writes(job_id, position, end)
     for part in changes.checkpoints:
-        output = {
-            'last_id': part.last_id,
-            'output': part.output,
-            **part.origin._asdict(),
-        }
-        yield Write(checkpoint_key(job_id, part.index), output)
+        yield checkpoint_write(job_id, part)
+
+
+def item_writes(
+    job_id: str, position: int, end: FinishedItem
+) -> Iterator[Write]:
+    """Yield the writes that list a finished item at ``position``."""
+    yield from result_writes(job_id, position, end.result)
+    if end.checkpointed:
+        yield Write(checkpoint_key(job_id, end.index), None)
+
+
+def checkpoint_write(job_id: str, part: Checkpoint) -> Write:
+    """Return the write that stores a checkpoint."""
+    fields = {
+        'last_id': part.last_id,
+        'output': part.output,
+        **part.origin._asdict(),
+    }
+    return Write(checkpoint_key(job_id, part.index), fields)
--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -57,9 +57,7 @@
 from cactusridge.store.unreadable import UnreadableRecord
 from cactusridge.store.writer import insert_once
 
-# Maximum number of results in one transaction. Each takes at most about 23 KB,
-# so that they stay well below the store's limits for one transaction: one
-# megabyte and 100 rows.
+# Maximum number of results in one transaction; large ones are fewer.
 MAX_COMMIT_RESULTS = 20
 # Maximum number of attempts to end a job whose head changes between the read
 # and the write. Only a takeover changes it, seldom twice in a row.
--- a/cactusridge/jobs/payloads.py
+++ b/cactusridge/jobs/payloads.py
@@ -7,6 +7,7 @@
 
 from cactusridge import wire
 from cactusridge.errors import BadRequest, NotFound
+from cactusridge.jobs.commit_size import CallSize, size_of
 from cactusridge.jobs.keys import payload_prefix
 from cactusridge.jobs.model import JobItem
 from cactusridge.jobs.row_text import split_text
@@ -16,10 +17,14 @@
 from cactusridge.store.table import Priority, Row, Table, Write
 from cactusridge.store.unreadable import UnreadableField
 
-# Maximum number of characters stored in rows. Encoded in base64 and JSON they
-# stay below one megabyte, the limit of a transaction. Longer payloads go into
-# an object, which costs an extra call of 25 ms.
+# Maximum number of characters stored in rows, if they fit into one call of the
+# store. Longer payloads go into an object, which costs an extra call of 25 ms.
 INLINE_CHARS = 500_000
+# The condition, the head and the progress of the job in the same call, with an
+# upper bound of their bytes.
+OTHER_ENTRIES = 3
+OTHER_BYTES = 2000
+OTHER_ROWS = CallSize(OTHER_ENTRIES, OTHER_BYTES)
 OBJECT_FIELD = 'object'
 TEXT_FIELD = 'text'
 BASE64 = re.compile('[A-Za-z0-9+/=]*')
@@ -48,14 +53,16 @@
         """
         text = wire.encode([list(item) for item in items]).decode()
         prefix = payload_prefix(job_id)
-        if len(text) > INLINE_CHARS:
-            name = f'job-{job_id}-{unique}'
-            self._objects.put(name, text.encode(), Priority.acceptance)
-            return [Write(f'{prefix}0000', {OBJECT_FIELD: name})]
-        return [
+        rows = [
             Write(f'{prefix}{number:04}', {TEXT_FIELD: piece})
-            for number, piece in enumerate(split_text(text))
+            for number, piece in enumerate(split_text(text[:INLINE_CHARS]))
         ]
+        is_inline = len(text) <= INLINE_CHARS
+        if is_inline and size_of(rows).plus(OTHER_ROWS).fits:
+            return rows
+        name = f'job-{job_id}-{unique}'
+        self._objects.put(name, text.encode(), Priority.acceptance)
+        return [Write(f'{prefix}0000', {OBJECT_FIELD: name})]
 
     def read(self, job_id: str) -> list[JobItem]:
         """Return the items of a job.
--- a/cactusridge/platform/rows.py
+++ b/cactusridge/platform/rows.py
@@ -23,6 +23,7 @@
 from cactusridge.store.table import (
     ABSENT,
     PAGE,
+    CallRefused,
     Condition,
     ConditionFailed,
     Priority,
@@ -38,6 +39,15 @@
 MS_PER_S = 1000
 # Bytes or characters of an unexpected answer that an error or a log shows.
 MAX_SHOWN = 200
+# Statuses of a write that the store refuses for what it holds.
+REFUSALS = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+    )
+)
 
 
 class PlatformRows(Table, Watch):
@@ -133,7 +143,9 @@
             rows, _ = parse_rows(_decoded(answer).items_of('rows'))
             raise ConditionFailed(rows)
         if answer.status != HTTPStatus.OK:
-            raise StoreUnavailable(
+            is_refused = answer.status in REFUSALS
+            kind = CallRefused if is_refused else StoreUnavailable
+            raise kind(
                 f'table status {answer.status}: {answer.body[:MAX_SHOWN]!r}',
                 retry_after_s=RETRY_S,
             )
--- a/cactusridge/store/table.py
+++ b/cactusridge/store/table.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
-from cactusridge.errors import CactusridgeError
+from cactusridge.errors import CactusridgeError, StoreUnavailable
 
 # The version of a row that does not exist.
 ABSENT = 0
@@ -70,6 +70,15 @@
         self.rows = {row.key: row for row in rows}
 
 
+class CallRefused(StoreUnavailable):
+    """The store refuses this call; nothing was changed.
+
+    Unlike in an outage it refuses the same call again.
+    """
+
+    code = 'store_refused'
+
+
 class WriteUnknown(CactusridgeError):
     """The store may have applied the transaction; read the rows to check."""
 
