Requests: a malformed header line is refused, and hides no other request

What was seen (the review's trial): a request with 'Content-Length : N' ran with an empty body, and its body ran as a further request.

Cause: the library's parser of headers stops at the first line that is none, and what follows counts as the body. It also takes a bare carriage return for the end of a line and the end of the connection for that of the headers; int() reads '+5' and '1_0'.

Change: the header section is read line by line by RFC 9112 before the library parses it: a token, a colon, a value without control characters. One Host at most, one length of digits or one coding 'chunked' in HTTP/1.1. All else gets 400 and a closed connection. A malformed chunk gets 400 in place of 500 where its size is empty, and closes the connection on the own interface too, where the rest ran as a request.

--- a/cactusridge/http/app.py
+++ b/cactusridge/http/app.py
@@ -13,7 +13,7 @@
     MethodNotAllowed,
     NotFound,
 )
-from cactusridge.http.exchange import Reply, Req, json_reply
+from cactusridge.http.exchange import Reply, Req, UnreadableBody, json_reply
 
 # The longest accepted path, in characters.
 MAX_PATH = 2048
@@ -40,6 +40,8 @@
     if exc.retry_after_s is not None:
         seconds = max(1, math.ceil(exc.retry_after_s))
         reply.headers.append(('Retry-After', str(seconds)))
+    if isinstance(exc, UnreadableBody):
+        reply.headers.append(('Connection', 'close'))
     return reply
 
 
--- a/cactusridge/http/exchange.py
+++ b/cactusridge/http/exchange.py
@@ -42,6 +42,10 @@
     return Reply(status, headers, [raw])
 
 
+class UnreadableBody(BadRequest):
+    """The body is cut off or malformed; where it ends is not known."""
+
+
 class Req:
     """A request, read from its WSGI environment."""
 
@@ -84,8 +88,8 @@
     def body(self) -> bytes:
         """Return the whole body.
 
-        Raises TooLarge, SlowRequest, BadRequest if the body is shorter than
-        its Content-Length, or StopLimit.
+        Raises TooLarge, SlowRequest, UnreadableBody, BadRequest if the body
+        is shorter than its Content-Length, or StopLimit.
         """
         length = self.content_length()
         if length is not None and length > self.max_body:
@@ -125,8 +129,9 @@
         source = self.environ['wsgi.input']
         try:
             return source.read(self.max_body + 1)
-        except OSError as exc:
-            raise BadRequest(f'the body could not be read: {exc}') from exc
+        except (OSError, ValueError) as exc:
+            # The library raises ValueError for a chunk size without a digit.
+            raise UnreadableBody(f'the body could not be read: {exc}') from exc
         except StopLimit as limit:
             limit.not_run = True
             raise
--- a/cactusridge/http/handler.py
+++ b/cactusridge/http/handler.py
@@ -18,6 +18,7 @@
     SOCKET_KEY,
     TARGET_KEY,
 )
+from cactusridge.http.header_section import check_framing, read_section
 from cactusridge.http.readable import is_readable
 from cactusridge.http.unreadable import raw_reply, refusal
 
@@ -107,18 +108,10 @@
         environ[HEADERS_KEY] = list(self.headers.items())
         return environ
 
-    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
-        """Return the headers; raise ValueError for an ambiguous body length.
-
-        With both Transfer-Encoding and Content-Length the library would
-        ignore the length, while a proxy in front of this server may have
-        ignored the chunks.
-        """
-        message = super().MessageClass(*args)
-        if 'transfer-encoding' in message and 'content-length' in message:
-            raise ValueError(
-                'Transfer-Encoding and Content-Length are both set'
-            )
+    def MessageClass(self, rfile: Any, *args: Any) -> Any:  # noqa: N802
+        """Return the headers; raise ValueError for malformed ones."""
+        message = super().MessageClass(read_section(rfile), *args)
+        check_framing(message.items(), self.request_version)
         return message
 
     def handle_one_request(self) -> Any:
