Items: a run that fails by a fault of the entry is not repeated at once

Cause: an exception other than a CactusridgeError ended the greenlet of the run, and its end without an outcome counted as yielded to online requests, after which an item is claimed again at once.

Test: test_failed_run was red (UnicodeEncodeError raised), green with this.

--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -3,6 +3,7 @@
 import enum
 from typing import NamedTuple
 
+from cactusridge import events, logs
 from cactusridge.clock import Clock
 from cactusridge.dispatch.event_splitter import EventSplitter
 from cactusridge.dispatch.run import Run, Runner
@@ -115,9 +116,17 @@
     def execute(self, replica: Replica) -> RunOutcome:
         """Run the item from its last event on and return the outcome.
 
-        A CactusridgeError is not raised but returned as ``interrupted``.
+        Errors are not raised but returned as ``interrupted``, so that the
+        item does not start again at once; those that are no CactusridgeError
+        are logged.
         """
-        end = self._run(replica)
+        try:
+            end = self._run(replica)
+        except Exception as exc:
+            logs.emit(
+                events.TASK_FAILED, error=repr(exc), item=self.task.item.id
+            )
+            end = RunOutcome.interrupted
         self.task.interrupted = end == RunOutcome.interrupted
         return end
 
