Jobs: an item that no request can carry is refused with its job

Change: a submission is checked for what HTTP can carry: ids of visible characters, paths that begin with a slash, names that are tokens, values without control characters and within Latin-1. The 400 names the item and the field. Characters from U+0080 to U+00FF are sent as one byte each, as before. The parser of items has a module of its own.

--- a/cactusridge/platform/job_calls.py
+++ b/cactusridge/platform/job_calls.py
@@ -4,11 +4,9 @@
 import re
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any
 
 import gevent
 
-from cactusridge import wire
 from cactusridge.dispatch.catalog import Catalog, Route
 from cactusridge.errors import BadRequest, Conflict, NotFound, OutcomeUnknown
 from cactusridge.http.exchange import Reply, json_reply
@@ -27,8 +25,8 @@
     CallerRequest,
     without_authorization,
 )
+from cactusridge.platform.job_items import parse_items
 
-MAX_ITEMS = 200
 JOB_PATH = re.compile('/api/lots/([^/]+)')
 ITEM_BODY_PATH = re.compile('/api/items/([^/]+)')
 VALID_JOB_ID = re.compile(r'[\w-]{1,120}', re.ASCII)
@@ -177,38 +175,6 @@
         raise NotFound(f'no item {item_id} in job {job_id}')
 
 
-def parse_items(raw: bytes) -> list[JobItem]:
-    """Parse the items of a submission; raise BadRequest."""
-    message = wire.decode(raw)
-    listed = message.get('items') if isinstance(message, dict) else None
-    if not isinstance(listed, list) or not 0 < len(listed) <= MAX_ITEMS:
-        raise BadRequest(f'items must be a list of 1 to {MAX_ITEMS}')
-    items = [_item(entry) for entry in listed]
-    if len({item.id for item in items}) != len(items):
-        raise BadRequest('two items have the same id')
-    return items
-
-
-def _item(entry: Any) -> JobItem:
-    try:
-        item = JobItem(
-            str(entry['id']),
-            str(entry['path']),
-            {str(name): str(text) for name, text in entry['headers'].items()},
-            entry['body'],
-            int(entry.get('tokens', 0)),
-        )
-        base64.b64decode(item.body, validate=True)
-    except (LookupError, TypeError, AttributeError) as exc:
-        raise BadRequest(f'invalid item: {exc!r}') from exc
-    except ValueError as unreadable:
-        raise BadRequest(f'invalid item: {unreadable}') from unreadable
-    texts = (item.path, *item.headers, *item.headers.values())
-    if any('\r' in text or '\n' in text for text in texts):
-        raise BadRequest('a line break in a path or header of an item')
-    return item
-
-
 def _job_id(call: CallerRequest) -> str:
     """Return the job id in a request's path; raise BadRequest."""
     found = ITEM_BODY_PATH.fullmatch(call.path) or JOB_PATH.fullmatch(call.path)
