--- a/soak/early_jobs.py
+++ b/soak/early_jobs.py
@@ -1,24 +1,25 @@
 """An entry restarts in a slow store, and callers submit jobs at once."""
 
-import contextlib
 import itertools
 import random
+import time
 
 import gevent
 
 from soak.faults import Fault
 from soak.job_callers import JobCaller
 from soak.world import World
-from standins.waiting import NotReady, wait_for
 
-# Delay of the store's replies, in seconds, up to the shortest timeout of an
-# entry. Until the first one the entry may be configured by its peers.
-SLOW_S = (0.1, 0.24)
+# Delay of the store's replies, in seconds, just below the shortest timeout of
+# an entry. Until the first one its peers may have configured it.
+SLOW_S = (0.2, 0.24)
 JOBS = 4
-GAP_S = 0.04
+GAP_S = 0.02
 # Few and short items, which leave the slots to the other jobs.
 BODIES = ('3 0.01', '3 0.01')
-LISTEN_BOUND_S = 3
+CONFIGURED_BOUND_S = 3
+CONFIGURED = '"settings_applied"'
+POLL_S = 0.005
 _numbers = itertools.count()
 
 
@@ -35,16 +36,10 @@
     def begin(self) -> None:
         """Slow the store, restart the entry and submit jobs to it."""
         self.world.store.response_delay_s = self.rng.uniform(*SLOW_S)
+        known = self._configured()
         self.world.kill(self.entry)
         self.world.restart(self.entry)
-        log = self.world.entries[self.entry].log
-        listening = log.read_text().count('"listening"')
-        with contextlib.suppress(NotReady):
-            wait_for(
-                'it listens',
-                lambda: log.read_text().count('"listening"') > listening,
-                LISTEN_BOUND_S,
-            )
+        self._await_configuration(known)
         for _ in range(JOBS):
             gevent.spawn(self._caller.submit_to, self.entry, BODIES)
             gevent.sleep(self.rng.uniform(0, 2 * GAP_S))
@@ -52,3 +47,13 @@
     def end(self) -> None:
         """Let the store reply as usual."""
         self.world.store.response_delay_s = 0
+
+    def _configured(self) -> int:
+        """Return how often the entry has put a configuration into force."""
+        return self.world.entries[self.entry].log.read_text().count(CONFIGURED)
+
+    def _await_configuration(self, known: int) -> None:
+        """Wait until the entry has one more than the ``known`` ones."""
+        until = time.monotonic() + CONFIGURED_BOUND_S
+        while time.monotonic() < until and self._configured() == known:
+            gevent.sleep(POLL_S)
--- a/soak/job_callers.py
+++ b/soak/job_callers.py
@@ -157,6 +157,7 @@
         headers = {'X-Attempt-Id': job.id, 'Content-Type': 'application/json'}
         # None marks an unknown outcome for checks that run during the call.
         number = len(job.statuses)
+        job.sent_ms = job.sent_ms or self._world.store.clock.now_ms()
         job.statuses.append(None)
         status, _ = self._call(entry, 'POST', f'{SUBMIT_PREFIX}x', raw, headers)
         job.statuses[number] = status or None
--- a/soak/record.py
+++ b/soak/record.py
@@ -105,6 +105,8 @@
         self.id = job_id
         self.bodies = bodies
         self.statuses: list[int | None] = []
+        # When it was first sent, in milliseconds of the store's clock.
+        self.sent_ms = 0
         self.accepted_at: float | None = None
         self.end_requested_at: float | None = None
         self.end_acknowledged_at: float | None = None
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak.faults import Fault
 from soak.job_callers import JobCaller, complete
 from soak.job_routes import JobRoutes
+from soak.job_stamps import check_stamps
 from soak.organisation_callers import KINDS
 from soak.organisation_checks import REVOKED_BOUND_S, check_organisations
 from soak.organisations import LIMITS, Organisations
@@ -26,6 +27,7 @@
     FIRST_SEED_OF_SHAPES,
     FIRST_SEED_OF_SILENCES,
     FIRST_SEED_OF_VERSIONS,
+    SHAPES_ONLY_EVERY,
     schedule,
 )
 from soak.world import World
@@ -53,6 +55,9 @@
 # Seconds without data after which callers leave a stream: the longest of 2 s,
 # four times the latency objective and eight times the longest pause.
 GAP_S = 2.0
+# Further entries where little else is drawn: the more peers an entry has, the
+# sooner after its start one of them sends it the configuration.
+MORE_ENTRIES = 2
 # What the store's clock shows at the start of a run: that of a store which has
 # just started, and of one that runs for a month.
 CLOCK_STARTS_S = (1.0, 2_592_000.0)
@@ -75,12 +80,16 @@
 
 def run(seed: int, size: Size, folder: Path) -> Record:
     """Run a seed with entry logs in ``folder``; return its record."""
+    shapes_only = seed >= FIRST_SEED_OF_SHAPES and seed % SHAPES_ONLY_EVERY == 0
+    if shapes_only:
+        size = size._replace(entries=size.entries + MORE_ENTRIES)
     names = [f'entry-{number}' for number in range(size.entries)]
     silences = seed >= FIRST_SEED_OF_SILENCES
     if silences and seed % FLEETS == SMALL_FLEET:
         size = size._replace(replicas=2, slots=2)
     world = World(folder, size.replicas, size.slots)
-    if seed >= FIRST_SEED_OF_ORGANISATIONS:
+    # An entry that cannot confirm keys yet accepts no jobs of organisations.
+    if seed >= FIRST_SEED_OF_ORGANISATIONS and not shapes_only:
         world.record.organisations = Organisations(LIMITS)
         world.extra_settings['revoke_ms'] = REVOKED_BOUND_S * 1000
     if seed >= FIRST_SEED_OF_VERSIONS:
@@ -143,6 +152,7 @@
     _recover(world, job_callers[0])
     _stop_task(watch)
     checks.check_at_end(world.record)
+    check_stamps(world.record, world.store)
     check_organisations(world.record)
     check_guilty_parts(world.record)
 
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -18,6 +18,7 @@
 )
 from soak.early_jobs import EarlyJobs
 from soak.job_routes import SUBMIT_PREFIX, JobRoutes
+from soak.job_stamps import check_stamps
 from soak.list_faults import EntrySpoiled, StrayEntry
 from soak.organisations import LIMITS, QUOTAS, Limit, Organisations
 from soak.record import Call, CallEnd, ExclusionInterval, Job, Record, RunStart
@@ -29,8 +30,10 @@
 from standins.forwarder import Forwarder
 from standins.machines.replica import MAIN_SERVICE
 from standins.machines.site import ROUTES
+from standins.machines.store import MachineStore
 
 SECONDS = 20
+STAMPED = 'dated by the store'
 STEADY_NAMES = ('steady-0', 'steady-1', 'steady-2')
 LATER_KINDS = frozenset((EntrySpoiled, StrayEntry, Restart))
 
@@ -106,6 +109,23 @@
         self.assertEqual(broken, [each.promise for each in record.violations])
 
 
+class TestStamps(unittest.TestCase):
+    """A job that is dated by another clock than the store's is found."""
+
+    @params((0, []), (-9000, [STAMPED]), (60_000, [STAMPED]))
+    def test_found(self, late_ms, broken):
+        """A stamp may be as late as the caller's last try."""
+        record, store = Record(), MachineStore()
+        job = Job('j', ['2'])
+        job.sent_ms = 500_000
+        record.jobs[job.id] = job
+        head = {'created_ms': job.sent_ms + late_ms}
+        store.put(('jobs', 's1', job.id), head)
+        store.put(('members', '', job.id), {})
+        check_stamps(record, store)
+        self.assertEqual(broken, [each.promise for each in record.violations])
+
+
 class TestSilent(unittest.TestCase):
     """Silences are short and leave the replica time to work between them."""
 
