--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,8 +17,9 @@
 
 from cactusridge import logs
 from cactusridge.descriptors import allow_many
-from soak.run import Size, run
+from soak.run import run
 from soak.schedule import FIRST_SEED_OF_SHAPES
+from soak.variants import Size
 
 REPORT = 'report.json'
 LOGS = Path('.run/soak')
--- a/tests/machine_case.py
+++ b/tests/machine_case.py
@@ -10,6 +10,11 @@
 JOB_WAIT_S = 40
 
 
+def request_headers(request_id: str) -> dict[str, str]:
+    """Return the headers of a request with four seconds left."""
+    return {'X-Attempt-Id': request_id, 'X-Request-Deadline': '4000'}
+
+
 class MachineCase(KeptLogsCase):
     """Starts a site with two replicas and entries for each test."""
 
--- a/tests/test_first_configuration.py
+++ b/tests/test_first_configuration.py
@@ -14,9 +14,8 @@
 from cactusridge.http.client import Address
 from cactusridge.platform.catalog_peers import FETCH_DELAY_S, TIMEOUT_S
 from standins.waiting import wait_for
-from tests.machine_case import MachineCase
+from tests.machine_case import MachineCase, request_headers
 from tests.test_catalog_peers import NEWER, CatalogPeersCase
-from tests.test_machine_failures import request_headers
 
 # Longest Retry-After of an entry that is still starting, in seconds.
 RETRY_BOUND_S = 0.5
--- a/tests/test_machine_failures.py
+++ b/tests/test_machine_failures.py
@@ -9,7 +9,7 @@
 
 from standins.machines.site import HOST
 from standins.waiting import wait_for
-from tests.machine_case import MachineCase
+from tests.machine_case import MachineCase, request_headers
 
 LONG_STREAM = b'400 0.05'
 HEAD = (
@@ -18,11 +18,6 @@
 )
 
 
-def request_headers(request_id: str) -> dict[str, str]:
-    """Return the headers of a request with four seconds left."""
-    return {'X-Attempt-Id': request_id, 'X-Request-Deadline': '4000'}
-
-
 class TestCallers(MachineCase):
     """Callers that disconnect, and requests with ambiguous framing."""
 
--- a/tests/test_machine_links.py
+++ b/tests/test_machine_links.py
@@ -9,8 +9,7 @@
 from cactusridge import wire
 from cactusridge.jobs.lease_times import MEMBER_LEASE_S
 from standins.waiting import wait_for
-from tests.machine_case import MachineCase
-from tests.test_machine_failures import request_headers
+from tests.machine_case import MachineCase, request_headers
 
 # Time in seconds until an entry counts the store as unreachable: three failed
 # calls of at most a second each, and the pauses between them.
--- a/tests/test_machine_lives.py
+++ b/tests/test_machine_lives.py
@@ -7,8 +7,7 @@
 from nose2.tools import params
 
 from standins.waiting import wait_for
-from tests.machine_case import MachineCase
-from tests.test_machine_failures import request_headers
+from tests.machine_case import MachineCase, request_headers
 
 REQUESTS_PER_REPLICA = 6
 LONG_STREAM = b'40 0.05'
--- a/tests/test_show_load.py
+++ b/tests/test_show_load.py
@@ -11,8 +11,7 @@
 from cactusridge.environment import Environment
 from cactusridge.exits import ExitStatus
 from standins.waiting import wait_for
-from tests.machine_case import MachineCase
-from tests.test_machine_path import request_headers
+from tests.machine_case import MachineCase, request_headers
 
 SERVICE = 'model'
 NOWHERE = 'http://127.0.0.1:1'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,8 @@
 from soak.organisation_checks import check_organisations
 from soak.organisations import LIMITS, Organisations
 from soak.record import Call, CallEnd, Record, RunStart
-from soak.run import Size, run
+from soak.run import run
+from soak.variants import Size
 from tests.kept_logs import KeptLogsCase
 
 SECONDS = 6
--- a/tests/test_start_trace.py
+++ b/tests/test_start_trace.py
@@ -12,8 +12,7 @@
 from cactusridge.clock import ManualClock
 from cactusridge.start_trace import StartStep, StartTrace
 from standins.waiting import wait_for
-from tests.machine_case import MachineCase
-from tests.test_machine_failures import request_headers
+from tests.machine_case import MachineCase, request_headers
 
 SERVING = (
     'imports_s',
