Start trace: the test awaits the members before its first request

Traced in the kept log: the store, which runs in the test's process, did not reply within 0.25 s (renewal_failed at +0.74 s, store_lost at 1.7 s); replicas and configuration were there, so the entry was ready and answered at 2.025 s, rightly, before it had read the members. The test took a step that the answer does not depend on to come before it. It now waits for member_found, which follows the read; its checks are the same.

--- a/tests/test_start_trace.py
+++ b/tests/test_start_trace.py
@@ -86,7 +86,11 @@
         return found[-1] if found else None
 
     def test_lines(self):
-        """A start, a restart and its first item leave all steps in the log."""
+        """A start, a restart and its first item leave all steps in the log.
+
+        An entry is ready, and may answer, before it has read the members.
+        """
+        wait_for('it is a member', lambda: self.line('member_found'))
         self.site.call('one', 'POST', '/on/', b'1', request_headers('r1'))
         found = wait_for('the line', lambda: self.line('serving_started'))
         ends = [found[name] for name in SERVING]
