Jobs: a process holds each job once, and ends the very hold that is meant

Hypotheses: (1) two entries take a job from each other; (2) one process holds a job twice; (3) a lost reply of a commit is taken for a lost hold. The logs of the case have job_taken and job_lease_lost of one job from one process only, about twice a second, which leaves (2). Trace: accept started a job of this process without a look at a start under way, so that each copy sent during the reads of a takeover made a hold. Their commits fail each other; _flush dropped by id, which stopped the successor and left its predecessor.

Change: JobStarts lets a process start a job once at a time, also while its own acceptance is unconfirmed; only the copy that was stored starts a job, all others leave it to the poll; stop_job, _drop and _may_start compare the object. A start that fails unexpectedly no longer blocks the job for good.

Found beside it: a copy with other items (of another organisation too) started the stored job with its own items.

--- a/cactusridge/jobs/ledger.py
+++ b/cactusridge/jobs/ledger.py
@@ -9,6 +9,7 @@
 
 import contextlib
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from cactusridge.clock import Clock
 from cactusridge.errors import (
@@ -69,6 +70,16 @@
 MAX_CHECKPOINT_CHARS = 15_000
 
 
+class Acceptance(NamedTuple):
+    """The stored head of a job, and whether this call has stored it.
+
+    After a lost reply a new job may count as one that was stored before.
+    """
+
+    head: JobHead
+    is_new: bool
+
+
 class JobLedger:
     """Stores, reads, takes over, commits, ends and removes jobs."""
 
@@ -90,7 +101,7 @@
         self,
         head: JobHead,
         items: Sequence[JobItem],
-    ) -> JobHead:
+    ) -> Acceptance:
         """Store a job and return its head.
 
         If a job with this id is stored already, return that job's head.
@@ -107,9 +118,9 @@
         condition = Condition(head_key(head.id), ABSENT)
         version = insert_once(self._table, [condition], writes)
         if version != ABSENT:
-            return head._replace(version=version)
+            return Acceptance(head._replace(version=version), is_new=True)
         try:
-            return self.head(head.id)
+            return Acceptance(self.head(head.id), is_new=False)
         except (StoreUnavailable, UnreadableRecord) as exc:
             # The job is stored, so the error must not imply that it is not.
             raise OutcomeUnknown(str(exc), retry_after_s=1) from exc
--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -10,6 +10,7 @@
 from cactusridge.jobs.conditional_writer import HoldLost
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.held_job import HeldJob, restored_job
+from cactusridge.jobs.job_starts import JobStarts
 from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.membership import Membership
 from cactusridge.jobs.model import JobHead, JobItem, JobState
@@ -49,7 +50,7 @@
         self._has_live_peers = has_live_peers
         self._heads = heads
         heads.on_change(self.head_changed)
-        self._starting: set[str] = set()
+        self._starts = JobStarts()
         self._stopping = False
 
     def announce_with(self, announce: Callable[[str, int], None]) -> None:
@@ -92,25 +93,25 @@
     def accept(self, head: JobHead, items: list[JobItem]) -> JobHead:
         """Store a job, start it and return its stored head.
 
-        If the job was submitted before, return the head stored then.
+        If the job was submitted before, return the head stored then. This
+        copy of the job then starts nothing: its items may differ from those
+        in the store. ``poll`` starts a job that no entry runs.
         Raises StoreUnavailable, OutcomeUnknown.
         """
-        stored = self.ledger.accept(head, items)
-        logs.emit(
-            events.JOB_ACCEPTED,
-            job=head.id,
-            items=len(items),
-            holder=stored.holder,
-            route=stored.path,
-            created_ms=stored.created_ms,
-        )
-        self._heads.update(stored)
-        runs_here = stored.state == JobState.open and self._orphans.is_mine(
-            stored
-        )
-        if runs_here and self.held(head.id) is None and not self._stopping:
-            self._starting.add(head.id)
-            spawn(Part.jobs, self._run, stored, items)
+        with self._starts.while_accepting(head.id):
+            accepted = self.ledger.accept(head, items)
+            stored = accepted.head
+            logs.emit(
+                events.JOB_ACCEPTED,
+                job=head.id,
+                items=len(items),
+                holder=stored.holder,
+                route=stored.path,
+                created_ms=stored.created_ms,
+            )
+            self._heads.update(stored)
+            if accepted.is_new and self._orphans.is_mine(stored):
+                self._start_new(stored, items)
         return stored
 
     def end(self, job_id: str) -> None:
@@ -131,9 +132,7 @@
         if not self._session.lease_is_valid():
             return
         for head in self._heads.all_heads():
-            busy = head.id in self._starting or self.held(head.id) is not None
-            if not busy and self._orphans.should_take_over(head):
-                self._starting.add(head.id)
+            if self._may_take_over(head) and self._starts.begin(head.id):
                 spawn(Part.jobs, self._take_over, head)
 
     def stop(self) -> None:
@@ -154,8 +153,38 @@
         """
         return self._session.lease_is_valid() or self._has_live_peers()
 
+    def _may_take_over(self, head: JobHead) -> bool:
+        """Return whether this entry has to take over a job that it knows.
+
+        A job that it is storing is started after that.
+        """
+        if self.held(head.id) is not None:
+            return False
+        if self._orphans.is_mine(head) and self._starts.is_accepting(head.id):
+            return False
+        return self._orphans.should_take_over(head)
+
+    def _start_new(self, head: JobHead, items: list[JobItem]) -> None:
+        """Start a job that this entry has just stored."""
+        if not self._stopping and self._starts.begin(head.id):
+            spawn(Part.jobs, self._run_new, head, items)
+
+    def _run_new(self, head: JobHead, items: list[JobItem]) -> None:
+        """Run a new job until it completes, ends or has another holder."""
+        with self._starts.until_started(head.id):
+            held = self._started(head, items)
+        if held is not None:
+            self._flush(held)
+
     def _take_over(self, head: JobHead) -> None:
         """Take over an orphaned job and run it."""
+        with self._starts.until_started(head.id):
+            held = self._taken_over(head)
+        if held is not None:
+            self._flush(held)
+
+    def _taken_over(self, head: JobHead) -> HeldJob | None:
+        """Make this entry the holder of a job and start it."""
         me = self._session.me
         try:
             # The items are read first, so that an entry that cannot read them
@@ -163,15 +192,14 @@
             items = self.ledger.items(head.id)
             taken = self.ledger.take_over(head, me.name, me.life)
         except CactusridgeError as exc:
-            self._starting.discard(head.id)
             self._orphans.takeover_failed(head, exc)
             if isinstance(exc, HoldLost):
                 self._refresh(head.id)
-            return
+            return None
         self._announce(taken.id, taken.version)
         self._orphans.taken_over(head, taken.version)
         self._heads.update(taken)
-        self._run(taken, items)
+        return self._started(taken, items)
 
     def _check_holder(self, held: HeldJob, version: int) -> None:
         """Read the head of a held job after a peer's announcement.
@@ -191,26 +219,29 @@
         except CactusridgeError as exc:
             logs.emit(events.TAKE_FAILED, job=job_id, error=str(exc))
 
-    def _run(self, head: JobHead, items: list[JobItem]) -> None:
-        """Run a job until it completes, ends or has another holder."""
+    def _started(self, head: JobHead, items: list[JobItem]) -> HeldJob | None:
+        """Start a job that this entry holds; return None if it does not run.
+
+        While its rows are read, the job may end or get another holder, and
+        this entry may begin to stop.
+        """
         try:
             held = restored_job(head, items, self.ledger, self._clock)
         except CactusridgeError as exc:
             self._orphans.takeover_failed(head, exc)
-            return
-        finally:
-            self._starting.discard(head.id)
-        newest = self._heads.get(head.id) or head
-        if newest.state != JobState.open or not self._orphans.is_mine(newest):
-            return
+            return None
+        held.head = self._heads.get(head.id) or head
+        if held.head.state != JobState.open:
+            return None
+        if not self._orphans.is_mine(held.head):
+            return None
         if self._stopping:
-            # The stop began while the store was being read.
             self._hand_over(held)
-            return
+            return None
         self._scheduler.jobs[head.id] = held
         metrics.SPANS_HELD.set({}, len(self._scheduler.jobs))
         self._scheduler.wake.set()
-        self._flush(held)
+        return held
 
     def _flush(self, held: HeldJob) -> None:
         try:
@@ -235,7 +266,7 @@
 
     def _drop(self, held: HeldJob) -> None:
         held.stop()
-        self._scheduler.stop_job(held.head.id)
+        self._scheduler.stop_job(held)
         metrics.SPANS_HELD.set({}, len(self._scheduler.jobs))
 
     def _hand_over(self, job: HeldJob) -> None:
--- a/cactusridge/jobs/scheduler.py
+++ b/cactusridge/jobs/scheduler.py
@@ -112,17 +112,25 @@
             elif replica is not None:
                 self._claim(waiting, replica)
 
-    def stop_job(self, job_id: str) -> None:
-        """Drop a job and stop its items in flight."""
-        self.jobs.pop(job_id, None)
+    def stop_job(self, job: HeldJob) -> None:
+        """Drop a job and stop its items in flight.
+
+        Another hold of the same job, which may have followed this one, is
+        left as it is.
+        """
+        if self._runs(job):
+            self.jobs.pop(job.head.id)
         for each in list(self._running):
-            if each.job.head.id == job_id:
+            if each.job is job:
                 each.greenlet.kill(block=False)
 
     def stop_all(self) -> None:
         """Drop all jobs and stop their items in flight."""
-        for job_id in list(self.jobs):
-            self.stop_job(job_id)
+        for job in list(self.jobs.values()):
+            self.stop_job(job)
+
+    def _runs(self, job: HeldJob) -> bool:
+        return self.jobs.get(job.head.id) is job
 
     def _busy(self) -> bool:
         return bool(self.jobs or self._running)
@@ -170,7 +178,7 @@
         """
         if self._fleet.get(replica.incarnation) is None:
             return False
-        return job.head.id in self.jobs and self.may_dispatch.is_set()
+        return self._runs(job) and self.may_dispatch.is_set()
 
     def _loads_at(self, replica: Replica) -> dict[str, Load]:
         """Return the request counts at a replica, keyed by entry."""
--- a/tests/spoilt_job_case.py
+++ b/tests/spoilt_job_case.py
@@ -63,7 +63,7 @@
         self.clock = ManualClock()
         self.ledger = JobLedger(self.table, self.objects, self.clock)
         self.items = [item(number) for number in range(3)]
-        self.head = self.ledger.accept(HEAD, self.items)
+        self.head = self.ledger.accept(HEAD, self.items).head
         self.ledger.accept(HEAD._replace(id=OTHER), self.items)
         self.progress = self.ledger.progress(JOB)
 
--- a/tests/test_commit_size.py
+++ b/tests/test_commit_size.py
@@ -87,7 +87,7 @@
             JobItem(f'i{number}', f'/p/{number}', {}, 'YQ==', 1)
             for number in range(ITEMS)
         ]
-        stored = self.ledger.accept(head, items)
+        stored = self.ledger.accept(head, items).head
         self.held = restored_job(stored, items, self.ledger, ManualClock())
 
     def finish(self, index, output):
--- a/tests/test_job_ledger.py
+++ b/tests/test_job_ledger.py
@@ -46,7 +46,7 @@
         self.ledger = JobLedger(self.table, self.objects, ManualClock())
         self.head = JobHead(JOB, 'h', '/p/', 3, 0, 'one', 'life1')
         self.items = [item(number) for number in range(3)]
-        self.stored = self.ledger.accept(self.head, self.items)
+        self.stored = self.ledger.accept(self.head, self.items).head
 
     def listed(self) -> list[str]:
         """Return the ids of the results in order."""
@@ -59,7 +59,9 @@
     def test_resend_finds_the_first(self):
         """A job that is submitted again to another entry is the same job."""
         again = self.head._replace(holder='two', life='life2')
-        self.assertEqual('one', self.ledger.accept(again, self.items).holder)
+        self.assertEqual(
+            'one', self.ledger.accept(again, self.items).head.holder
+        )
         self.assertEqual(self.items, self.ledger.items(JOB))
 
     def test_unknown_job(self):
@@ -140,7 +142,7 @@
         """A job is accepted without a read after the insertion."""
         self.table.fail_reads = 1
         head = self.head._replace(id='job4')
-        accepted = self.ledger.accept(head, self.items)
+        accepted = self.ledger.accept(head, self.items).head
         self.table.fail_reads = 0
         self.assertEqual(self.ledger.head('job4'), accepted)
 
