Jobs: the start of a job stands in a module of its own

JobStarter has the reservation and the steps of a start; no change of behaviour. tests.test_one_hold, test_stop_races, test_spoilt_members: green.

--- a/cactusridge/jobs/manager.py
+++ b/cactusridge/jobs/manager.py
@@ -9,8 +9,8 @@
 from cactusridge.errors import CactusridgeError
 from cactusridge.jobs.conditional_writer import HoldLost
 from cactusridge.jobs.heads import JobHeads
-from cactusridge.jobs.held_job import HeldJob, restored_job
-from cactusridge.jobs.job_starts import JobStarts
+from cactusridge.jobs.held_job import HeldJob
+from cactusridge.jobs.job_starter import JobStarter, StartSteps
 from cactusridge.jobs.ledger import JobLedger
 from cactusridge.jobs.membership import Membership
 from cactusridge.jobs.model import JobHead, JobItem, JobState
@@ -44,18 +44,25 @@
         self.ledger = ledger
         self._session = session
         self._scheduler = scheduler
-        self._clock = clock
         self._orphans = orphans
         self._announce: Callable[[str, int], None] = ignore_announcement
         self._has_live_peers = has_live_peers
         self._heads = heads
         heads.on_change(self.head_changed)
-        self._starts = JobStarts()
+        self._starter = JobStarter(
+            ledger,
+            heads,
+            session,
+            orphans,
+            clock,
+            StartSteps(self._register, self._flush, self._refresh),
+        )
         self._stopping = False
 
     def announce_with(self, announce: Callable[[str, int], None]) -> None:
         """Announce heads to peers with ``announce(job_id, version)``."""
         self._announce = announce
+        self._starter.announce = announce
 
     def head_changed(self, head: JobHead) -> None:
         """Stop a held job if a newer head has ended or reassigned it."""
@@ -98,7 +105,7 @@
         in the store. ``poll`` starts a job that no entry runs.
         Raises StoreUnavailable, OutcomeUnknown.
         """
-        with self._starts.while_accepting(head.id):
+        with self._starter.while_accepting(head.id):
             accepted = self.ledger.accept(head, items)
             stored = accepted.head
             logs.emit(
@@ -110,8 +117,9 @@
                 created_ms=stored.created_ms,
             )
             self._heads.update(stored)
-            if accepted.is_new and self._orphans.is_mine(stored):
-                self._start_new(stored, items)
+            is_mine = self._orphans.is_mine(stored)
+            if accepted.is_new and is_mine and not self._stopping:
+                self._starter.start_new(stored, items)
         return stored
 
     def end(self, job_id: str) -> None:
@@ -132,8 +140,8 @@
         if not self._session.lease_is_valid():
             return
         for head in self._heads.all_heads():
-            if self._may_take_over(head) and self._starts.begin(head.id):
-                spawn(Part.jobs, self._take_over, head)
+            if self._may_take_over(head):
+                self._starter.take_over(head)
 
     def stop(self) -> None:
         """Stop all jobs and hand them over to the other entries."""
@@ -160,47 +168,12 @@
         """
         if self.held(head.id) is not None:
             return False
-        if self._orphans.is_mine(head) and self._starts.is_accepting(head.id):
+        if self._starter.is_starting(head.id):
+            return False
+        if self._orphans.is_mine(head) and self._starter.is_accepting(head.id):
             return False
         return self._orphans.should_take_over(head)
 
-    def _start_new(self, head: JobHead, items: list[JobItem]) -> None:
-        """Start a job that this entry has just stored."""
-        if not self._stopping and self._starts.begin(head.id):
-            spawn(Part.jobs, self._run_new, head, items)
-
-    def _run_new(self, head: JobHead, items: list[JobItem]) -> None:
-        """Run a new job until it completes, ends or has another holder."""
-        with self._starts.until_started(head.id):
-            held = self._started(head, items)
-        if held is not None:
-            self._flush(held)
-
-    def _take_over(self, head: JobHead) -> None:
-        """Take over an orphaned job and run it."""
-        with self._starts.until_started(head.id):
-            held = self._taken_over(head)
-        if held is not None:
-            self._flush(held)
-
-    def _taken_over(self, head: JobHead) -> HeldJob | None:
-        """Make this entry the holder of a job and start it."""
-        me = self._session.me
-        try:
-            # The items are read first, so that an entry that cannot read them
-            # does not become the holder.
-            items = self.ledger.items(head.id)
-            taken = self.ledger.take_over(head, me.name, me.life)
-        except CactusridgeError as exc:
-            self._orphans.takeover_failed(head, exc)
-            if isinstance(exc, HoldLost):
-                self._refresh(head.id)
-            return None
-        self._announce(taken.id, taken.version)
-        self._orphans.taken_over(head, taken.version)
-        self._heads.update(taken)
-        return self._started(taken, items)
-
     def _check_holder(self, held: HeldJob, version: int) -> None:
         """Read the head of a held job after a peer's announcement.
 
@@ -219,29 +192,24 @@
         except CactusridgeError as exc:
             logs.emit(events.TAKE_FAILED, job=job_id, error=str(exc))
 
-    def _started(self, head: JobHead, items: list[JobItem]) -> HeldJob | None:
-        """Start a job that this entry holds; return None if it does not run.
+    def _register(self, held: HeldJob) -> bool:
+        """Let a job that has just started run; return whether it does.
 
-        While its rows are read, the job may end or get another holder, and
-        this entry may begin to stop.
+        While its rows were read, the job may have ended or got another
+        holder, and this entry may have begun to stop.
         """
-        try:
-            held = restored_job(head, items, self.ledger, self._clock)
-        except CactusridgeError as exc:
-            self._orphans.takeover_failed(head, exc)
-            return None
-        held.head = self._heads.get(head.id) or head
+        held.head = self._heads.get(held.head.id) or held.head
         if held.head.state != JobState.open:
-            return None
+            return False
         if not self._orphans.is_mine(held.head):
-            return None
+            return False
         if self._stopping:
             self._hand_over(held)
-            return None
-        self._scheduler.jobs[head.id] = held
+            return False
+        self._scheduler.jobs[held.head.id] = held
         metrics.SPANS_HELD.set({}, len(self._scheduler.jobs))
         self._scheduler.wake.set()
-        return held
+        return True
 
     def _flush(self, held: HeldJob) -> None:
         try:
--- a/tests/test_one_hold.py
+++ b/tests/test_one_hold.py
@@ -10,7 +10,7 @@
 
 from cactusridge import events
 from cactusridge.clock import ManualClock
-from cactusridge.jobs import manager as manager_module
+from cactusridge.jobs import job_starter
 from cactusridge.jobs.conditional_writer import HoldLost
 from cactusridge.jobs.heads import JobHeads
 from cactusridge.jobs.held_job import restored_job
@@ -83,7 +83,8 @@
 
     def setUp(self):
         """Let one entry become a member."""
-        self.table, clock = DelayedTable(), ManualClock()
+        self.table = DelayedTable()
+        clock = ManualClock()
         self.session = Membership(
             self.table,
             clock,
@@ -106,9 +107,7 @@
             lambda: True,
         )
         self.started = []
-        patched = mock.patch.object(
-            manager_module, 'restored_job', self.restored
-        )
+        patched = mock.patch.object(job_starter, 'restored_job', self.restored)
         patched.start()
         self.addCleanup(patched.stop)
         self.addCleanup(self.stop_all)
@@ -202,7 +201,9 @@
         )
         self.heads.update(changed._replace(version=head.version + 1))
         gevent.sleep(SETTLED_S)
-        self.assertEqual((1, None), (len(self.started), self.manager.held('job')))
+        self.assertEqual(
+            (1, None), (len(self.started), self.manager.held('job'))
+        )
 
     def test_start_that_fails(self):
         """A start that ends with an unexpected error may be repeated."""
