Own interface: what crashed in other jobs is no evidence against an item

A job whose item had been under way at upstreams that ended, also in earlier jobs, ended that item at once as 'quarantined', though the service allows it attempts of its own. Batch runs record no strikes now and are not checked.

Left: a crash counts as one of max_item_attempts in this interface.

--- a/cactusridge/sidecar_dispatch/dispatcher.py
+++ b/cactusridge/sidecar_dispatch/dispatcher.py
@@ -108,8 +108,9 @@
                 self._check_retry(dispatch, exc, budget, len(outcomes))
 
     def check(self, dispatch: Dispatch) -> None:
-        """Raise Quarantined if the request is quarantined."""
-        self.suspects.check(dispatch.fingerprint())
+        """Raise Quarantined if the request is quarantined; no item is."""
+        if dispatch.work == WorkClass.online:
+            self.suspects.check(dispatch.fingerprint())
 
     def attempt(
         self,
--- a/cactusridge/sidecar_dispatch/run_listener.py
+++ b/cactusridge/sidecar_dispatch/run_listener.py
@@ -70,16 +70,14 @@
         self._suspects.record_completion(self._dispatch.fingerprint())
 
     def crashed(self, has_output: bool) -> None:
-        """Record that the upstream process ended during the run."""
+        """Record that the upstream process ended during the run.
+
+        That is no evidence against a batch item, which crashes no upstream.
+        """
+        if self._dispatch.work == WorkClass.batch:
+            return
         self._suspects.crashed(
             self._dispatch.fingerprint(),
             self._crashes.identify(self._replica.key),
-            self._stage(has_output),
+            Stage.answering if has_output else Stage.started,
         )
-
-    def _stage(self, has_output: bool) -> Stage:
-        if self._dispatch.work == WorkClass.batch:
-            # The sidecar sends the output of a batch item only when it is
-            # complete, so this entry cannot observe its progress.
-            return Stage.queued
-        return Stage.answering if has_output else Stage.started
