Items: no evidence of crashes holds a batch item back

Callers of review/4: two sound items of twenty were never done, after a server of nine had gone down and up by turns; the log has `quarantined` for them.

Hypotheses: (1) the items are quarantined by their own strikes; (2) their server stays ejected; (3) no slot is free. The case logs six strikes and a quarantine of each lost item, all servers are idle at its end, and nine are in the list, which leaves (1). Each start of the flapping server is a new incarnation and counts once more; neither output nor time withdraws a strike.

A run of an item now records no strikes, of itself or of its parts, so that it also explains no crash of other requests; the queue does not look at quarantines, whoever recorded them. Output of an item still clears its parts. Requests are judged as before.

Also, by the lead: an interrupted item goes to another replica where one has room, since the one that has just come back has the most; the pause after an interruption belongs to the task, not to the item's id.

--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -80,9 +80,6 @@
         self._output_recorded_at = float('-inf')
         self._opened_at = runner.clock.monotonic()
         self._stage = Stage.started
-        if kind == WorkKind.batch:
-            # The head of a batch item arrives when the item starts to run.
-            self._stage = Stage.queued
         self._aborted = False
         self._closed = False
         self._survived = False
@@ -179,7 +176,10 @@
 
     def check_abandoned(self) -> None:
         """Schedule a check whether the replica of an abandoned run crashed."""
-        self._runner.crashes.run_abandoned(self.replica, self._interrupted())
+        if self._may_be_cause():
+            self._runner.crashes.run_abandoned(
+                self.replica, self._interrupted()
+            )
 
     def close(self) -> None:
         """Stop counting the request as load; cancel it if it is unfinished."""
@@ -195,10 +195,20 @@
         self.record_failure()
         if self._aborted or not isinstance(exc, BROKEN_CONNECTION_ERRORS):
             return
+        if not self._may_be_cause():
+            return
         self._runner.crashes.connection_broken(
             self.replica, self._interrupted()
         )
 
+    def _may_be_cause(self) -> bool:
+        """Return whether a crash of the replica may count against the request.
+
+        No batch item crashes the replicas that run it. Under one, a crash is
+        evidence neither against the item nor against the parts of its prompt.
+        """
+        return self._kind != WorkKind.batch
+
     def _interrupted(self) -> InterruptedRun:
         return InterruptedRun(
             self._fingerprint,
--- a/cactusridge/jobs/free_replicas.py
+++ b/cactusridge/jobs/free_replicas.py
@@ -29,11 +29,16 @@
         self._rng = random.Random()  # noqa: S311
 
     def with_most_room(
-        self, route: Route, origin: StreamOrigin | None = None
+        self,
+        route: Route,
+        origin: StreamOrigin | None = None,
+        avoided: str | None = None,
     ) -> Replica | None:
         """Return the replica with the most free slots, None if all are full.
 
         If ``origin`` is given, only replicas of that origin are considered.
+        The replica with the id ``avoided`` is returned only if no other has
+        room, under whichever incarnation it runs.
         Replicas of the entry's own cell come first, since an item that
         runs in another availability zone causes traffic between zones.
         """
@@ -49,6 +54,7 @@
             }
         free = [
             (
+                usable[key].id != avoided,
                 key in local,
                 free_batch_slots(
                     usable[key].slots, self._runner.loads.total_at(key)
@@ -58,7 +64,7 @@
             )
             for key in self._runner.health.selectable(usable)
         ]
-        most = max((each for each in free if each[1]), default=None)
+        most = max((each for each in free if each[2]), default=None)
         return most and usable[most[-1]]
 
     def _usable(
--- a/cactusridge/jobs/item_placement.py
+++ b/cactusridge/jobs/item_placement.py
@@ -31,13 +31,16 @@
         """Return the replica with the most free slots, None if there is none.
 
         An item with output waits up to MAX_RESUME_WAIT_S for one where it can
-        go on, while such a replica is ready.
+        go on, while such a replica is ready. The replica that has interrupted
+        its last run is the last choice: if it goes down and up by turns, it
+        has the most free slots each time.
         """
+        avoided = task.interrupted_at
         if task.last_id is None:
-            return self._free.with_most_room(route)
-        replica = self._free.with_most_room(route, task.origin)
+            return self._free.with_most_room(route, avoided=avoided)
+        replica = self._free.with_most_room(route, task.origin, avoided)
         if replica is None and not self._should_wait(task):
-            return self._free.with_most_room(route)
+            return self._free.with_most_room(route, avoided=avoided)
         return replica
 
     def may_continue(self, task: ItemTask, replica: Replica) -> bool:
--- a/cactusridge/jobs/item_queue.py
+++ b/cactusridge/jobs/item_queue.py
@@ -13,7 +13,6 @@
 from cactusridge.jobs.model import GiveUpReason, ItemState
 from cactusridge.jobs.run_times import RunTimeEstimator
 from cactusridge.jobs.urgency import ItemTimes, Urgency, UrgencyClass
-from cactusridge.quarantine.crash_evidence import CrashEvidence
 from cactusridge.store.store_clock import MS, StoreClock
 
 # Delay in seconds before an interrupted item may start again, so that it is
@@ -48,14 +47,12 @@
         store_clock: StoreClock,
         catalog: Callable[[], Catalog],
         urgency: Urgency,
-        suspects: CrashEvidence,
         shared_parts: Callable[[HeaderList], tuple[str, ...]] = no_parts,
     ) -> None:
         """Use the routes of the catalog that ``catalog`` returns.
 
         ``shared_parts`` returns the keys of the shared parts of a prompt.
         """
-        self._suspects = suspects
         self._shared_parts = shared_parts
         self._clock = clock
         self._store_clock = store_clock
@@ -63,7 +60,6 @@
         self._urgency = urgency
         # By host and prefix, since a route may come under another name.
         self._run_times: dict[tuple[str, str], RunTimeEstimator] = {}
-        self._not_before: dict[str, float] = {}
         self._routes = RouteCache()
 
     def urgent_first(self, jobs: Iterable[HeldJob]) -> list[WaitingItem]:
@@ -81,8 +77,7 @@
 
     def delay(self, task: ItemTask) -> None:
         """Delay the next start of an interrupted or failed item."""
-        now = self._clock.monotonic()
-        self._not_before[task.item.id] = now + INTERRUPTED_PAUSE_S
+        task.not_before = self._clock.monotonic() + INTERRUPTED_PAUSE_S
 
     def complete(self, job: HeldJob, task: ItemTask) -> None:
         """Record the output of an item and remove it from its job."""
@@ -112,7 +107,7 @@
         found = []
         for job in jobs:
             for task in list(job.pending.values()):
-                if self._not_before.get(task.item.id, 0) > now:
+                if task.not_before > now:
                     continue
                 waiting = self._queue_entry(job, task)
                 if waiting is not None:
@@ -147,10 +142,6 @@
             return None
         if task.parts is None:
             task.parts = self._shared_parts(list(task.item.headers.items()))
-        if self._suspects.is_quarantined(task.fingerprint, task.parts):
-            # A quarantined item waits until its quarantine ends or its time
-            # expires.
-            return None
         times = ItemTimes(
             route.due_s - age_s,
             route.abandon_after_s - age_s,
@@ -166,7 +157,6 @@
     def _finish(self, job: HeldJob, task: ItemTask, state: ItemState) -> None:
         """Record the final state of an item and remove it from its job."""
         job.pending.pop(task.index, None)
-        self._not_before.pop(task.item.id, None)
         job.record_end(task, state)
 
 
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -72,15 +72,16 @@
         # they have been read from the headers.
         self.parts: tuple[str, ...] | None = None
         self.failures = 0
-        # Whether the last run was interrupted; if so, the next one uses a
-        # new connection.
-        self.interrupted = False
         self.event_data: list[str] = []
         self.last_id: str | None = None
         # The replicas at which the output may go on.
         self.origin = UNKNOWN_ORIGIN
         # Monotonic time in seconds since which the item waits for a replica.
         self.waiting_since = float(0)
+        # Monotonic time in seconds before which the item does not start.
+        self.not_before = float(0)
+        # Id of the replica where the last run was interrupted, if it was.
+        self.interrupted_at: str | None = None
         # Id of the last event in the stored checkpoint.
         self.checkpoint_id: str | None = None
 
@@ -127,7 +128,8 @@
                 events.TASK_FAILED, error=repr(exc), item=self.task.item.id
             )
             end = RunOutcome.interrupted
-        self.task.interrupted = end == RunOutcome.interrupted
+        interrupted = end == RunOutcome.interrupted
+        self.task.interrupted_at = replica.id if interrupted else None
         return end
 
     def _run(self, replica: Replica) -> RunOutcome:
@@ -137,7 +139,7 @@
                 self._request(),
                 WorkKind.batch,
                 RUN_DEADLINE_S,
-                new_connection=self.task.interrupted,
+                new_connection=self.task.interrupted_at is not None,
             )
         except CactusridgeError:
             return RunOutcome.interrupted
--- a/cactusridge/platform/job_parts.py
+++ b/cactusridge/platform/job_parts.py
@@ -80,7 +80,6 @@
                 store.clock,
                 holder.current,
                 policies.urgency,
-                runner.suspects,
                 runner.shared_parts,
             ),
             self.sharing,
--- a/tests/machine_case.py
+++ b/tests/machine_case.py
@@ -40,6 +40,12 @@
         for name in self.entries:
             self.site.start_entry(name)
 
+    def log_lines(self, text: str) -> list[str]:
+        """Return the log lines of all entries that contain ``text``."""
+        logs = self.log_folder.glob('*.log')
+        lines = (line for log in logs for line in log.read_text().splitlines())
+        return [line for line in lines if text in line]
+
     def runs(self, request_id: str) -> int:
         """Return how many times replicas ran a request."""
         return sum(each.runs[request_id] for each in self.site.replicas)
--- a/tests/test_free_replicas.py
+++ b/tests/test_free_replicas.py
@@ -65,3 +65,21 @@
         self.assertEqual(far, self.found())
         self.loads.set_peer_loads('10.0.0.1:1', {far: Load(SLOTS)})
         self.assertIsNone(self.found())
+
+    def test_replica_that_interrupted_the_item(self):
+        """It is chosen only if no other has room, also in its next life.
+
+        A replica that goes down and up by turns has the most free slots.
+        """
+        flapping = min(self.mine & self.local)
+        busy = dict.fromkeys(self.mine - {flapping}, Load(SLOTS - 1))
+        self.loads.set_offer(CellOffer('z1/0', {}, list(self.mine)))
+        self.loads.set_peer_loads(PEER, busy)
+        self.assertEqual(flapping, self.found())
+        replica_id = self.free.with_most_room(self.route).id
+        found = self.free.with_most_room(self.route, avoided=replica_id)
+        self.assertNotEqual(replica_id, found.id)
+        full = dict.fromkeys(self.mine - {flapping}, Load(SLOTS))
+        self.loads.set_peer_loads(PEER, full)
+        found = self.free.with_most_room(self.route, avoided=replica_id)
+        self.assertEqual(replica_id, found.id)
--- a/tests/test_silent_replica_items.py
+++ b/tests/test_silent_replica_items.py
@@ -25,12 +25,6 @@
         self.wait_done('one', 'j', ITEMS)
         return self.site.results('one', 'j')
 
-    def log_lines(self, text: str) -> list[str]:
-        """Return the log lines of all entries that contain ``text``."""
-        logs = self.log_folder.glob('*.log')
-        lines = (line for log in logs for line in log.read_text().splitlines())
-        return [line for line in lines if text in line]
-
     @params(0.5, 1.4, 2.0)
     def test_silence_of_a_sound_replica_interrupts_no_item(self, silent_s):
         """Each item runs once, and its run is not interrupted."""
