Platform: answers that are bytes without end stop no entry

Callers of all servers: one server whose head, chunk size, extension or trailers do not end stopped the whole entry.

Cause: a read of bytes that have arrived does not wait, so the loop of HttpExchange never let another greenlet or a timer run, and nothing bounded what the parser took. A body that is received whole and a part of an event had no bound either; a slow head restarted its wait with each byte.

The connection is closed and the server counts as failing; one with an endless head has not crashed.

--- a/cactusridge/dispatch/event_splitter.py
+++ b/cactusridge/dispatch/event_splitter.py
@@ -2,11 +2,19 @@
 
 from typing import NamedTuple
 
+from cactusridge.errors import TruncatedReply
+
 EVENT_END = b'\n\n'
+# Longest event in bytes.
+MAX_EVENT_BYTES = 1_048_576
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
 
 
+class EventTooLong(TruncatedReply):
+    """An event is longer than MAX_EVENT_BYTES."""
+
+
 class StreamEvent(NamedTuple):
     """A server-sent event.
 
@@ -50,9 +58,14 @@
         return bool(self._buffer)
 
     def feed(self, received: bytes) -> list[StreamEvent]:
-        """Return the events that ``received`` completes."""
+        """Return the events that ``received`` completes.
+
+        Raises EventTooLong.
+        """
         whole = (self._buffer + received).split(EVENT_END)
         self._buffer = whole.pop()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLong(f'an event has over {MAX_EVENT_BYTES} bytes')
         found = [parse_event(raw + EVENT_END) for raw in whole]
         for event in found:
             self.last_id = event.id or self.last_id
--- a/cactusridge/dispatch/online.py
+++ b/cactusridge/dispatch/online.py
@@ -4,6 +4,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
 from cactusridge.dispatch.awaited import AwaitedHead
+from cactusridge.dispatch.body_buffers import BodyBuffers, BodyTooLong
 from cactusridge.dispatch.catalog import RouteKind
 from cactusridge.dispatch.hedging import Hedging
 from cactusridge.dispatch.online_call import Answer, OnlineCall, Progress
@@ -57,6 +58,7 @@
         self._streams = Streams(
             self._attempts, clock, self._log, self._recorder, self._resumption
         )
+        self._buffers = BodyBuffers()
         self._queueing: Queueing = NoQueueing()
 
     def queue_with(self, queueing: Queueing) -> None:
@@ -151,12 +153,14 @@
         No part of it is sent before it is complete, so that the caller
         never receives a truncated body.
         """
-        parts = []
-        while True:
-            part = run.read(self._attempts.wait_s(call, None))
-            if not part:
-                return b''.join(parts)
-            parts.append(part)
+        with self._buffers.open() as body:
+            while part := run.read(self._attempts.wait_s(call, None)):
+                try:
+                    body.add(part)
+                except BodyTooLong:
+                    run.record_failure()
+                    raise
+            return body.whole()
 
     def _should_retry(
         self,
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -5,7 +5,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
 from cactusridge.dispatch.awaited import AwaitedHead
-from cactusridge.dispatch.event_splitter import EventSplitter
+from cactusridge.dispatch.event_splitter import EventSplitter, EventTooLong
 from cactusridge.dispatch.hedged_stream import HedgedStream
 from cactusridge.dispatch.hedging import Hedging
 from cactusridge.dispatch.online_call import OnlineCall, Progress
@@ -97,7 +97,11 @@
         read, takes them.
         """
         while received := stream.read():
-            found = splitter.feed(received)
+            try:
+                found = splitter.feed(received)
+            except EventTooLong:
+                stream.run.record_failure()
+                raise
             if found:
                 stream.run.record_output()
                 stream.output.record_events(len(found))
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -5,7 +5,11 @@
 
 from cactusridge import events, logs
 from cactusridge.clock import Clock
-from cactusridge.dispatch.event_splitter import EventSplitter
+from cactusridge.dispatch.event_splitter import (
+    EventSplitter,
+    EventTooLong,
+    StreamEvent,
+)
 from cactusridge.dispatch.run import Run, Runner
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import (
@@ -30,6 +34,8 @@
 # Deadline of one run in seconds, which is sent to the replica. An item that
 # takes longer is resumed after its last event in another run.
 RUN_DEADLINE_S = 60.0
+# Longest output of an item, in characters.
+MAX_OUTPUT_CHARS = 16_777_216
 
 
 class RunOutcome(enum.Enum):
@@ -184,16 +190,39 @@
 
     def _read_events(self, run: Run) -> None:
         splitter = EventSplitter(self.task.last_id)
-        received = run.read(READ_TIMEOUT_S)
-        while received:
-            for event in splitter.feed(received):
+        while received := run.read(READ_TIMEOUT_S):
+            for event in self._events(run, splitter, received):
                 run.record_output()
                 self._append_event(event.id, event.payload)
                 self.task.origin = run.replica.origin
-            received = run.read(READ_TIMEOUT_S)
+            self._check_bounds(run)
         if splitter.pending:
             raise TruncatedReply('the stream ended in the middle of an event')
 
+    def _events(
+        self, run: Run, splitter: EventSplitter, received: bytes
+    ) -> list[StreamEvent]:
+        try:
+            return splitter.feed(received)
+        except EventTooLong:
+            run.record_failure()
+            raise
+
+    def _check_bounds(self, run: Run) -> None:
+        """Raise TruncatedReply if the run or its output does not end.
+
+        Output that is too long for any result is discarded.
+        """
+        if run.elapsed_s() > RUN_DEADLINE_S:
+            raise TruncatedReply('the run has passed its deadline')
+        if self._output_chars() > MAX_OUTPUT_CHARS:
+            self.task.start_over()
+            run.record_failure()
+            raise TruncatedReply('the output does not end')
+
+    def _output_chars(self) -> int:
+        return sum(map(len, self.task.event_data))
+
     def _append_event(self, event_id: str | None, payload: str) -> None:
         """Append one event to the output.
 
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -88,7 +88,7 @@
 
     def __init__(self, clock: Clock) -> None:
         """Start with an empty pool."""
-        self._clock = clock
+        self.clock = clock
         self._idle: dict[str, collections.deque[IdleConnection]] = {}
 
     def acquire(self, incarnation: str, address: Address) -> socket.socket:
@@ -96,9 +96,7 @@
         kept = self._idle.get(incarnation)
         while kept:
             idle = kept.pop()
-            if idle.expires_at > self._clock.monotonic() and is_quiet(
-                idle.sock
-            ):
+            if idle.expires_at > self.clock.monotonic() and is_quiet(idle.sock):
                 return idle.sock
             idle.sock.close()
         return self.connect(address)
@@ -132,7 +130,7 @@
         if keep_s <= 0:
             sock.close()
             return
-        expires_at = self._clock.monotonic() + keep_s
+        expires_at = self.clock.monotonic() + keep_s
         kept = self._idle.setdefault(incarnation, collections.deque())
         kept.append(IdleConnection(sock, expires_at))
 
@@ -143,7 +141,7 @@
 
     def close_expired(self) -> None:
         """Close the connections whose idle time has expired."""
-        now = self._clock.monotonic()
+        now = self.clock.monotonic()
         for incarnation, kept in list(self._idle.items()):
             while kept and kept[0].expires_at <= now:
                 kept.popleft().sock.close()
--- a/cactusridge/platform/replica_probe.py
+++ b/cactusridge/platform/replica_probe.py
@@ -1,13 +1,15 @@
 """Checks whether a replica is still running at its address."""
 
 import errno
+import time
 
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
 
 from cactusridge.fleet.replica import Replica
+from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.platform import names
-from cactusridge.platform.reply_parser import ReplyParser
+from cactusridge.platform.reply_parser import FramingTooLong, ReplyParser
 
 METHOD = 'GET'
 MISDIRECTED = 421
@@ -23,15 +25,17 @@
     The probe has no request id, so that no replica runs it. Another process
     at the address responds with 421 (Misdirected Request). A
     replica that keeps the connection open without a response in time is busy
-    and counts as running.
+    and counts as running, as does one whose head does not end.
     """
     parser = ReplyParser(METHOD)
     sock.settimeout(PROBE_TIMEOUT_S)
     try:
         sock.sendall(_request_bytes(replica))
         _read_head(sock, parser)
-    except TimeoutError as exc:
+    except (TimeoutError, BlockingIOError) as exc:
         return is_read_timeout(exc)
+    except FramingTooLong:
+        return True
     except (OSError, HTTPParseError):
         return False
     return parser.status != MISDIRECTED
@@ -59,9 +63,16 @@
 
 
 def _read_head(sock: socket.socket, parser: ReplyParser) -> None:
-    """Read the head of a response; raise OSError or HTTPParseError."""
+    """Read the head of a response; raise OSError or HTTPParseError.
+
+    All of it may take PROBE_TIMEOUT_S.
+    """
+    turns = ReceiveTurns()
+    end_at = time.monotonic() + PROBE_TIMEOUT_S
     while not parser.head_complete:
+        sock.settimeout(max(end_at - time.monotonic(), 0))
         received = sock.recv(RECV_BYTES)
         if not received:
             raise ConnectionResetError('connection closed before a response')
         parser.feed(received)
+        turns.record(len(received))
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -17,6 +17,7 @@
 )
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
 from cactusridge.fleet.replica import Replica
+from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.platform import names
 from cactusridge.platform.connections import (
     Connections,
@@ -57,6 +58,8 @@
         self._sock = sock
         self._connections = connections
         self._parser = ReplyParser(req.method)
+        self._turns = ReceiveTurns()
+        self._clock = connections.clock
         self._sender: gevent.Greenlet | None = None
         self._broken = False
         self._closed = False
@@ -80,13 +83,14 @@
     def head(self, wait_s: float) -> UpstreamHead:
         """Return the head of the response if it belongs to the request.
 
-        Raises UpstreamSilent after ``wait_s`` seconds without bytes,
+        Raises UpstreamSilent after ``wait_s`` seconds without a whole head,
         OutcomeUnknown if the connection breaks, and CrossedReply for bytes
         that are no response to this request.
         """
+        end_at = self._clock.monotonic() + wait_s
         while not self._parser.head_complete:
             try:
-                self._feed(wait_s)
+                self._feed(end_at, wait_s)
             except HTTPParseError as exc:
                 raise CrossedReply(f'not an HTTP response: {exc!r}') from exc
             except OSError as exc:
@@ -96,15 +100,16 @@
     def read(self, wait_s: float) -> bytes:
         """Return the next bytes of the body, none at its end.
 
-        Raises UpstreamSilent after ``wait_s`` seconds without bytes, and
-        TruncatedReply if the body breaks off.
+        Raises UpstreamSilent after ``wait_s`` seconds without a byte of the
+        body, and TruncatedReply if the body breaks off.
         """
+        end_at = self._clock.monotonic() + wait_s
         while True:
             taken = self._parser.take_body()
             if taken or self._parser.complete:
                 return taken
             try:
-                self._feed(wait_s)
+                self._feed(end_at, wait_s)
             except (HTTPParseError, OSError) as exc:
                 raise TruncatedReply(repr(exc)) from exc
 
@@ -137,8 +142,13 @@
             # The connection is already shut down.
             return
 
-    def _feed(self, wait_s: float) -> None:
-        received = self._receive(wait_s)
+    def _feed(self, end_at: float, wait_s: float) -> None:
+        """Parse the next bytes, awaited until ``end_at``.
+
+        ``wait_s`` is the whole wait in seconds, for the error message.
+        """
+        received = self._receive(end_at, wait_s)
+        self._turns.record(len(received))
         if not received:
             self._broken = True
         if not (received or self._parser.head_complete):
@@ -154,13 +164,13 @@
         if not (received or self._parser.complete):
             raise ConnectionResetError('connection closed before the end')
 
-    def _receive(self, wait_s: float) -> bytes:
-        self._sock.settimeout(max(wait_s, 0))
+    def _receive(self, end_at: float, wait_s: float) -> bytes:
+        self._sock.settimeout(max(end_at - self._clock.monotonic(), 0))
         try:
             return self._sock.recv(RECV_BYTES)
         except OSError as exc:
             if is_read_timeout(exc):
-                raise UpstreamSilent(f'no bytes for {wait_s:.3f} s') from exc
+                raise UpstreamSilent(f'silent for {wait_s:.3f} s') from exc
             self._broken = True
             raise
 
