HTTP: callers and peers that send bytes without end stop no process

Callers of a server beside one that sends trailers, chunks of a byte or a body that nobody reads without end waited seconds; such a connection was never closed where no handler read the body, and slow headers had no limit in time (header_timeout_ms was read, and never used).

Change: RequestReader yields each 8 KiB, bounds a head (1 MiB and the limit in force, 408) and the rest of a body that is skipped (16 MiB, 3 s); sockets of calls to the store, peers, sidecars and upstreams yield each 64 KiB and bound a head (256 KiB) and a reply (64 MiB, not in the command line tool); framing is bounded as in replies of replicas, by one class for both.

--- a/cactusridge/cli/api.py
+++ b/cactusridge/cli/api.py
@@ -32,7 +32,9 @@
         self._hint = hint
         self._address = Address(host, parts.port or DEFAULT_PORT)
         self._headers = {'Authorization': f'Bearer {token}'}
-        self._clients = Clients(CONNECT_TIMEOUT_S, READ_TIMEOUT_S)
+        self._clients = Clients(
+            CONNECT_TIMEOUT_S, READ_TIMEOUT_S, max_reply_bytes=None
+        )
 
     def call(
         self,
--- a/cactusridge/http/client.py
+++ b/cactusridge/http/client.py
@@ -12,6 +12,8 @@
 POOL_SIZE = 4096
 # Bytes that are read from a connection at a time.
 BLOCK_SIZE = 65536
+# Most bytes of a reply after its head, unless its reader sets another limit.
+MAX_REPLY_BYTES = 67_108_864
 
 
 class Address(NamedTuple):
@@ -38,8 +40,13 @@
         self,
         connect_timeout_s: float,
         silence_timeout_s: float,
+        max_reply_bytes: int | None = MAX_REPLY_BYTES,
     ) -> None:
-        """Limit connecting and each wait for bytes, in seconds."""
+        """Limit connecting and each wait for bytes, in seconds.
+
+        A reply may have ``max_reply_bytes`` after its head.
+        """
+        self._max_reply_bytes = max_reply_bytes
         self.connect_timeout_s = connect_timeout_s
         self.silence_timeout_s = silence_timeout_s
         self._clients: dict[Address, UnpausedClient] = {}
@@ -103,6 +110,7 @@
             client = UnpausedClient(
                 address.host,
                 address.port,
+                self._max_reply_bytes,
                 concurrency=POOL_SIZE,
                 block_size=BLOCK_SIZE,
                 connection_timeout=self.connect_timeout_s,
--- a/cactusridge/http/handler.py
+++ b/cactusridge/http/handler.py
@@ -1,6 +1,7 @@
 """Serves one connection of gevent's WSGI server."""
 
 import contextlib
+import io
 import socket
 from http import HTTPStatus
 from typing import Any
@@ -20,6 +21,13 @@
 )
 from cactusridge.http.header_section import check_framing, read_section
 from cactusridge.http.readable import is_readable
+from cactusridge.http.request_reader import (
+    MAX_HEAD_BYTES,
+    MAX_REST_BYTES,
+    REST_TIMEOUT_S,
+    RequestReader,
+    TooMuchReceived,
+)
 from cactusridge.http.unreadable import raw_reply, refusal
 
 SERVER_FAULT = 500
@@ -39,9 +47,10 @@
 class Handler(pywsgi.WSGIHandler, Connection):
     """Handles one connection; counts the requests in flight."""
 
-    def __init__(self, *args: Any) -> None:
+    def __init__(self, sock: socket.socket, *args: Any) -> None:
         """Take the arguments of the library's handler."""
-        super().__init__(*args)
+        self._reader = RequestReader(sock)
+        super().__init__(sock, *args, io.BufferedReader(self._reader))
         self._stage = Stage.idle
         self._greenlet = gevent.getcurrent()
 
@@ -92,8 +101,10 @@
         """Wait for a request and return its first line."""
         self._stage = Stage.idle
         self.wsgi_input = None
+        self._reader.unbound()
         self.rfile.peek(1)
         self._stage = Stage.reading
+        self._reader.bound(MAX_HEAD_BYTES, self.server.header_limit_s())
         return super().read_requestline()
 
     def get_environ(self) -> dict[str, Any]:
@@ -102,6 +113,7 @@
         They hold the socket, and the target and the headers of the request
         in their original form.
         """
+        self._reader.unbound()
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
         environ[TARGET_KEY] = self.path
@@ -133,6 +145,15 @@
             super().handle_one_response()
         finally:
             self.server.active -= 1
+            if self._reader.exceeded:
+                self.close_connection = True
+
+    def run_application(self) -> None:
+        """Answer the request; the library then reads the rest of its body."""
+        try:
+            super().run_application()
+        finally:
+            self._reader.bound(MAX_REST_BYTES, REST_TIMEOUT_S)
 
     def log_error(self, msg: str, *args: Any) -> None:
         """Log an error of the library as an event of the catalogue."""
@@ -160,6 +181,13 @@
             self.close_connection = True
         super().finalize_headers()
 
+    def _handle_client_error(self, exc: Exception) -> Any:
+        """Return the reply to a request that cannot be read, and its status."""
+        if isinstance(exc, TooMuchReceived | TimeoutError):
+            logs.emit(events.CONNECTION_BROKEN, error=repr(exc))
+            return str(HTTPStatus.REQUEST_TIMEOUT.value), b''
+        return super()._handle_client_error(exc)
+
     def _has_input(self) -> bool:
         """Return, without waiting, whether bytes have arrived."""
         limit_s = self.socket.gettimeout()
--- a/cactusridge/http/server.py
+++ b/cactusridge/http/server.py
@@ -1,6 +1,7 @@
 """gevent's WSGI server with read timeouts and graceful draining."""
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -13,6 +14,7 @@
 from cactusridge.http.connection_ends import ConnectionEnds, CutRequests
 from cactusridge.http.handler import Handler
 from cactusridge.http.late_refusal import LateRefusal
+from cactusridge.http.request_reader import HEADER_TIMEOUT_S
 from cactusridge.work_meter import CallGreenlet, PartGreenlet
 
 # The library writes no log of its own.
@@ -55,6 +57,8 @@
         self.late_application = late_application or LateRefusal()
         self.clock: Clock = BootClock()
         self.ends = ConnectionEnds(self.clock)
+        # Returns how long the headers of a request may take, in seconds.
+        self.header_limit_s: Callable[[], float] = lambda: HEADER_TIMEOUT_S
         self.active = 0
         self.draining = False
         # Whether new requests are rejected, because the process may exit
--- a/cactusridge/http/unpaused_sockets.py
+++ b/cactusridge/http/unpaused_sockets.py
@@ -6,15 +6,27 @@
 from typing import Any
 
 from gevent import socket
-from geventhttpclient import HTTPClient
+from geventhttpclient import HTTPClient, client
 from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPSocketPoolResponse
 
+from cactusridge.http.bounded_framing import BoundedPoolResponse
 from cactusridge.http.readable import is_readable, is_writable
+from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.http.unpaused_time import UnpausedTimeout
 
 # How often a call that changes nothing is sent again because its connection
 # broke, before the call fails.
 MAX_RESENDS = 2
+# Most bytes of the heads of a reply, with what follows them at once.
+MAX_HEAD_BYTES = 262_144
+
+# The library has no other way to choose the class of its replies.
+client.HTTPSocketPoolResponse = BoundedPoolResponse
+
+
+class ReplyTooLong(OSError):
+    """A reply, or its head, is longer than its bound."""
 
 
 @contextlib.contextmanager
@@ -48,6 +60,25 @@
     space in the send buffer, in seconds without pauses of this process.
     """
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        """Take the arguments of a socket; bytes without end are bounded."""
+        super().__init__(*args, **options)
+        self._turns = ReceiveTurns()
+        # How many more bytes may be received; None means without a bound.
+        self.bytes_left: int | None = None
+
+    def recv(self, *args: Any) -> bytes:
+        """Receive bytes; raise ReplyTooLong beyond ``bytes_left``."""
+        received = super().recv(*args)
+        self._count(len(received))
+        return received
+
+    def recv_into(self, *args: Any) -> int:
+        """Receive into a buffer; raise ReplyTooLong beyond ``bytes_left``."""
+        count = super().recv_into(*args)
+        self._count(count)
+        return count
+
     def connect(self, address: Any) -> None:
         """Connect; raise TimeoutError if the peer does not respond."""
         timeout_s = self.gettimeout()
@@ -75,6 +106,13 @@
         while left:
             left = left[self.send(left, flags) :]
 
+    def _count(self, count: int) -> None:
+        if self.bytes_left is not None:
+            self.bytes_left -= count
+            if self.bytes_left < 0:
+                raise ReplyTooLong('the reply is too long')
+        self._turns.record(count)
+
     def _wait(self, watcher: Any, timeout_exc: Any = None) -> None:
         """Wait until ``watcher`` is ready; all socket operations use this."""
         timeout_s = self.gettimeout()
@@ -116,6 +154,12 @@
 class UnpausedPool(ConnectionPool):
     """A connection pool of ``UnpausedSocket`` objects."""
 
+    def get_socket(self) -> UnpausedSocket:
+        """Return a connection on which the head of a reply is expected."""
+        sock = super().get_socket()
+        sock.bytes_left = MAX_HEAD_BYTES
+        return sock
+
     def _create_tcp_socket(
         self,
         family: int,
@@ -136,8 +180,18 @@
 class UnpausedClient(HTTPClient):
     """An HTTP client that uses ``UnpausedSocket`` objects."""
 
-    def __init__(self, host: str, port: int, **options: float) -> None:
-        """Connect to ``host`` and ``port``, with options of HTTPClient."""
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_reply_bytes: int | None = None,
+        **options: float,
+    ) -> None:
+        """Connect to ``host`` and ``port``, with options of HTTPClient.
+
+        A reply may have ``max_reply_bytes`` after its head.
+        """
+        self._max_reply_bytes = max_reply_bytes
         super().__init__(host, port, **options)
         self._connection_pool = UnpausedPool(
             host,
@@ -152,3 +206,11 @@
         # the size of its pool. With the real size it would retry thousands
         # of times a second if the peer resets each connection.
         self._connection_pool.size = MAX_RESENDS - 1
+
+    def request(self, *args: Any, **options: Any) -> HTTPSocketPoolResponse:
+        """Send a request; return its reply once the head is complete."""
+        resp = super().request(*args, **options)
+        # The library releases the connection with the last byte of a reply.
+        if resp._sock is not None:  # noqa: SLF001
+            resp._sock.bytes_left = self._max_reply_bytes  # noqa: SLF001
+        return resp
--- a/cactusridge/platform/reply_parser.py
+++ b/cactusridge/platform/reply_parser.py
@@ -2,20 +2,12 @@
 
 from collections.abc import Iterable
 
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from cactusridge.http.bounded_framing import BoundedFraming
 
 FIRST_FINAL_STATUS = 200
-# Most bytes of a response besides its body: heads, sizes and extensions of
-# chunks, and trailers. Small chunks may have more.
-MAX_FRAMING_BYTES = 65_536
-MAX_FRAMING_PER_BODY_BYTE = 16
 
 
-class FramingTooLong(HTTPParseError):
-    """The response has too many bytes that are not part of its body."""
-
-
-class ReplyParser(HTTPResponse):
+class ReplyParser(BoundedFraming):
     """Keeps the first final response; bytes that follow it are surplus.
 
     Without this class a second response on the connection would replace the
@@ -27,8 +19,6 @@
         super().__init__(method=method)
         self.status = 0
         self.surplus = False
-        self._body_bytes = 0
-        self._framing_bytes = 0
 
     @property
     def head_complete(self) -> bool:
@@ -48,18 +38,6 @@
         """Return whether the connection may carry another request."""
         return self.complete and not self.surplus and not self.should_close()
 
-    def feed(self, received: bytes) -> None:
-        """Parse ``received``; raise HTTPParseError if it is no response."""
-        before = len(self._body_buffer)
-        super().feed(received)
-        body = len(self._body_buffer) - before
-        self._body_bytes += body
-        self._framing_bytes += len(received) - body
-        more = MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
-        if self.complete or self._framing_bytes <= MAX_FRAMING_BYTES + more:
-            return
-        raise FramingTooLong(f'{self._framing_bytes} bytes besides the body')
-
     def take_body(self) -> bytes:
         """Return the body bytes received since the last call."""
         taken = bytes(self._body_buffer)
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -154,6 +154,10 @@
         """Return the application that refuses and logs late requests."""
         return LateRefusal(names.REQUEST_ID)
 
+    def header_limit_s(self) -> float:
+        """Return the limit of the configuration in force, in seconds."""
+        return self._holder.current().limits.header_s
+
     def start(self) -> None:
         """Start the greenlets and the internal servers."""
         self._peers.start()
--- a/cactusridge/serving.py
+++ b/cactusridge/serving.py
@@ -10,6 +10,7 @@
 from cactusridge.exits import ExitStatus
 from cactusridge.http.connection_ends import END_S
 from cactusridge.http.late_refusal import LateRefusal
+from cactusridge.http.request_reader import HEADER_TIMEOUT_S
 from cactusridge.http.server import QUIET_S, Server
 from cactusridge.start_trace import TRACE, StartStep
 from cactusridge.startup.models import CommonSettings
@@ -47,6 +48,10 @@
         Requests are still served in the meantime.
         """
 
+    def header_limit_s(self) -> float:
+        """Return how long the headers of a request may take, in seconds."""
+        return HEADER_TIMEOUT_S
+
     def close(self) -> None:
         """Store data that is complete only after the last request."""
 
@@ -60,6 +65,7 @@
         cfg.idle_timeout_s,
         role.late_application(),
     )
+    server.header_limit_s = role.header_limit_s
     server.start()
     TRACE.mark(StartStep.listening)
     role.on_listening()
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -17,7 +17,7 @@
     UpstreamFailed,
 )
 from cactusridge.http import unpaused_sockets
-from cactusridge.http.client import Clients, parse_address
+from cactusridge.http.client import MAX_REPLY_BYTES, Clients, parse_address
 from cactusridge.http.probe import is_still_open
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.sidecar.response_bodies import (
@@ -170,6 +170,7 @@
                 self._host_cfg.connect_timeout_s,
                 self.cfg.read_timeout_s,
             )
+            conn.sock.bytes_left = MAX_REPLY_BYTES
         except OSError as exc:
             raise NoReplica(f'cannot connect: {exc!r}') from exc
         try:
