Streams: a version is unknown while no replica of its service is listed

Here an entry that does not know where a stream began refuses it, with one exception, services without versions; that one also held while no replica of the service was listed, as after a start of all in the middle of a release. A replica of another version that was listed before the send then got the stream.

--- a/cactusridge/dispatch/resumption.py
+++ b/cactusridge/dispatch/resumption.py
@@ -20,7 +20,8 @@
 
     The output of two versions does not fit together, and replicas do not
     check it. A stream whose version is not known is not resumed. Services
-    none of whose replicas states a version are exempt.
+    with replicas none of which states a version are exempt; one without any
+    replica may get such that do.
     """
 
     def __init__(self, fleet: FleetView, records: OriginRecords) -> None:
@@ -37,13 +38,13 @@
     def origin_of(self, call: OnlineCall) -> StreamOrigin | None:
         """Return where the stream began that a caller resumes.
 
-        Returns None if the call resumes no stream, or if its services state
-        no versions. Raises CannotResume.
+        Returns None if the call resumes no stream, or if its services have
+        replicas and state no versions. Raises CannotResume.
         """
         if call.req.resume_after is None:
             return None
         services = {each.service for each in call.route.shares if each.weight}
-        if not any(map(self._fleet.states_versions, services)):
+        if self._state_no_versions(services):
             return None
         origin = None
         if call.req.resumes:
@@ -53,3 +54,8 @@
         if origin.service not in services:
             raise CannotResume('the route has left the service of the stream')
         return origin
+
+    def _state_no_versions(self, services: set[str]) -> bool:
+        if services.isdisjoint(self._fleet.services()):
+            return False
+        return not any(map(self._fleet.states_versions, services))
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -19,6 +19,7 @@
 MIN_RESUMED_SHARE = 0.5
 # Seconds after which an entry counts as being in touch again.
 CONTACT_S = 3.0
+OK = 200
 UNAVAILABLE = 503
 
 
@@ -137,6 +138,17 @@
             part = self.resume('two', first, before)
             self.check_one_version(before, part)
 
+    def test_streams_from_before_a_start_of_all_go_on(self):
+        """After a start of all entries streams go on at their versions."""
+        begun = [(self.begin('one'), self.begun) for _ in range(STREAMS)]
+        self.restart_all_entries()
+        gevent.sleep(CONTACT_S)
+        parts = [self.resume('two', *stream) for stream in begun]
+        for (_, before), part in zip(begun, parts, strict=True):
+            self.check_one_version(before, part)
+        went_on = sum(part.status == OK for part in parts)
+        self.assertGreaterEqual(went_on, MIN_RESUMED_SHARE * STREAMS)
+
     def test_entry_that_lists_replicas_which_are_gone(self):
         """An entry without the store still lists the replaced replicas."""
         gevent.sleep(CONTACT_S)
