--- a/soak/job_callers.py
+++ b/soak/job_callers.py
@@ -58,14 +58,26 @@
                 gevent.spawn(self.follow, job)
             gevent.sleep(self._rng.uniform(*BETWEEN_JOBS_S))
 
-    def submit_to(self, entry: str, bodies: Sequence[str]) -> None:
-        """Submit a job once to an entry, and follow it if it is accepted."""
+    def submit_to(self, entry: str, bodies: Sequence[str]) -> str:
+        """Submit a job once to an entry, and follow it if it is accepted.
+
+        Returns its id.
+        """
         self._count += 1
         job = Job(f'{self._name}-{self._count}', list(bodies))
         self._world.record.jobs[job.id] = job
         self._send(job, entry)
         if job.accepted_at is not None:
-            self.follow(job)
+            gevent.spawn(self.follow, job)
+        return job.id
+
+    def send_again(self, job_id: str, entry: str) -> None:
+        """Send a copy of a job to an entry, which may be the first it gets."""
+        job = self._world.record.jobs[job_id]
+        was_accepted = job.accepted_at is not None
+        self._send(job, entry)
+        if job.accepted_at is not None and not was_accepted:
+            gevent.spawn(self.follow, job)
 
     def stop(self) -> None:
         """Stop submitting jobs, but continue to read results."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -5,7 +5,9 @@
 from typing import NamedTuple
 
 from soak.early_jobs import EarlyJobs
+from soak.endless_faults import EndlessAnswers
 from soak.faults import Fault
+from soak.flapping import Flapping
 from soak.link_faults import (
     AnswersLost,
     Delay,
@@ -35,6 +37,7 @@
     Restart,
     Slow,
 )
+from soak.resent_jobs import ResentJobs
 from soak.silence_faults import Silent
 from soak.store_faults import (
     AnswersOfWritesLost,
@@ -100,6 +103,12 @@
 EARLY_JOBS = (EarlyJobs, EarlyJobs)
 # Every such seed that this number divides has little else.
 SHAPES_ONLY_EVERY = 3
+# From this seed on jobs are sent again during hand-overs, replicas go down and
+# up by turns, and others answer without end.
+FIRST_SEED_OF_REPEATS = 1000
+REPEATS = (ResentJobs, Flapping, EndlessAnswers)
+# Of such seeds, one in four each has little else than one of them.
+REPEATS_ONLY = 4
 GAPS_S = (0.1, 2.0)
 LASTS_S = (0.3, 5.0)
 
@@ -128,6 +137,13 @@
 
 
 def _kinds(seed: int) -> tuple[type[Fault], ...]:
+    if seed >= FIRST_SEED_OF_REPEATS:
+        only = REPEATS[seed % REPEATS_ONLY : seed % REPEATS_ONLY + 1]
+        return (*only, Reload) if only else (*_older_kinds(seed), *REPEATS)
+    return _older_kinds(seed)
+
+
+def _older_kinds(seed: int) -> tuple[type[Fault], ...]:
     if seed >= FIRST_SEED_OF_SHAPES and seed % SHAPES_ONLY_EVERY == 0:
         return (*EARLY_JOBS, Reconfigure)
     if seed >= FIRST_SEED_OF_SILENCES and seed % SILENCES_ONLY_EVERY == 0:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,8 +17,9 @@
 # Seed 8 draws planned maintenance only, which may not interrupt any request;
 # seed 9 draws overlapping faults of all kinds. Seed 307 has organisations, and
 # seed 820 has replicas that fall silent beside planned maintenance. In seed 903
-# entries restart in a slow store and the routes of jobs change.
-SEEDS = (8, 9, 307, 820, 903)
+# entries restart in a slow store and the routes of jobs change; in seed 1002
+# servers answer with bytes without end.
+SEEDS = (8, 9, 307, 820, 903, 1002)
 UNSURE = b'{"error":{"code":"limit_unsure"}}'
 
 
