--- a/cactusridge/http/request_reader.py
+++ b/cactusridge/http/request_reader.py
@@ -64,18 +64,25 @@
         """
         self._check()
         try:
-            with self._limited_wait():
-                count = self._sock.recv_into(buffer)
+            count = self._receive(buffer)
         except BlockingIOError:
             return None
-        except TimeoutError as exc:
-            self._check()
-            raise TimeoutError(str(exc)) from exc
         if self._left is not None:
             self._left -= count
         self._turns.record(count)
         return count
 
+    def _receive(self, buffer: memoryview) -> int:
+        try:
+            with self._limited_wait():
+                return self._sock.recv_into(buffer)
+        except TimeoutError:
+            self._check()
+            if not is_readable(self._sock):
+                raise
+        # Bytes have arrived just as the wait ended.
+        return self._sock.recv_into(buffer)
+
     def _check(self) -> None:
         """Raise TooMuchReceived if a bound is exceeded.
 
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -190,12 +190,15 @@
 
     def _read_events(self, run: Run) -> None:
         splitter = EventSplitter(self.task.last_id)
+        output_chars = sum(map(len, self.task.event_data))
         while received := run.read(READ_TIMEOUT_S):
             for event in self._events(run, splitter, received):
                 run.record_output()
-                self._append_event(event.id, event.payload)
+                payload = event.payload
+                self._append_event(event.id, payload)
+                output_chars += len(payload)
                 self.task.origin = run.replica.origin
-            self._check_bounds(run)
+            self._check_bounds(run, output_chars)
         if splitter.pending:
             raise TruncatedReply('the stream ended in the middle of an event')
 
@@ -208,21 +211,18 @@
             run.record_failure()
             raise
 
-    def _check_bounds(self, run: Run) -> None:
+    def _check_bounds(self, run: Run, output_chars: int) -> None:
         """Raise TruncatedReply if the run or its output does not end.
 
         Output that is too long for any result is discarded.
         """
         if run.elapsed_s() > RUN_DEADLINE_S:
             raise TruncatedReply('the run has passed its deadline')
-        if self._output_chars() > MAX_OUTPUT_CHARS:
+        if output_chars > MAX_OUTPUT_CHARS:
             self.task.start_over()
             run.record_failure()
             raise TruncatedReply('the output does not end')
 
-    def _output_chars(self) -> int:
-        return sum(map(len, self.task.event_data))
-
     def _append_event(self, event_id: str | None, payload: str) -> None:
         """Append one event to the output.
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,6 +18,8 @@
 # How much more memory an entry may have, in kilobytes.
 MORE_KIB = 64 * KIB
 ITEMS = 4
+# Part of a log line about a new or changed replica.
+LISTED = '"replica_found"'
 GONE_S = 6
 # A slow answer ends with the time of its request; one that may be repeated is
 # then sent to the other replica.
@@ -37,7 +39,9 @@
         super().setUp()
         self.endless = EndlessReplica()
         self.addCleanup(self.endless.stop)
+        before = len(self.log_lines(LISTED))
         self.site.register(self.site.replicas[0], self.endless.start())
+        wait_for('it is listed', lambda: len(self.log_lines(LISTED)) > before)
 
     def memory_kib(self) -> int:
         """Return the memory of the entry, in kilobytes."""
