Server: a time-out of the application ends a read that it limits

Cause, traced by its code: reads on when a wait ends just as bytes arrive, and took the time-out that LateRefusal sets around the rest of a body (TimeoutError too) for its own, so that a trickling body was read on. Only a wait that the reader itself bounds is taken up now.

--- a/cactusridge/http/request_reader.py
+++ b/cactusridge/http/request_reader.py
@@ -78,9 +78,10 @@
                 return self._sock.recv_into(buffer)
         except TimeoutError:
             self._check()
-            if not is_readable(self._sock):
+            if self._end_at is None or not is_readable(self._sock):
+                # It may be a time-out that the application has set.
                 raise
-        # Bytes have arrived just as the wait ended.
+        # Bytes have arrived just as the bounded wait ended.
         return self._sock.recv_into(buffer)
 
     def _check(self) -> None:
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -19,6 +19,7 @@
 from cactusridge.http.app import App, route
 from cactusridge.http.client import Clients
 from cactusridge.http.exchange import json_reply
+from cactusridge.http.request_reader import RequestReader
 from cactusridge.http.server import Server
 from standins.machines.endless_replica import EndlessReplica, Part
 from standins.ports import Ports
@@ -121,6 +122,42 @@
                 self.assertIn(b'200 OK', sock.recv(BLOCK_BYTES))
 
 
+class EndedWait(socket.socket):
+    """A socket whose first wait ends just as a byte has arrived."""
+
+    waits = 1
+
+    def recv_into(self, *args):
+        """Receive, or raise the error of a time-out."""
+        if self.waits:
+            self.waits -= 1
+            raise TimeoutError
+        return super().recv_into(*args)
+
+
+class TestEndOfWait(unittest.TestCase):
+    """Guards against a time-out of the caller's that a reader swallows."""
+
+    def setUp(self):
+        """Let a byte wait to be read."""
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        sock = EndedWait(near.family, fileno=far.detach())
+        self.addCleanup(sock.close)
+        self.reader = RequestReader(sock)
+        near.sendall(b'x')
+
+    def test_of_another(self):
+        """A time-out that is not the reader's own ends the read."""
+        with self.assertRaises(TimeoutError):
+            self.reader.read(1)
+
+    def test_own(self):
+        """A byte that arrives as the reader's own wait ends is read."""
+        self.reader.bound(9, HEADER_S)
+        self.assertEqual(b'x', self.reader.read(1))
+
+
 class TestEndlessReplies(unittest.TestCase):
     """Guards against a peer whose reply without end stops its caller."""
 
