Platform: an answer that ends by closing counts only if nothing broke

Callers of long uploads: a server answered at once with a 200 without a length, sent a part of its body and reset the connection while the upload was written; the part was delivered as the whole answer.

Cause, by trace of one exchange: a system gives the error of a reset to one operation. The greenlet that sends the upload is waiting too and takes it, so that the read sees an end, and an answer without a length is whole then. A reset after the server's end (a process that exits while the upload is on its way) reaches no read at all.

Change: the end of an answer without a length is believed once the sending greenlet is done, the connection was not reset (TCP_INFO) and the server has received all bytes. Until then the wait goes on: a sound server may answer early, end its half and read on. Answers with a length or in chunks, and all other ends, are as before. Why this is enough: an exited process resets what arrives after its end, while one that has only ended its half receives it.

--- a/cactusridge/http/bounded_framing.py
+++ b/cactusridge/http/bounded_framing.py
@@ -32,6 +32,13 @@
         """Whether the reply is complete, including its body."""
         return bool(self.message_complete)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the end of the connection is that of the body."""
+        framing = ('content-length', 'transfer-encoding')
+        is_framed = any(name in self for name in framing)
+        return self.headers_complete and not (is_framed or self.complete)
+
     def feed(self, received: bytes) -> None:
         """Parse ``received``; raise HTTPParseError if it is no reply."""
         before = len(self._body_buffer)
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -17,6 +17,7 @@
 )
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
 from cactusridge.fleet.replica import Replica
+from cactusridge.http.peer_end import confirm_end
 from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.platform import names
 from cactusridge.platform.connections import (
@@ -165,14 +166,34 @@
             raise ConnectionResetError('connection closed before the end')
 
     def _receive(self, end_at: float, wait_s: float) -> bytes:
-        self._sock.settimeout(max(end_at - self._clock.monotonic(), 0))
+        self._sock.settimeout(self._left_s(end_at))
         try:
-            return self._sock.recv(RECV_BYTES)
+            received = self._sock.recv(RECV_BYTES)
+            if not received and self._parser.ends_with_connection:
+                self._confirm_end(end_at)
         except OSError as exc:
             if is_read_timeout(exc):
                 raise UpstreamSilent(f'silent for {wait_s:.3f} s') from exc
             self._broken = True
             raise
+        return received
+
+    def _confirm_end(self, end_at: float) -> None:
+        """Return once the replica, which has ended its answer, has the request.
+
+        Raises ConnectionResetError if the connection broke, on either half,
+        and TimeoutError if the request is still being sent at ``end_at``.
+        """
+        if self._sender is not None:
+            self._sender.join(self._left_s(end_at))
+            if not self._sender.ready():
+                raise TimeoutError('the request is still being sent')
+        if self._broken:
+            raise ConnectionResetError('the connection broke while sending')
+        confirm_end(self._sock, self._left_s(end_at))
+
+    def _left_s(self, end_at: float) -> float:
+        return max(end_at - self._clock.monotonic(), 0)
 
     def _checked_head(self, headers: HeaderList) -> UpstreamHead:
         by_name = {name.lower(): text for name, text in headers}
--- a/tests/test_connection_lost.py
+++ b/tests/test_connection_lost.py
@@ -23,6 +23,7 @@
 )
 KERNEL_TIMEOUT = TimeoutError(errno.ETIMEDOUT, 'Connection timed out')
 READ_TIMEOUT = TimeoutError('timed out')
+CLOSE_WAIT = bytes((8,))
 NO_DATA = BlockingIOError(errno.EAGAIN, 'try again')
 
 
@@ -41,6 +42,14 @@
     def settimeout(self, timeout_s):
         """Ignore the timeout."""
 
+    def fileno(self):
+        """Return a descriptor of no socket, which has nothing to send."""
+        return 0
+
+    def getsockopt(self, *option):
+        """Return the state of a connection whose peer has ended its half."""
+        return CLOSE_WAIT
+
     def recv(self, size):
         """Return or raise the next step."""
         step = self._script.pop(0)
