Replies: a status outside 100 to 599, or 1xx with a body, ends the exchange

Callers: a server in trouble answered 000. Alone, that held long uploads and requests that may run once to the deadline (504 after 4.9 s of 5). With a 200 behind it on the same connection callers got a 200 with both bodies. 700 was passed on as the answer.

Cause, by reading what the parser keeps: the library accepts any three digits, and what is below 200 counts as interim. Its head is dropped, its body stays in the buffer, and the reader waits for a final head. The body of a real interim answer is kept the same way if it looks like a reply.

Change: the head of each reply is checked as it is complete, in the class from which the parsers of all paths derive; an invalid one is an error of the parser, which closes the connection, counts against the server and lets what may be repeated run elsewhere. Nothing is special about 000.

Already held, tests kept: field names with a blank or a control byte, which the machines' parser refuses (test_no_answers, BAD_NAMES, requests and items).

--- a/cactusridge/http/bounded_framing.py
+++ b/cactusridge/http/bounded_framing.py
@@ -1,4 +1,4 @@
-"""Bounds the bytes of a reply that are not part of its body."""
+"""Parses replies strictly and bounds their bytes besides the body."""
 
 from typing import Any
 
@@ -8,6 +8,12 @@
     HTTPSocketPoolResponse,
 )
 
+from cactusridge.http.reply_head import (
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING,
+    ReplyHead,
+)
+
 # Most bytes of a reply besides its body: heads, sizes and extensions of
 # chunks, and trailers. Small chunks may have more.
 MAX_FRAMING_BYTES = 65_536
@@ -19,7 +25,7 @@
 
 
 class BoundedFraming(HTTPResponse):
-    """A parser of a reply that raises FramingTooLong."""
+    """A parser of a reply that raises FramingTooLong and InvalidHead."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         """Take the arguments of the library's class, which may parse."""
@@ -35,8 +41,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether the end of the connection is that of the body."""
-        framing = ('content-length', 'transfer-encoding')
-        is_framed = any(name in self for name in framing)
+        is_framed = CONTENT_LENGTH in self or TRANSFER_ENCODING in self
         return self.headers_complete and not (is_framed or self.complete)
 
     def feed(self, received: bytes) -> None:
@@ -51,6 +56,11 @@
             return
         raise FramingTooLong(f'{self._framing_bytes} bytes besides the body')
 
+    def _on_headers_complete(self) -> int | bool | None:
+        skips_body = super()._on_headers_complete()
+        ReplyHead(self.get_code(), self.info()).check()
+        return skips_body
+
 
 class BoundedPoolResponse(BoundedFraming, HTTPSocketPoolResponse):
     """A reply on a connection of the library's pool."""
--- a/cactusridge/platform/reply_parser.py
+++ b/cactusridge/platform/reply_parser.py
@@ -3,8 +3,7 @@
 from collections.abc import Iterable
 
 from cactusridge.http.bounded_framing import BoundedFraming
-
-FIRST_FINAL_STATUS = 200
+from cactusridge.http.reply_head import FIRST_FINAL_STATUS
 
 
 class ReplyParser(BoundedFraming):
