Replies: interim responses and bytes behind a reply spoil no other path

Calls to the store, peers, sidecars, entries (command line) and, by POST, to upstreams: a 103 before the reply left its body empty, or the head was read as cut; a second reply in the same packet replaced the status and added its body; noise behind a reply made the whole reply an error.

Cause, by reading: the library releases the connection when any message is complete. After an interim response that is too early, since the body is then looked for in what has arrived already, and the connection goes back to the pool, while a reply is on its way on it. Bytes behind a reply start a new message in the same parser. Only the parser of replicas' answers guarded against that.

Change: one class, StrictReply, keeps the first final reply for every path; the reply of the pool releases its connection when its last bytes are parsed, and closes it if bytes follow. BoundedFraming and what ReplyParser had of it are merged into it.

--- /dev/null
+++ b/cactusridge/http/pooled_reply.py
@@ -0,0 +1,22 @@
+"""A reply on a connection of the library's pool."""
+
+from geventhttpclient.response import HTTPSocketPoolResponse
+
+from cactusridge.http.strict_reply import StrictReply
+
+
+class PooledReply(StrictReply, HTTPSocketPoolResponse):
+    """Releases its connection once its last bytes have been parsed.
+
+    The library does so as soon as a message is complete, which may be an
+    interim response, and before it has parsed the bytes that follow.
+    """
+
+    def feed(self, received: bytes) -> None:
+        """Parse ``received``; raise HTTPParseError if it is no reply."""
+        super().feed(received)
+        if self.complete:
+            self.release()
+
+    def _on_message_complete(self) -> None:
+        self.message_complete = True
--- a/cactusridge/http/unpaused_sockets.py
+++ b/cactusridge/http/unpaused_sockets.py
@@ -10,7 +10,7 @@
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from cactusridge.http.bounded_framing import BoundedPoolResponse
+from cactusridge.http.pooled_reply import PooledReply
 from cactusridge.http.readable import is_readable, is_writable
 from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.http.unpaused_time import UnpausedTimeout
@@ -22,7 +22,7 @@
 MAX_HEAD_BYTES = 262_144
 
 # The library has no other way to choose the class of its replies.
-client.HTTPSocketPoolResponse = BoundedPoolResponse
+client.HTTPSocketPoolResponse = PooledReply
 
 
 class ReplyTooLong(OSError):
--- a/cactusridge/platform/replica_probe.py
+++ b/cactusridge/platform/replica_probe.py
@@ -7,8 +7,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from cactusridge.fleet.replica import Replica
-from cactusridge.http.bounded_framing import FramingTooLong
 from cactusridge.http.receive_turns import ReceiveTurns
+from cactusridge.http.strict_reply import FramingTooLong
 from cactusridge.platform import names
 from cactusridge.platform.reply_parser import ReplyParser
 
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -122,7 +122,7 @@
         sent = self._sender is None or self._sender.ready()
         if self._sender is not None:
             self._sender.kill(block=False)
-        if self._broken or not sent or not self._parser.reusable():
+        if self._broken or not sent or self._parser.should_close():
             self._sock.close()
             return
         stated = self._parser.get('Keep-Alive', '')
--- a/standins/machines/broken_replica.py
+++ b/standins/machines/broken_replica.py
@@ -17,6 +17,8 @@
 # Takes the place of the request's id in an answer.
 ID = b'(id)'
 SIGNED = b'X-Response-Signature: s\r\nX-Attempt-Id: (id)\r\n'
+# Stands between two parts of an answer that arrive one after the other.
+PAUSE = b'(pause)'
 # Bytes of a long request that are read before it is answered.
 EARLY_BYTES = 131_072
 # Longest wait for the rest of a request, in seconds.
@@ -41,7 +43,10 @@
 class BrokenAnswer(NamedTuple):
     """An answer as bytes, in which ``ID`` stands for the request's id.
 
-    The connection ends as ``ending`` says, after ``pause_s`` seconds. If
+    Its parts, between which ``PAUSE`` stands, are sent one after the other.
+
+    There are ``pause_s`` seconds after each part, and
+    then the connection ends as ``ending`` says. If
     ``early`` is set, the answer is sent before the request has been read.
     """
 
@@ -98,8 +103,9 @@
         answer = self.answer
         first = min(length, EARLY_BYTES) if answer.early else length
         self._read(sock, own.decode(), first)
-        sock.sendall(answer.raw.replace(ID, own))
-        gevent.sleep(answer.pause_s)
+        for part in answer.raw.replace(ID, own).split(PAUSE):
+            sock.sendall(part)
+            gevent.sleep(answer.pause_s)
         if answer.ending == Ending.reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         if answer.ending == Ending.half:
--- a/tests/test_reply_parser.py
+++ b/tests/test_reply_parser.py
@@ -43,7 +43,7 @@
         """A cut response is incomplete; surplus bytes prevent reuse."""
         parser = parse(*parts)
         self.assertEqual(whole, parser.complete)
-        self.assertEqual(reusable, parser.reusable())
+        self.assertEqual(reusable, not parser.should_close())
 
     @params((b''.join((WHOLE, OTHER)),), (WHOLE, OTHER))
     def test_surplus_changes_nothing(self, *parts):
--- a/tests/test_strict_replies.py
+++ b/tests/test_strict_replies.py
@@ -10,27 +10,29 @@
 
 BODY = b'Content-Length: 3\r\n\r\nabc'
 OK = b'HTTP/1.1 200 OK\r\n'
-WHOLE = OK + BODY
+WHOLE = b'%b%b' % (OK, BODY)
 NO_STATUS = tuple(
     b'HTTP/1.1 %b X\r\n%b' % (status, BODY)
     for status in (b'000', b'099', b'600', b'999', b'20', b'2000', b'-20')
 )
-INTERIM = b'HTTP/1.1 100 Continue\r\n'
+INTERIM = b'HTTP/1.1 100 Continue\r\n%b'
+HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
 INTERIM_WITH_BODY = (
-    INTERIM + BODY,
-    INTERIM + BODY[:-3],
-    INTERIM + b'Content-Length: %d\r\n\r\n%b' % (len(WHOLE), WHOLE),
-    INTERIM + b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    INTERIM % BODY,
+    INTERIM % BODY[:-3],
+    INTERIM % b'Content-Length: %d\r\n\r\n%b' % (len(WHOLE), WHOLE),
+    INTERIM % b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
     b'HTTP/1.1 101 Switch\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n',
 )
 WHOLE_REPLIES = (
     (WHOLE,),
-    (INTERIM + b'\r\n' + WHOLE,),
-    (INTERIM + b'Content-Length: 0\r\n\r\n' + WHOLE,),
-    (b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n', WHOLE),
-    (b'HTTP/1.1 200\r\n' + BODY,),
-    (b'HTTP/1.0 200 OK\r\n' + BODY,),
-    (b'HTTP/1.1 599 X\r\n' + BODY,),
+    (INTERIM % b'\r\n', WHOLE),
+    (INTERIM % b'Content-Length: 0\r\n\r\n', WHOLE),
+    (HINTS, WHOLE),
+    (HINTS, INTERIM % b'\r\n', WHOLE),
+    (b'HTTP/1.1 200\r\n', BODY),
+    (b'HTTP/1.0 200 OK\r\n', BODY),
+    (b'HTTP/1.1 599 X\r\n', BODY),
 )
 
 
