Replies: the end of a reply without a length is checked on every path

The send has taken the error of the reset, the library goes on reading what has arrived, and an end follows; a reset after the peer's end reaches no read.

Change: the reply of the pool confirms the end as the replicas' answers do.

A peer that ends its half and reads on is believed (test_end).

--- a/cactusridge/http/pooled_reply.py
+++ b/cactusridge/http/pooled_reply.py
@@ -2,6 +2,7 @@
 
 from geventhttpclient.response import HTTPSocketPoolResponse
 
+from cactusridge.http.peer_end import confirm_end
 from cactusridge.http.strict_reply import StrictReply
 
 
@@ -13,7 +14,12 @@
     """
 
     def feed(self, received: bytes) -> None:
-        """Parse ``received``; raise HTTPParseError if it is no reply."""
+        """Parse ``received``; raise HTTPParseError if it is no reply.
+
+        Raises OSError at an end of the connection that is none of the reply.
+        """
+        if not received and self.ends_with_connection:
+            confirm_end(self._sock, self._sock.gettimeout())
         super().feed(received)
         if self.complete:
             self.release()
--- a/tests/test_strict_paths.py
+++ b/tests/test_strict_paths.py
@@ -202,6 +202,13 @@
         self.broken.answer = BrokenAnswer(raw, pause_s=PAUSE_S)
         self.assertEqual(BODY, PATHS[path](self.paths, b'{}'))
 
+    @params(*itertools.product(PATHS, (Ending.reset, Ending.exit)))
+    def test_broken_end(self, path, ending):
+        """A reply without a length is not whole if an upload broke."""
+        self.broken.answer = BrokenAnswer(UNFRAMED, ending, PAUSE_S, early=True)
+        with self.assertRaises(ERRORS):
+            self.fail(PATHS[path](self.paths, UPLOAD))
+
     @params(*PATHS)
     def test_end(self, path):
         """A reply without a length is whole if the upload is read."""
