Sidecar: GET, PUT and DELETE are read by the parser of all other paths

Callers of services behind sidecars, by GET, PUT and DELETE: an upstream's answer with a blank or a control byte in the name of a field, with folded lines, wrong lengths or chunk sizes was passed on, the lines behind the malformed one were lost and bodies came short; a 103 was taken for the answer.

Cause, by trace of one exchange: these methods used the standard library's client, which stops at the first malformed line of a head, takes the rest of it for part of the body, and knows no interim response but 100. It was chosen since the other library sends such requests again.

Change: a client of one connection and one request, which that library cannot send again; its reply is the strict one. As before no other encoding is accepted unless the caller does. A body is yielded as it arrives.

--- a/cactusridge/sidecar/response_bodies.py
+++ b/cactusridge/sidecar/response_bodies.py
@@ -1,16 +1,16 @@
 """Reads the bodies of upstream responses and detects truncated ones."""
 
 from collections.abc import Iterator
-from http.client import HTTPConnection, HTTPException, HTTPResponse
 
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from cactusridge.errors import TruncatedReply
+from cactusridge.http.pooled_reply import PooledReply
 
 EVENT_END = b'\n\n'
 STREAM_END = b'data: [DONE]'
 READ_BLOCK = 65536
-IO_ERRORS = (OSError, HTTPParseError, HTTPException)
+IO_ERRORS = (OSError, HTTPParseError)
 
 
 def read_events(resp: HTTPSocketPoolResponse) -> Iterator[bytes]:
@@ -44,21 +44,14 @@
         raise TruncatedReply(f'reading the body failed: {exc!r}') from exc
 
 
-def read_available(
-    conn: HTTPConnection,
-    resp: HTTPResponse,
-) -> Iterator[bytes]:
-    """Yield each part of a body as it arrives, then close ``conn``.
+def read_parts(resp: PooledReply) -> Iterator[bytes]:
+    """Yield each part of a body as it arrives.
 
-    Raises TruncatedReply if the connection breaks, or if it ends before
-    Content-Length bytes were read.
+    Raises TruncatedReply if the connection breaks before the end.
     """
     try:
-        while block := resp.read1(READ_BLOCK):
-            yield block
+        with resp:
+            while part := resp.read_part():
+                yield part
     except IO_ERRORS as exc:
         raise TruncatedReply(f'reading the body failed: {exc!r}') from exc
-    finally:
-        conn.close()
-    if resp.length:
-        raise TruncatedReply('the body is shorter than its Content-Length')
--- a/cactusridge/sidecar/upstream.py
+++ b/cactusridge/sidecar/upstream.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 from http import HTTPStatus
-from http.client import HTTPConnection
+from types import MappingProxyType
 from typing import NamedTuple
 
 import gevent
@@ -19,17 +19,20 @@
 from cactusridge.http import unpaused_sockets
 from cactusridge.http.client import MAX_REPLY_BYTES, Clients, parse_address
 from cactusridge.http.probe import is_still_open
+from cactusridge.http.single_use import SingleUseClient
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.sidecar.response_bodies import (
     IO_ERRORS,
-    read_available,
     read_blocks,
     read_events,
+    read_parts,
 )
 from cactusridge.startup.models import SidecarSettings, UpstreamSettings
 
 ID_HEADER = 'X-Request-Id'
 RESUME_HEADER = 'X-Resume'
+# Sent unless the caller accepts encodings.
+NO_ENCODING = MappingProxyType({'Accept-Encoding': 'identity'})
 HOP_BY_HOP_HEADERS = frozenset(
     (
         'connection',
@@ -160,28 +163,25 @@
 
         geventhttpclient repeats GET, PUT and DELETE requests when a reused
         connection turns out to be closed. An order may be repeated only by
-        the entry, so these methods use the standard library's client, which
-        never repeats a request.
+        the entry.
         """
-        conn = HTTPConnection(*self.address)
         try:
-            conn.sock = unpaused_sockets.connect(
+            sock = unpaused_sockets.connect(
                 self.address,
                 self._host_cfg.connect_timeout_s,
                 self.cfg.read_timeout_s,
             )
-            conn.sock.bytes_left = MAX_REPLY_BYTES
         except OSError as exc:
             raise NoReplica(f'cannot connect: {exc!r}') from exc
+        client = SingleUseClient(sock, self.address, MAX_REPLY_BYTES)
+        client.default_headers.update(NO_ENCODING)
         try:
-            conn.request(order.method, order.path, body, headers)
-            resp = conn.getresponse()
+            resp = client.request(order.method, order.path, body, headers)
         except IO_ERRORS as exc:
-            conn.close()
             self._raise_if_crashed(exc)
             raise OutcomeUnknown(f'no response: {exc!r}') from exc
-        head = UpstreamHead(resp.status, end_to_end(resp.getheaders()))
-        return Answer(head, self._raising_on_crash(read_available(conn, resp)))
+        head = UpstreamHead(resp.status_code, end_to_end(resp.headers))
+        return Answer(head, self._raising_on_crash(read_parts(resp)))
 
     def _raising_on_crash(self, blocks: Iterator[bytes]) -> Iterator[bytes]:
         """Yield ``blocks``; raise UpstreamCrashed if the upstream has ended.
--- a/tests/test_strict_paths.py
+++ b/tests/test_strict_paths.py
@@ -16,7 +16,7 @@
 from cactusridge.http.client import Address, Clients
 from cactusridge.orders import RunOrder, WorkClass
 from cactusridge.platform.upstream import HttpUpstream
-from cactusridge.sidecar.upstream import Upstream
+from cactusridge.sidecar.upstream import Answer, Upstream
 from cactusridge.startup.models import SidecarSettings
 from standins.machines.broken_replica import (
     PAUSE,
@@ -142,7 +142,7 @@
             found += received
         return found
 
-    def upstream(self, method: str, body: bytes) -> bytes:
+    def call(self, method: str, body: bytes) -> Answer:
         """Let a sidecar send an order to its upstream."""
         order = RunOrder(
             id='r1',
@@ -155,8 +155,7 @@
             deadline_s=60,
         )
         upstream = Upstream(self.cfg.upstreams[0], self.cfg)
-        answer = upstream.call(order, body, resume=False)
-        return b''.join(answer.body)
+        return upstream.call(order, body, resume=False)
 
     def clients(self, body: bytes) -> bytes:
         """Call the store, a peer or a sidecar."""
@@ -174,8 +173,10 @@
     'clients': Paths.clients,
     'api': Paths.api,
     **{
-        method: lambda paths, body, method=method: paths.upstream(method, body)
-        for method in ('POST',)
+        method: lambda paths, body, method=method: b''.join(
+            paths.call(method, body).body
+        )
+        for method in ('POST', 'GET', 'PUT', 'DELETE')
     },
 }
 
@@ -221,3 +222,12 @@
         self.broken.answer = BrokenAnswer(WHOLE[:-1], Ending.exit)
         with self.assertRaises(ERRORS):
             self.fail(PATHS[path](self.paths, b'{}'))
+
+    @params('POST', 'GET', 'PUT', 'DELETE')
+    def test_lines(self, method):
+        """An upstream's headers arrive in order, repeated ones too."""
+        lines = b'X-A: 1\r\nX-A: 2\r\nX-B: \r\nX-C: \xe9\r\n'
+        self.broken.answer = BrokenAnswer(reply(fields=lines))
+        found = self.paths.call(method, b'').head.headers
+        wanted = [('X-A', '1'), ('X-A', '2'), ('X-B', ''), ('X-C', '\xe9')]
+        self.assertEqual(wanted, [each for each in found if each in wanted])
