Replies: other codings, versions and malformed reason phrases are refused

By reading of what the parser lets pass (no caller has reported it): a reply in the coding gzip or in "gzip, chunked" was passed on with coded bytes as its body, one in "chunked, gzip" or two codings with the bytes of its chunks; also HTTP/0.9 and 2.0, chunks in HTTP/1.0, and control bytes in the reason phrase. RFC 9112 lets a server use no coding that was not asked for.

Change: the check of the head takes the version and the coding; `chunked` in HTTP/1.1 is the only one, as for requests.

--- a/cactusridge/http/strict_reply.py
+++ b/cactusridge/http/strict_reply.py
@@ -9,6 +9,7 @@
     FIRST_FINAL_STATUS,
     TRANSFER_ENCODING,
     ReplyHead,
+    check_reason,
 )
 
 # Most bytes of a reply besides its body: heads, sizes and extensions of
@@ -90,11 +91,16 @@
             return True
         skips_body = super()._on_headers_complete()
         code = self.get_code()
-        ReplyHead(code, self.info()).check()
+        ReplyHead(self.get_http_version(), code, self.info()).check()
         if code >= FIRST_FINAL_STATUS:
             self.status = code
         return skips_body
 
+    def _on_status(self, msg: str) -> None:
+        if not self.surplus:
+            check_reason(msg)
+            super()._on_status(msg)
+
     def _on_header_field(self, string: str) -> None:
         if not self.surplus:
             super()._on_header_field(string)
--- a/tests/test_strict_replies.py
+++ b/tests/test_strict_replies.py
@@ -24,6 +24,31 @@
     INTERIM % b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
     b'HTTP/1.1 101 Switch\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n',
 )
+CHUNKS = b'\r\n\r\n3\r\nabc\r\n0\r\n\r\n'
+CODINGS = tuple(
+    b'%bTransfer-Encoding: %b%b' % (OK, coding, CHUNKS)
+    for coding in (
+        b'gzip',
+        b'identity',
+        b'xchunked',
+        b'gzip, chunked',
+        b'chunked, gzip',
+        b'chunked, chunked',
+        b'chunked\r\nTransfer-Encoding: chunked',
+        b'',
+    )
+)
+STATUS_LINES = tuple(
+    b'%b\r\n%b' % (line, BODY)
+    for line in (
+        b'HTTP/0.9 200 OK',
+        b'HTTP/2.0 200 OK',
+        b'HTTP/1.1 200 O\x01K',
+        b'HTTP/1.1 200 O\x00K',
+        b'HTTP/1.1 200 O\x7fK',
+    )
+)
+OLD_CHUNKS = b'HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked%b' % CHUNKS
 WHOLE_REPLIES = (
     (WHOLE,),
     (INTERIM % b'\r\n', WHOLE),
@@ -33,6 +58,8 @@
     (b'HTTP/1.1 200\r\n', BODY),
     (b'HTTP/1.0 200 OK\r\n', BODY),
     (b'HTTP/1.1 599 X\r\n', BODY),
+    (OK, b'Transfer-Encoding: Chunked', CHUNKS),
+    (b'HTTP/1.1 200 \xe9\t ok\r\n', BODY),
 )
 
 
@@ -52,6 +79,8 @@
     @params(
         *itertools.product(NO_STATUS, (whole, in_bytes)),
         *itertools.product(INTERIM_WITH_BODY, (whole, in_bytes)),
+        *itertools.product((*CODINGS, OLD_CHUNKS), (whole, in_bytes)),
+        *itertools.product(STATUS_LINES, (whole, in_bytes)),
     )
     def test_refused(self, raw, split):
         """An error is raised before any of it can be taken for a reply."""
