Streams: comments and blank lines without end are no stream

Cause, by reading: bounds on bytes count a single event. A comment with a blank line is a whole one of three bytes, so that nothing ended such a stream but its deadline, and each read brought 20,000 events to parse and pass on.

Change: what has no data counts as standing before the next event, and has a bound of 64 KiB between two events; beyond it the stream counts as broken off and the server as failing, as with an event that does not end. The check comes before the id of the last event moves on, so that an event that came along is asked for again. Comments are still passed on as they arrive.

--- a/cactusridge/dispatch/event_splitter.py
+++ b/cactusridge/dispatch/event_splitter.py
@@ -7,12 +7,14 @@
 EVENT_END = b'\n\n'
 # Longest event in bytes.
 MAX_EVENT_BYTES = 1_048_576
+# Most bytes of comments and blank lines between two events.
+MAX_BLANK_BYTES = 65_536
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
 
 
 class EventTooLong(TruncatedReply):
-    """An event is longer than MAX_EVENT_BYTES."""
+    """An event, or what stands before it, is longer than its bound."""
 
 
 class StreamEvent(NamedTuple):
@@ -24,6 +26,13 @@
     raw: bytes
     id: str | None
 
+    @property
+    def is_blank(self) -> bool:
+        """Whether there is no data; such an event is none for its reader."""
+        return not any(
+            line.startswith(DATA_FIELD) for line in self.raw.split(b'\n')
+        )
+
     @property
     def payload(self) -> str:
         """The data lines of the event, joined by newlines.
@@ -51,6 +60,7 @@
         """Begin a stream that follows the event with the id ``last_id``."""
         self.last_id = last_id
         self._buffer = b''
+        self._blank_bytes = 0
 
     @property
     def pending(self) -> bool:
@@ -67,6 +77,7 @@
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong(f'an event has over {MAX_EVENT_BYTES} bytes')
         found = [parse_event(raw + EVENT_END) for raw in whole]
+        self._count_blank(found)
         for event in found:
             self.last_id = event.id or self.last_id
         return found
@@ -74,6 +85,14 @@
     def discard_partial(self) -> None:
         """Discard the incomplete event received before a stream broke."""
         self._buffer = b''
+        self._blank_bytes = 0
+
+    def _count_blank(self, found: list[StreamEvent]) -> None:
+        for event in found:
+            size = self._blank_bytes + len(event.raw)
+            self._blank_bytes = size if event.is_blank else 0
+            if self._blank_bytes > MAX_BLANK_BYTES:
+                raise EventTooLong(f'{size} bytes without an event')
 
 
 def parse_event(raw: bytes) -> StreamEvent:
--- a/standins/machines/endless_replica.py
+++ b/standins/machines/endless_replica.py
@@ -31,6 +31,9 @@
     trailers = 'trailers'
     body = 'body'
     event = 'event'
+    comments = 'comments'
+    blank_lines = 'blank lines'
+    bare_events = 'events without an id'
 
 
 class EndlessReplica:
@@ -87,6 +90,9 @@
         Part.trailers: (b'%b1\r\nx\r\n0\r\n' % chunk, b'X-More: more\r\n'),
         Part.body: (b'%b\r\n' % own, b'more'),
         Part.event: (b'%b\r\nid: 1\ndata: ' % own, b'more'),
+        Part.comments: (b'%b\r\n' % own, b':\n\n'),
+        Part.blank_lines: (b'%b\r\n' % own, b'\n'),
+        Part.bare_events: (b'%b\r\n' % own, b'data: x\n\n'),
     }[part]
 
 
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -4,7 +4,11 @@
 
 from nose2.tools import params
 
-from cactusridge.dispatch.event_splitter import EventSplitter
+from cactusridge.dispatch.event_splitter import (
+    MAX_BLANK_BYTES,
+    EventSplitter,
+    EventTooLong,
+)
 
 STREAM = b'id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda'
 
@@ -31,3 +35,17 @@
         found = splitter.feed(b'id: 3\ndata: d\n\n')
         self.assertEqual(['d'], [event.payload for event in found])
         self.assertEqual('3', splitter.last_id)
+
+    @params(b':\n\n', b'\n', b': more\n\n', b'event: ping\n\n', b'id: 9\n\n')
+    def test_no_event(self, repeated):
+        """What holds no data is bounded between two events, not in all."""
+        splitter = EventSplitter()
+        blank = repeated * (MAX_BLANK_BYTES // len(repeated) // 2 * 2)
+        for number in range(4):
+            splitter.feed(blank)
+            splitter.feed(b'id: %d\ndata: a\n\n' % number)
+        splitter.feed(blank)
+        with self.assertRaises(EventTooLong):
+            splitter.feed(b'id: 5\ndata: b\n\n%b%b' % (blank, blank))
+        # The event that came with it is asked for again.
+        self.assertNotEqual('5', splitter.last_id)
