Streams: a version is unknown while another process may be there

Callers of streams, an entry cut off from the store (or the store down) during a release: replicas came back under their ids at another version, and 7 or 8 of the first streams (10 with the store down) held events of both versions.

A request names the id, which the new process has too, and a retry takes a new connection, so that it reaches a process of which the list does not tell yet. A stream that begins there is also recorded under the version of the list.

Change: the version of a connection's process is known if the list was read while the connection was open, or, for a new one, if the list is current (1.8 s) and no connection to that incarnation has ended since; lists of the first seconds after an outage do not count. Else the replica is asked when it was started (GET /api/report, `born`), which costs nothing while the store answers. A stream goes on only where that is known; one that began elsewhere has no origin until it is, and an item starts over. What cannot be known is refused.

--- a/cactusridge/dispatch/resumption.py
+++ b/cactusridge/dispatch/resumption.py
@@ -1,10 +1,10 @@
 """Decides at which replicas a stream may go on."""
 
 from cactusridge.dispatch.online_call import OnlineCall
+from cactusridge.dispatch.run import Run
 from cactusridge.errors import Refused
 from cactusridge.fleet.fleet_view import FleetView
-from cactusridge.fleet.replica import Replica
-from cactusridge.fleet.stream_origin import StreamOrigin
+from cactusridge.fleet.stream_origin import UNKNOWN_ORIGIN, StreamOrigin
 from cactusridge.stream_origins.origin_records import OriginRecords
 
 
@@ -29,11 +29,25 @@
         self._fleet = fleet
         self._records = records
 
-    def record_begin(self, call: OnlineCall, replica: Replica) -> None:
-        """Record where a stream begins or goes on, before an event goes out."""
-        if call.route.resumable and replica.version:
+    def record_begin(
+        self, call: OnlineCall, run: Run, before: StreamOrigin | None
+    ) -> StreamOrigin:
+        """Record where a stream begins or goes on, before an event goes out.
+
+        Returns its origin, which is ``before`` if it was known already, and
+        UNKNOWN_ORIGIN until the process that runs the request is known.
+        """
+        origin = run.origin()
+        if before not in {None, UNKNOWN_ORIGIN}:
+            origin = before
+        if origin == UNKNOWN_ORIGIN:
+            if before is None:
+                run.exchange.ask_process()
+            return origin
+        if call.route.resumable and origin.version:
             stream_id = call.req.resumes or call.req.id
-            self._records.publish(stream_id, replica.origin)
+            self._records.publish(stream_id, origin)
+        return origin
 
     def origin_of(self, call: OnlineCall) -> StreamOrigin | None:
         """Return where the stream began that a caller resumes.
--- a/cactusridge/dispatch/run.py
+++ b/cactusridge/dispatch/run.py
@@ -9,6 +9,7 @@
 from cactusridge.dispatch.upstream import (
     Exchange,
     HeaderList,
+    UnknownProcess,
     Upstream,
     UpstreamHead,
     UpstreamRequest,
@@ -23,6 +24,7 @@
 )
 from cactusridge.fleet.incarnation_listener import IncarnationListener
 from cactusridge.fleet.replica import Replica
+from cactusridge.fleet.stream_origin import UNKNOWN_ORIGIN, StreamOrigin
 from cactusridge.peers.load import WorkKind
 from cactusridge.peers.loads import LoadTable
 from cactusridge.quarantine.crash_evidence import CrashEvidence
@@ -85,6 +87,16 @@
         self._survived = False
         self._received_at = self._opened_at
 
+    def origin(self) -> StreamOrigin:
+        """Return the origin of the output, UNKNOWN_ORIGIN if it is unknown.
+
+        It is known while the process that runs the request is known to be the
+        one that the list names. Where that states no version it does not
+        matter.
+        """
+        is_known = not self.replica.version or self.exchange.is_listed_process()
+        return self.replica.origin if is_known else UNKNOWN_ORIGIN
+
     def elapsed_s(self) -> float:
         """Return the seconds since the request was sent."""
         return self._runner.clock.monotonic() - self._opened_at
@@ -290,6 +302,9 @@
                 exchange = self._upstream.send(
                     replica, req, left_s, new_connection
                 )
+            except UnknownProcess:
+                # Whichever process is there has not failed.
+                raise
             except CactusridgeError:
                 self.health.failed(replica.incarnation, certain=True)
                 raise
--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -16,6 +16,7 @@
 from cactusridge.dispatch.run_recorder import RunRecorder
 from cactusridge.dispatch.upstream import UpstreamRequest
 from cactusridge.errors import CactusridgeError, TruncatedReply
+from cactusridge.fleet.stream_origin import UNKNOWN_ORIGIN
 
 
 class Streams:
@@ -76,12 +77,14 @@
         splitter: EventSplitter,
         progress: Progress,
     ) -> Iterator[bytes]:
-        begun_at: Run | None = None
+        recorded: Run | None = None
         while events := self._read_events(stream, splitter):
-            if begun_at is not stream.run:
-                begun_at = stream.run
-                self._resumption.record_begin(call, begun_at.replica)
-                progress.origin = begun_at.replica.origin
+            if recorded is not stream.run:
+                progress.origin = self._resumption.record_begin(
+                    call, stream.run, progress.origin
+                )
+                if progress.origin != UNKNOWN_ORIGIN:
+                    recorded = stream.run
             yield events
             stream.output.record_taken()
         if splitter.pending:
--- a/cactusridge/dispatch/upstream.py
+++ b/cactusridge/dispatch/upstream.py
@@ -59,6 +59,10 @@
     """The upstream has neither accepted nor refused a connection in time."""
 
 
+class UnknownProcess(ConnectFailed):
+    """Another process than the listed one may be there; nothing was sent."""
+
+
 class UpstreamSilent(CactusridgeError):
     """The upstream sent nothing within the time limit."""
 
@@ -97,6 +101,16 @@
         cancels the request at the upstream.
         """
 
+    def is_listed_process(self) -> bool:
+        """Return whether the listed incarnation is known to run the request.
+
+        A protocol that cannot tell takes it for granted.
+        """
+        return True
+
+    def ask_process(self) -> None:
+        """Find out which incarnation runs the request, without waiting."""
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Interrupt a greenlet that waits for the answer.
--- a/cactusridge/events.py
+++ b/cactusridge/events.py
@@ -81,6 +81,7 @@
 LIMITS_RIGHT_CHANGED: Final = Event(433, 'limits_right_changed')
 LIMIT_UNCOUNTED: Final = Event(434, 'limit_uncounted', 'warning')
 SILENCE_DECIDED: Final = Event(435, 'silence_decided')
+PROCESS_UNKNOWN: Final = Event(436, 'process_unknown', 'warning')
 PEER_UNREACHABLE: Final = Event(410, 'peer_unreachable', 'warning')
 PEER_UNREADABLE: Final = Event(411, 'peer_unreadable', 'warning')
 
--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -197,7 +197,7 @@
                 payload = event.payload
                 self._append_event(event.id, payload)
                 output_chars += len(payload)
-                self.task.origin = run.replica.origin
+                self.task.origin = run.origin()
             self._check_bounds(run, output_chars)
         if splitter.pending:
             raise TruncatedReply('the stream ended in the middle of an event')
--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -3,6 +3,7 @@
 import collections
 import re
 import socket as std_socket
+import weakref
 from typing import NamedTuple
 
 from gevent import socket
@@ -10,6 +11,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.upstream import ConnectFailed, ConnectTimedOut
 from cactusridge.fleet.incarnation_listener import IncarnationListener
+from cactusridge.fleet.process_evidence import ProcessEvidence
 from cactusridge.http.client import Address
 from cactusridge.http.probe import is_quiet
 
@@ -86,9 +88,15 @@
     for its successor, even if both have the same id and address.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with an empty pool."""
+    def __init__(
+        self, clock: Clock, evidence: ProcessEvidence | None = None
+    ) -> None:
+        """Start with an empty pool; record unexpected ends in ``evidence``."""
         self.clock = clock
+        self.evidence = evidence or ProcessEvidence(clock)
+        self._connected_at: weakref.WeakKeyDictionary[socket.socket, float] = (
+            weakref.WeakKeyDictionary()
+        )
         self._idle: dict[str, collections.deque[IdleConnection]] = {}
 
     def acquire(self, incarnation: str, address: Address) -> socket.socket:
@@ -98,6 +106,8 @@
             idle = kept.pop()
             if idle.expires_at > self.clock.monotonic() and is_quiet(idle.sock):
                 return idle.sock
+            if idle.expires_at > self.clock.monotonic():
+                self.evidence.record_end(incarnation)
             idle.sock.close()
         return self.connect(address)
 
@@ -118,8 +128,13 @@
             raise ConnectTimedOut(f'{address}: {exc!r}') from exc
         except OSError as exc:
             raise ConnectFailed(f'{address}: {exc!r}') from exc
+        self._connected_at[sock] = self.clock.monotonic()
         return sock
 
+    def connected_at(self, sock: socket.socket) -> float:
+        """Return when a connection was established, in clock seconds."""
+        return self._connected_at.get(sock, self.clock.monotonic())
+
     def release(
         self,
         incarnation: str,
--- a/cactusridge/platform/discovery.py
+++ b/cactusridge/platform/discovery.py
@@ -9,6 +9,7 @@
     MissingStartTime,
     OlderIncarnation,
 )
+from cactusridge.fleet.process_evidence import ProcessEvidence
 from cactusridge.fleet.replica import Replica
 from cactusridge.platform.replica_entry import UnreadableEntry, read_entry
 from cactusridge.start_trace import TRACE, StartStep
@@ -27,9 +28,18 @@
 class Discovery(TableListener):
     """Applies the entries of the replica list to the fleet view."""
 
-    def __init__(self, fleet: FleetView, clock: Clock) -> None:
-        """Apply the list in the store to ``fleet``."""
+    def __init__(
+        self,
+        fleet: FleetView,
+        clock: Clock,
+        evidence: ProcessEvidence | None = None,
+    ) -> None:
+        """Apply the list in the store to ``fleet``.
+
+        ``evidence`` gets the times at which the list was current.
+        """
         self._fleet = fleet
+        self._evidence = evidence or ProcessEvidence(clock)
         self._clock = clock
         # Whether the list of replicas has been read.
         self.is_read = False
@@ -81,7 +91,12 @@
             self._drop(key)
 
     def up_to_date(self, begun_at: float, whole: bool) -> None:
-        """Record a read of the whole list."""
+        """Record a read of the list or of its changes.
+
+        Just after an outage of the store the list may still be an old one.
+        """
+        if self._clock.monotonic() >= self._grace_until:
+            self._evidence.record_list()
         if whole:
             self.is_read = True
             TRACE.mark(StartStep.replicas)
--- a/cactusridge/platform/role.py
+++ b/cactusridge/platform/role.py
@@ -8,6 +8,7 @@
 from cactusridge.dispatch import policies
 from cactusridge.dispatch.run import Runner
 from cactusridge.fleet.fleet_view import FleetView
+from cactusridge.fleet.process_evidence import ProcessEvidence
 from cactusridge.http.app import Route, route
 from cactusridge.http.late_refusal import LateRefusal
 from cactusridge.organisations.key_lease import KeyLease
@@ -56,8 +57,9 @@
         lease = KeyLease(clock, cfg.key_lease_s)
         self._holder = catalog_holder.CatalogHolder(lease)
         self._fleet = FleetView()
-        self._discovery = discovery.Discovery(self._fleet, clock)
-        self._upstream = HttpUpstream(clock)
+        evidence = ProcessEvidence(clock)
+        self._discovery = discovery.Discovery(self._fleet, clock, evidence)
+        self._upstream = HttpUpstream(clock, evidence)
         loads = LoadTable(clock)
         health = policies.make_outliers(cfg.policy, clock)
         self._strikes = StrikeParts(cfg, self._store.rows, clock)
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -10,12 +10,14 @@
     ConnectTimedOut,
     Exchange,
     HeaderList,
+    UnknownProcess,
     Upstream,
     UpstreamHead,
     UpstreamRequest,
     UpstreamSilent,
 )
 from cactusridge.errors import CrossedReply, OutcomeUnknown, TruncatedReply
+from cactusridge.fleet.process_evidence import ProcessEvidence
 from cactusridge.fleet.replica import Replica
 from cactusridge.http.peer_end import confirm_end
 from cactusridge.http.receive_turns import ReceiveTurns
@@ -25,6 +27,7 @@
     idle_limit_s,
     sending_socket,
 )
+from cactusridge.platform.process_check import ProcessCheck
 from cactusridge.platform.prompt_parts import shared_parts
 from cactusridge.platform.replica_probe import (
     MISDIRECTED,
@@ -52,8 +55,10 @@
         req: UpstreamRequest,
         sock: socket.socket,
         connections: Connections,
+        check: ProcessCheck | None = None,
     ) -> None:
         """Send ``req`` and read its response on ``sock``."""
+        self._check = check or ProcessCheck(connections)
         self._replica = replica
         self._req = req
         self._sock = sock
@@ -76,7 +81,7 @@
         try:
             self._sock.sendall(raw)
         except OSError as exc:
-            self._broken = True
+            self._lose()
             raise OutcomeUnknown(
                 f'the connection broke while sending: {exc!r}'
             ) from exc
@@ -143,6 +148,19 @@
             # The connection is already shut down.
             return
 
+    def is_listed_process(self) -> bool:
+        """Return whether the listed incarnation is at the other end."""
+        return self._check.is_certain(self._replica, self._sock)
+
+    def ask_process(self) -> None:
+        """Ask the replica which incarnation it is, on another connection."""
+        self._check.ask(self._replica)
+
+    def _lose(self) -> None:
+        """Record that the connection ended before its answer."""
+        self._broken = True
+        self._connections.evidence.record_end(self._replica.incarnation)
+
     def _feed(self, end_at: float, wait_s: float) -> None:
         """Parse the next bytes, awaited until ``end_at``.
 
@@ -153,6 +171,7 @@
         if not received:
             self._broken = True
         if not (received or self._parser.head_complete):
+            self._lose()
             raise ConnectionResetError('connection closed before a response')
         try:
             self._parser.feed(received)
@@ -163,6 +182,7 @@
             if not self._parser.complete:
                 raise
         if not (received or self._parser.complete):
+            self._lose()
             raise ConnectionResetError('connection closed before the end')
 
     def _receive(self, end_at: float, wait_s: float) -> bytes:
@@ -174,7 +194,7 @@
         except OSError as exc:
             if is_read_timeout(exc):
                 raise UpstreamSilent(f'silent for {wait_s:.3f} s') from exc
-            self._broken = True
+            self._lose()
             raise
         return received
 
@@ -228,10 +248,13 @@
 class HttpUpstream(Upstream):
     """Sends requests over pooled connections."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with an empty pool."""
+    def __init__(
+        self, clock: Clock, evidence: ProcessEvidence | None = None
+    ) -> None:
+        """Start with an empty pool; know processes by ``evidence``."""
         self._clock = clock
-        self.connections = Connections(clock)
+        self.connections = Connections(clock, evidence)
+        self._check = ProcessCheck(self.connections)
 
     def send(
         self,
@@ -244,16 +267,19 @@
 
         ``left_s`` is the remaining time in seconds. If ``new_connection`` is
         set, the request goes out on a new connection. Raises ConnectFailed or
-        OutcomeUnknown.
+        OutcomeUnknown. A stream that goes on at a software version is sent to
+        the listed process alone; UnknownProcess, a ConnectFailed, is raised
+        unless that is known to be at the other end.
         """
         raw = request_bytes(replica, req, left_s)
-        if new_connection:
-            sock = self.connections.connect(replica.address)
-        else:
-            sock = self.connections.acquire(
-                replica.incarnation, replica.address
-            )
-        exchange = HttpExchange(replica, req, sock, self.connections)
+        sock = self._connection(replica, new_connection)
+        is_bound = req.resume_after is not None and bool(replica.version)
+        if is_bound and not self._check.confirm(replica, sock):
+            sock.close()
+            raise UnknownProcess(f'{replica.id} may be another process')
+        exchange = HttpExchange(
+            replica, req, sock, self.connections, self._check
+        )
         try:
             exchange.start(raw)
         except BaseException:
@@ -283,3 +309,17 @@
     def shared_parts(self, headers: HeaderList) -> tuple[str, ...]:
         """Return the keys of all parts of a prompt but the last, in order."""
         return shared_parts(headers)
+
+    def _connection(
+        self, replica: Replica, new_connection: bool
+    ) -> socket.socket:
+        """Return a connection to ``replica``; raise ConnectFailed."""
+        try:
+            if new_connection:
+                return self.connections.connect(replica.address)
+            return self.connections.acquire(
+                replica.incarnation, replica.address
+            )
+        except ConnectFailed:
+            self.connections.evidence.record_end(replica.incarnation)
+            raise
--- a/standins/machines/replica.py
+++ b/standins/machines/replica.py
@@ -10,10 +10,12 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
+from cactusridge import wire
 from cactusridge.http.exchange import HEADERS_KEY, SOCKET_KEY, TARGET_KEY
 from standins.machines.silences import Silences
 
 STEP_S = 0.01
+REPORT = '/api/report'
 CRASH = b'crash'
 SILENT = b'silent'
 UNMARKED_VERSION = '1'
@@ -63,6 +65,8 @@
 
     service = MAIN_SERVICE
     full = False
+    # Whether it states when it was started.
+    reports = True
 
     def __init__(self, replica_id: str, slots: int) -> None:
         """Create the replica ``replica_id`` with ``slots`` slots."""
@@ -92,6 +96,8 @@
         misdirected = headers.get('X-Expect-Instance') != self.id
         sock = environ[SOCKET_KEY]
         self._wait_silent(sock)
+        if self.reports and environ[TARGET_KEY] == REPORT:
+            return self._report(start)
         if misdirected:
             return self._refuse(start, '421 Misdirected Request')
         if not request_id:
@@ -154,6 +160,12 @@
         """Return the seconds that an event takes, given the requested ones."""
         return requested_s
 
+    def _report(self, start: Start) -> list[bytes]:
+        """Return what the replica says of itself."""
+        raw = wire.encode({'born': self.born, 'running': self.running})
+        start('200 OK', [('Content-Type', 'application/json')])
+        return [raw]
+
     def _respond(
         self,
         body: bytes,
