Streams: a list that is read just after a restart does not tell of it yet

Cause, by the entry's log: the connection to the old process ended, an answer about another replica's row 30 ms later cleared that, and the request went to the new process 58 ms before its own row was read.

--- a/cactusridge/platform/connections.py
+++ b/cactusridge/platform/connections.py
@@ -151,6 +151,7 @@
 
     def incarnation_ended(self, incarnation: str) -> None:
         """Close the idle connections to an incarnation that has ended."""
+        self.evidence.incarnation_ended(incarnation)
         for idle in self._idle.pop(incarnation, ()):
             idle.sock.close()
 
