Soak: broken answers, streams without an event, an entry out of step

From seed 1100 on, one such seed in four each with little else: a server that answers uploads early without a length and resets them, with the status 000, an interim response with a body, a malformed name or another coding; one whose streams are comments or blank lines; replicas that change their versions under their ids while an entry is cut off from the store. Seeds below draw what they drew. Callers of streams no longer count what has no data as an event.

--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from soak.broken_faults import BrokenAnswers, OutOfStep
 from soak.early_jobs import EarlyJobs
-from soak.endless_faults import EndlessAnswers
+from soak.endless_faults import EndlessAnswers, EndlessComments
 from soak.faults import Fault
 from soak.flapping import Flapping
 from soak.link_faults import (
@@ -109,6 +110,13 @@
 REPEATS = (ResentJobs, Flapping, EndlessAnswers)
 # Of such seeds, one in four each has little else than one of them.
 REPEATS_ONLY = 4
+# From this seed on replicas break their answers off, send bytes that are no
+# answer or streams without an event, and change their versions under their ids
+# while an entry is cut off.
+FIRST_SEED_OF_BROKEN = 1100
+BROKEN = (BrokenAnswers, OutOfStep, EndlessComments)
+# Of such seeds, one in four each has little else than one of them.
+BROKEN_ONLY = 4
 GAPS_S = (0.1, 2.0)
 LASTS_S = (0.3, 5.0)
 
@@ -137,6 +145,9 @@
 
 
 def _kinds(seed: int) -> tuple[type[Fault], ...]:
+    if seed >= FIRST_SEED_OF_BROKEN:
+        own = BROKEN[seed % BROKEN_ONLY : seed % BROKEN_ONLY + 1]
+        return (*own, Reload) if own else (*_older_kinds(seed), *BROKEN)
     if seed >= FIRST_SEED_OF_REPEATS:
         only = REPEATS[seed % REPEATS_ONLY : seed % REPEATS_ONLY + 1]
         return (*only, Reload) if only else (*_older_kinds(seed), *REPEATS)
--- a/standins/machines/stream_caller.py
+++ b/standins/machines/stream_caller.py
@@ -102,7 +102,9 @@
 
 
 def _events(resp: HTTPResponse) -> Iterator[StreamEvent]:
-    """Yield complete events; raises an error if the stream is cut off."""
+    """Yield events with data; raises an error if the stream is cut off."""
     splitter = EventSplitter()
     while received := resp.read1():
-        yield from splitter.feed(received)
+        yield from (
+            event for event in splitter.feed(received) if not event.is_blank
+        )
--- a/tests/test_endless_comments.py
+++ b/tests/test_endless_comments.py
@@ -104,7 +104,5 @@
         self.assertLess(time.monotonic() - begun_at, BOUND_S)
         self.assertTrue(self.endless.answers[part])
         for each in streams:
-            # What is no event is passed on too, and has no data.
-            found = [text for text in each.value.events if text]
-            self.assertEqual(['e1', 'e2', 'e3'], found)
+            self.assertEqual(['e1', 'e2', 'e3'], each.value.events)
             self.assertTrue(each.value.whole)
