Streams: events without a pause keep no other caller waiting

Callers beside six streams of one server whose events (nine bytes each) follow each other without end: answers took up to 5 s, some requests got 504.

Cause, by `top` and by reading: the entry uses a whole processor. Each read of 64 KiB brings 7,000 events to parse and pass on, some 25 ms, and between two steps of any other request each such stream has a read.

Change: after a read of 1,024 events or more a stream waits 0.1 s, one such stream at a time, so that all of them together take a fraction of the processor. Streams that bring fewer at a time, as all sound ones do, are not affected. Streams of events without end still have the time that their requests have.

--- a/cactusridge/dispatch/streams.py
+++ b/cactusridge/dispatch/streams.py
@@ -5,6 +5,7 @@
 from cactusridge.clock import Clock
 from cactusridge.dispatch.attempts import Attempts
 from cactusridge.dispatch.awaited import AwaitedHead
+from cactusridge.dispatch.event_floods import EventFloods
 from cactusridge.dispatch.event_splitter import EventSplitter, EventTooLong
 from cactusridge.dispatch.hedged_stream import HedgedStream
 from cactusridge.dispatch.hedging import Hedging
@@ -37,6 +38,7 @@
         self._clock = clock
         self._log = log
         self._hedging = Hedging(attempts, clock, log)
+        self._floods = EventFloods()
 
     def relay(
         self,
@@ -106,6 +108,7 @@
                 stream.run.record_failure()
                 raise
             if found:
+                self._floods.pause(len(found))
                 stream.run.record_output()
                 stream.output.record_events(len(found))
                 return b''.join(event.raw for event in found)
--- a/tests/test_endless_comments.py
+++ b/tests/test_endless_comments.py
@@ -94,6 +94,13 @@
         gevent.joinall(streams, timeout=GONE_S)
         wait_for('all are closed', lambda: not self.endless.open, GONE_S)
 
+    def test_other_callers_beside_events(self):
+        """Callers beside streams of events without end are answered in time.
+
+        Such streams have the time that their requests have.
+        """
+        self.check_other_callers(Part.bare_events)
+
     @params(*PARTS)
     def test_streams(self, part):
         """Streams without an event go on at the sound server, if resumable."""
