Probe: a server that sends no answer is in trouble, and has not crashed

By reading, as a consequence of the strict head: the answer to a probe that is no answer (000, a malformed name, noise) counted as the end of the process, and so as a crash under each request whose connection had broken there. A bound on the head already counted so; now all bytes that are no response do. An end, a reset or a 421 is a crash as before.

--- a/cactusridge/platform/replica_probe.py
+++ b/cactusridge/platform/replica_probe.py
@@ -8,7 +8,6 @@
 
 from cactusridge.fleet.replica import Replica
 from cactusridge.http.receive_turns import ReceiveTurns
-from cactusridge.http.strict_reply import FramingTooLong
 from cactusridge.platform import names
 from cactusridge.platform.reply_parser import ReplyParser
 
@@ -26,7 +25,8 @@
     The probe has no request id, so that no replica runs it. Another process
     at the address responds with 421 (Misdirected Request). A
     replica that keeps the connection open without a response in time is busy
-    and counts as running, as does one whose head does not end.
+    and counts as running, as does one that sends bytes which are no response:
+    it is in trouble, but no request has crashed it.
     """
     parser = ReplyParser(METHOD)
     sock.settimeout(PROBE_TIMEOUT_S)
@@ -35,9 +35,9 @@
         _read_head(sock, parser)
     except (TimeoutError, BlockingIOError) as exc:
         return is_read_timeout(exc)
-    except FramingTooLong:
+    except HTTPParseError:
         return True
-    except (OSError, HTTPParseError):
+    except OSError:
         return False
     return parser.status != MISDIRECTED
 
--- a/tests/test_strict_paths.py
+++ b/tests/test_strict_paths.py
@@ -231,3 +231,25 @@
         found = self.paths.call(method, b'').head.headers
         wanted = [('X-A', '1'), ('X-A', '2'), ('X-B', ''), ('X-C', '\xe9')]
         self.assertEqual(wanted, [each for each in found if each in wanted])
+
+
+class TestProbe(unittest.TestCase):
+    """What a server's answer to a probe says of its process."""
+
+    @params(
+        *((raw, Ending.stays, True) for raw in (WHOLE, *BAD_STATUS)),
+        *((raw, Ending.stays, True) for raw in BAD_NAMES),
+        (b'', Ending.exit, False),
+        (b'', Ending.reset, False),
+        (WHOLE[:9], Ending.exit, False),
+        (reply(b'HTTP/1.1 421 Misdirected'), Ending.stays, False),
+    )
+    def test_is_running(self, raw, ending, running):
+        """A server that sends no answer is in trouble, and has not crashed."""
+        broken = BrokenReplica()
+        self.addCleanup(broken.stop)
+        broken.answer = BrokenAnswer(raw, ending)
+        address = Address(*broken.start())
+        replica = Replica('i-1', 's', address, 'z', 8, ReplicaState.ready)
+        upstream = HttpUpstream(SystemClock())
+        self.assertEqual(running, upstream.is_running(replica, WAIT_S))
