Streams: an end within chunks is evidence too, an own abort is none

Found in reading the diff: the parser raises at the end of a connection within chunks, before the end was recorded, so that a process that exits in the middle of a stream left no doubt about its successor; a connection that this entry shuts down for a caller that has left did. A check of the process also asked twice where once tells, which may take half a second at a silent replica.

tests.test_connection_lost, test_evidence: 2 of 7 red before; after: green, with test_early_ends, test_unframed_streams, test_closed_runs, test_life_ends and test_hedged_streams (98 of 98).

--- a/cactusridge/platform/process_check.py
+++ b/cactusridge/platform/process_check.py
@@ -49,9 +49,12 @@
 
     def confirm(self, replica: Replica, sock: socket.socket) -> bool:
         """Return whether ``sock`` leads to ``replica``; ask if necessary."""
-        if not self.is_certain(replica, sock):
-            self.ask(replica).join()
-        # An answer that was already on its way may have been too early.
+        if self.is_certain(replica, sock):
+            return True
+        on_its_way = self._asking.get(replica.incarnation)
+        if on_its_way is not None:
+            on_its_way.join()
+        # That one may have been asked before this connection was established.
         if not self.is_certain(replica, sock):
             self.ask(replica).join()
         return self.is_certain(replica, sock)
--- a/cactusridge/platform/upstream.py
+++ b/cactusridge/platform/upstream.py
@@ -68,6 +68,7 @@
         self._clock = connections.clock
         self._sender: gevent.Greenlet | None = None
         self._broken = False
+        self._aborted = False
         self._closed = False
 
     def start(self, raw: bytes) -> None:
@@ -142,6 +143,7 @@
         if self._closed:
             return
         self._broken = True
+        self._aborted = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -159,6 +161,8 @@
     def _lose(self) -> None:
         """Record that the connection ended before its answer."""
         self._broken = True
+        if self._aborted:
+            return
         self._connections.evidence.record_end(self._replica.incarnation)
 
     def _feed(self, end_at: float, wait_s: float) -> None:
@@ -170,8 +174,9 @@
         self._turns.record(len(received))
         if not received:
             self._broken = True
-        if not (received or self._parser.head_complete):
+        if not (received or self._parser.ends_with_connection):
             self._lose()
+        if not (received or self._parser.head_complete):
             raise ConnectionResetError('connection closed before a response')
         try:
             self._parser.feed(received)
@@ -182,7 +187,6 @@
             if not self._parser.complete:
                 raise
         if not (received or self._parser.complete):
-            self._lose()
             raise ConnectionResetError('connection closed before the end')
 
     def _receive(self, end_at: float, wait_s: float) -> bytes:
--- a/tests/test_connection_lost.py
+++ b/tests/test_connection_lost.py
@@ -1,5 +1,6 @@
 """Tests that a broken connection is distinguished from a silent one."""
 
+import contextlib
 import errno
 import unittest
 
@@ -7,7 +8,11 @@
 
 from cactusridge.clock import SystemClock
 from cactusridge.dispatch.upstream import UpstreamRequest, UpstreamSilent
-from cactusridge.errors import OutcomeUnknown, TruncatedReply
+from cactusridge.errors import (
+    CactusridgeError,
+    OutcomeUnknown,
+    TruncatedReply,
+)
 from cactusridge.fleet.replica import Replica, ReplicaState
 from cactusridge.platform.connections import Connections
 from cactusridge.platform.upstream import HttpExchange
@@ -21,6 +26,7 @@
         b'\r\n',
     ),
 )
+UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n\r\n'
 KERNEL_TIMEOUT = TimeoutError(errno.ETIMEDOUT, 'Connection timed out')
 READ_TIMEOUT = TimeoutError('timed out')
 CLOSE_WAIT = bytes((8,))
@@ -95,6 +101,34 @@
         with self.assertRaises(expected):
             exchange.read(WAIT_S)
 
+    @params(
+        ((READ_TIMEOUT,), False),
+        ((KERNEL_TIMEOUT,), True),
+        ((b'',), True),
+        ((HEAD, b''), True),
+        ((HEAD, b'3\r\nabc\r\n', b''), True),
+        ((HEAD, b'0\r\n\r\n'), False),
+        ((UNFRAMED, b'abc', b''), False),
+    )
+    def test_evidence(self, script, ended):
+        """An end before that of the answer may be that of the process."""
+        exchange = _exchange(*script)
+        evidence = exchange._connections.evidence
+        with contextlib.suppress(CactusridgeError):
+            exchange.head(WAIT_S)
+            while exchange.read(WAIT_S):
+                """Read on."""
+        self.assertEqual(ended, 'i-1' in evidence._ended_at)
+
+    def test_abort_is_no_evidence(self):
+        """A connection that this entry shuts down shows no end of a process."""
+        exchange = _exchange(HEAD, b'')
+        exchange.head(WAIT_S)
+        exchange.abort()
+        with self.assertRaises(TruncatedReply):
+            exchange.read(WAIT_S)
+        self.assertFalse(exchange._connections.evidence._ended_at)
+
     def test_connection_of_another_request_is_shut_down(self):
         """A caller that leaves late aborts a request that has ended."""
         keep_alive = b'Keep-Alive: timeout=9\r\n\r\n'
