--- a/soak/broken_faults.py
+++ b/soak/broken_faults.py
@@ -25,8 +25,8 @@
 MAX_PAUSE_S = 0.3
 CALLERS = 3
 SHORT = b'plain'
-# Longer than the buffers of a connection that has just been opened.
-LONG = SHORT.ljust(900_000, b'.')
+# Longer than the buffers of a connection.
+LONG = SHORT.ljust(4_000_000, b'.')
 SPOILT = b'Content-Length: 6\r\n\r\nspoilt'
 UNFRAMED = b'HTTP/1.1 200 OK\r\n%b\r\nid: 1\ndata: par' % SIGNED
 FINAL = b'HTTP/1.1 200 OK\r\n%b%b' % (SIGNED, SPOILT)
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -12,6 +12,7 @@
 from soak.organisation_checks import REVOKED_BOUND_S
 from soak.organisations import LIMITS, Organisations
 from soak.schedule import (
+    FIRST_SEED_OF_BROKEN,
     FIRST_SEED_OF_SHAPES,
     FIRST_SEED_OF_SILENCES,
     FIRST_SEED_OF_VERSIONS,
@@ -34,6 +35,8 @@
 # What the store's clock shows at the start of a run: that of a store which has
 # just started, and of one that runs for a month.
 CLOCK_STARTS_S = (1.0, 2_592_000.0)
+# Largest body where callers upload, in bytes.
+MAX_BODY_BYTES = 8 << 20
 # What the machines have: entries take requests for 3 s after SIGTERM.
 STOP_SETTINGS = MappingProxyType(
     {'readiness_delay_s': 2.7, 'drain_timeout_s': 4.5}
@@ -70,6 +73,8 @@
         world.mix_versions()
     if seed >= FIRST_SEED_OF_SILENCES:
         _vary_configurations(world, seed)
+    if seed >= FIRST_SEED_OF_BROKEN:
+        world.limits['max_body_bytes'] = MAX_BODY_BYTES
 
 
 def _vary_configurations(world: World, seed: int) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -53,6 +53,8 @@
         # Places of list entries that another writer has overwritten.
         self.spoiled: set[Place] = set()
         self.configurations = Configurations()
+        # Limits on the requests of callers other than the usual ones.
+        self.limits: dict[str, int] = {}
         # Seconds without data after which callers leave a stream, if they do.
         self.gap_s: float | None = None
 
@@ -94,7 +96,8 @@
         routes = self.configurations.routes([*ROUTES, own])
         self.configurations.change_quota(self.record.organisations)
         sent_at = time.monotonic()
-        self.configure(routes, self.record.organisations.holders())
+        holders = self.record.organisations.holders()
+        self.configure(routes, holders, self.limits)
         self.record.versions[number] = time.monotonic()
         self._note_work(
             CONFIGURATION, '', sent_at, self.configurations.timeout_s
