--- a/tests/test_soak_schedule.py
+++ b/tests/test_soak_schedule.py
@@ -20,7 +20,7 @@
 from soak.organisations import LIMITS, QUOTAS, Limit, Organisations
 from soak.record import Job, Record, RunStart
 from soak.replica_faults import Reconfigure, Restart
-from soak.schedule import FAULTS, PLANNED, schedule
+from soak.schedule import BROKEN, FAULTS, PLANNED, schedule
 from soak.silence_faults import Silent
 from standins.machines.replica import MAIN_SERVICE
 from standins.machines.site import ROUTES
@@ -64,6 +64,12 @@
         self.assertEqual({*PLANNED, Silent}, drawn_kinds(range(800, 820, 2)))
         self.assertLess({*FAULTS, Silent}, drawn_kinds(range(801, 841, 2)))
 
+    def test_broken(self):
+        """Seeds from 1100 on draw broken answers; lower ones do not."""
+        broken = set(BROKEN)
+        self.assertFalse(broken & drawn_kinds(range(1, 1100)))
+        self.assertLessEqual(broken, drawn_kinds(range(1100, 1120)))
+
     def test_early_jobs(self):
         """Seeds from 900 on restart entries in a slow store; lower ones not."""
         self.assertNotIn(EarlyJobs, drawn_kinds(range(1, 900)))
