--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 # seed 9 draws overlapping faults of all kinds. Seed 307 has organisations, and
 # seed 820 has replicas that fall silent beside planned maintenance. In seed 903
 # entries restart in a slow store and the routes of jobs change; in seed 1002
-# servers answer with bytes without end, in seed 1100 with such as are no answer,
+# servers answer with bytes without end, in seed 1100 with bytes of no answer,
 # and in seed 1101 replicas change their versions while an entry is cut off.
 SEEDS = (8, 9, 307, 820, 903, 1002, 1100, 1101)
 UNSURE = b'{"error":{"code":"limit_unsure"}}'
