--- a/cactusridge/platform/process_check.py
+++ b/cactusridge/platform/process_check.py
@@ -1,7 +1,5 @@
 """Asks replicas for the start times of their processes."""
 
-import time
-
 import gevent
 import msgspec
 from gevent import socket
@@ -10,17 +8,15 @@
 from cactusridge import events, logs
 from cactusridge.dispatch.upstream import ConnectFailed
 from cactusridge.fleet.replica import UNKNOWN_START, Replica
-from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.platform.connections import Connections
 from cactusridge.platform.reply_parser import ReplyParser
+from cactusridge.platform.short_reply import receive_body
 
 METHOD = 'GET'
 TARGET = '/api/report'
 OK = 200
-RECV_BYTES = 4096
 # Seconds that a replica may take to answer.
 ANSWER_TIMEOUT_S = 0.3
-MAX_ANSWER_BYTES = 262_144
 ASK_ERRORS = (ConnectFailed, OSError, HTTPParseError, ValueError)
 
 
@@ -91,26 +87,8 @@
         with self._connections.connect(replica.address) as sock:
             lines = (f'{METHOD} {TARGET} HTTP/1.1', f'Host: {replica.address}')
             sock.sendall('\r\n'.join((*lines, '', '')).encode('latin-1'))
-            raw = _read_answer(sock)
+            parser = ReplyParser(METHOD)
+            raw = receive_body(sock, parser, ANSWER_TIMEOUT_S)
+        if parser.status != OK:
+            raise HTTPParseError(f'the status is {parser.status}')
         return msgspec.json.decode(raw, type=ProcessReport).born
-
-
-def _read_answer(sock: socket.socket) -> bytes:
-    """Return the body of a success; raise OSError or HTTPParseError."""
-    parser = ReplyParser(METHOD)
-    turns = ReceiveTurns()
-    end_at = time.monotonic() + ANSWER_TIMEOUT_S
-    body = b''
-    while not parser.complete:
-        sock.settimeout(max(end_at - time.monotonic(), 0))
-        received = sock.recv(RECV_BYTES)
-        if not received:
-            raise ConnectionResetError('connection closed before an answer')
-        parser.feed(received)
-        turns.record(len(received))
-        body += parser.take_body()
-        if len(body) > MAX_ANSWER_BYTES:
-            raise HTTPParseError('the answer is too long')
-    if parser.status != OK:
-        raise HTTPParseError(f'the status is {parser.status}')
-    return body
--- a/cactusridge/platform/replica_probe.py
+++ b/cactusridge/platform/replica_probe.py
@@ -1,19 +1,17 @@
 """Checks whether a replica is still running at its address."""
 
 import errno
-import time
 
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
 
 from cactusridge.fleet.replica import Replica
-from cactusridge.http.receive_turns import ReceiveTurns
 from cactusridge.platform import names
 from cactusridge.platform.reply_parser import ReplyParser
+from cactusridge.platform.short_reply import receive_head
 
 METHOD = 'GET'
 MISDIRECTED = 421
-RECV_BYTES = 4096
 # Seconds that a replica may take to respond to a probe; it may be serving
 # other requests first.
 PROBE_TIMEOUT_S = 0.3
@@ -32,7 +30,7 @@
     sock.settimeout(PROBE_TIMEOUT_S)
     try:
         sock.sendall(_request_bytes(replica))
-        _read_head(sock, parser)
+        receive_head(sock, parser, PROBE_TIMEOUT_S)
     except (TimeoutError, BlockingIOError) as exc:
         return is_read_timeout(exc)
     except HTTPParseError:
@@ -61,19 +59,3 @@
         f'{names.EXPECTED_REPLICA}: {replica.id}',
     )
     return '\r\n'.join((*lines, '', '')).encode('latin-1')
-
-
-def _read_head(sock: socket.socket, parser: ReplyParser) -> None:
-    """Read the head of a response; raise OSError or HTTPParseError.
-
-    All of it may take PROBE_TIMEOUT_S.
-    """
-    turns = ReceiveTurns()
-    end_at = time.monotonic() + PROBE_TIMEOUT_S
-    while not parser.head_complete:
-        sock.settimeout(max(end_at - time.monotonic(), 0))
-        received = sock.recv(RECV_BYTES)
-        if not received:
-            raise ConnectionResetError('connection closed before a response')
-        parser.feed(received)
-        turns.record(len(received))
--- a/tests/machine_case.py
+++ b/tests/machine_case.py
@@ -3,11 +3,14 @@
 import tempfile
 from pathlib import Path
 
+from cactusridge.http.client import Address
 from standins.machines.site import MachineSite
 from standins.waiting import wait_for
 from tests.kept_logs import KeptLogsCase
 
 JOB_WAIT_S = 40
+# Part of a log line about a new or changed replica.
+LISTED = '"replica_found"'
 
 
 def request_headers(request_id: str) -> dict[str, str]:
@@ -33,6 +36,12 @@
         for name in self.entries:
             self.site.start_entry(name)
 
+    def list_in_first_place(self, address: Address) -> None:
+        """List another server under the id of the first replica."""
+        before = len(self.log_lines(LISTED))
+        self.site.register(self.site.replicas[0], address)
+        wait_for('it is listed', lambda: len(self.log_lines(LISTED)) > before)
+
     def restart_all_entries(self) -> None:
         """Kill all entries and start them again."""
         for process in self.site.entries.values():
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -33,7 +33,6 @@
 STREAM = b'HTTP/1.1 200 OK\r\n%b\r\n%b' % (SIGNED, EVENTS)
 PAUSES_S = (0, 0.002, 0.02, 0.1)
 CALLERS = 32
-LISTED = '"replica_found"'
 early = functools.partial(BrokenAnswer, UNFRAMED, early=True)
 late = functools.partial(BrokenAnswer, UNFRAMED)
 BROKEN_OFF = tuple(
@@ -108,9 +107,7 @@
         self.site.configure(ROUTES, limits={'max_body_bytes': 8 << 20})
         self.broken = BrokenReplica()
         self.addCleanup(self.broken.stop)
-        before = len(self.log_lines(LISTED))
-        self.site.register(self.site.replicas[0], self.broken.start())
-        wait_for('it is listed', lambda: len(self.log_lines(LISTED)) > before)
+        self.list_in_first_place(self.broken.start())
         wait_for('uploads are allowed', self._is_allowed)
 
     def call(self, path: str) -> tuple[int, bytes]:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,8 +18,6 @@
 # How much more memory an entry may have, in kilobytes.
 MORE_KIB = 64 * KIB
 ITEMS = 4
-# Part of a log line about a new or changed replica.
-LISTED = '"replica_found"'
 GONE_S = 6
 # A slow answer ends with the time of its request; one that may be repeated is
 # then sent to the other replica.
@@ -39,9 +37,7 @@
         super().setUp()
         self.endless = EndlessReplica()
         self.addCleanup(self.endless.stop)
-        before = len(self.log_lines(LISTED))
-        self.site.register(self.site.replicas[0], self.endless.start())
-        wait_for('it is listed', lambda: len(self.log_lines(LISTED)) > before)
+        self.list_in_first_place(self.endless.start())
 
     def memory_kib(self) -> int:
         """Return the memory of the entry, in kilobytes."""
--- a/tests/test_endless_comments.py
+++ b/tests/test_endless_comments.py
@@ -24,7 +24,6 @@
 GONE_S = 6
 RECV_BYTES = 262_144
 BODY = b'3 0.01'
-LISTED = '"replica_found"'
 
 
 class TestEndlessComments(MachineCase):
@@ -39,9 +38,7 @@
         super().setUp()
         self.endless = EndlessReplica()
         self.addCleanup(self.endless.stop)
-        before = len(self.log_lines(LISTED))
-        self.site.register(self.site.replicas[0], self.endless.start())
-        wait_for('it is listed', lambda: len(self.log_lines(LISTED)) > before)
+        self.list_in_first_place(self.endless.start())
         self.caller = StreamCaller(self.site.addresses.__getitem__)
 
     def call(self, path: str) -> tuple[int, float]:
--- a/tests/test_no_answers.py
+++ b/tests/test_no_answers.py
@@ -12,7 +12,6 @@
     BrokenReplica,
 )
 from standins.machines.site import ROUTES
-from standins.waiting import wait_for
 from tests.machine_case import MachineCase
 
 CALLERS = 12
@@ -22,7 +21,6 @@
 SHORT = b'1 0.01'
 LONG = SHORT.ljust(2_000_000)
 EVENT = b'id: 1\ndata: e1\n\n'
-LISTED = '"replica_found"'
 EJECTED = '"replica_ejected"'
 SPOILT = b'spoilt'
 
@@ -69,9 +67,7 @@
         self.site.configure(ROUTES, limits={'max_body_bytes': 8 << 20})
         self.broken = BrokenReplica()
         self.addCleanup(self.broken.stop)
-        before = len(self.log_lines(LISTED))
-        self.site.register(self.site.replicas[0], self.broken.start())
-        wait_for('it is listed', lambda: len(self.log_lines(LISTED)) > before)
+        self.list_in_first_place(self.broken.start())
 
     def call(self, path: str, body: bytes) -> tuple[int, bytes, float]:
         """Return status and body of an answer, and the seconds it took."""
