Items: the process of a run is the same for all of its events

Found in reading the diff: a run whose process was known by a current list lost its origin once the list was older, so that an interrupted item started over in an outage of the store for nothing.

--- a/cactusridge/jobs/item_run.py
+++ b/cactusridge/jobs/item_run.py
@@ -191,13 +191,17 @@
     def _read_events(self, run: Run) -> None:
         splitter = EventSplitter(self.task.last_id)
         output_chars = sum(map(len, self.task.event_data))
+        # One process runs it all, and a resumed item only where that is known.
+        resumes = self.task.last_id is not None
+        origin = self.task.origin if resumes else UNKNOWN_ORIGIN
         while received := run.read(READ_TIMEOUT_S):
             for event in self._events(run, splitter, received):
                 run.record_output()
                 payload = event.payload
                 self._append_event(event.id, payload)
                 output_chars += len(payload)
-                self.task.origin = run.origin()
+                origin = run.origin() if origin == UNKNOWN_ORIGIN else origin
+                self.task.origin = origin
             self._check_bounds(run, output_chars)
         if splitter.pending:
             raise TruncatedReply('the stream ended in the middle of an event')
