--- a/tests/machine_case.py
+++ b/tests/machine_case.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from cactusridge.http.client import Address
-from standins.machines.site import MachineSite
+from standins.machines.site import ROUTES, MachineSite
 from standins.waiting import wait_for
 from tests.kept_logs import KeptLogsCase
 
@@ -36,6 +36,16 @@
         for name in self.entries:
             self.site.start_entry(name)
 
+    def allow_uploads(self) -> None:
+        """Let callers send 8 MB, and wait long for replicas that read them.
+
+        Otherwise a request that a busy machine is late with is sent to another
+        replica, which uses its attempts.
+        """
+        patient = {'target_latency_ms': 3000, 'max_attempts': 3}
+        routes = [{**route, **patient} for route in ROUTES]
+        self.site.configure(routes, limits={'max_body_bytes': 8 << 20})
+
     def list_in_first_place(self, address: Address) -> None:
         """List another server under the id of the first replica."""
         before = len(self.log_lines(LISTED))
